Serve the whole path as separate processes

Ruled out: a relay through an owner host for each endpoint, which costs a second pass of every token; two table objects, which could be raced apart. Claims are committed one by one, membership is a plain probe of listed peers, placement uses the host's own view only.

--- /dev/null
+++ b/connection/messenger/generate.go
@@ -0,0 +1,3 @@
+package messenger
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/connection/messenger/messenger.go
@@ -0,0 +1,78 @@
+// Package messenger frames the protobuf messages that entry hosts exchange.
+//
+// A frame is a four-byte big-endian length followed by one encoded Envelope.
+package messenger
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// ProtocolVersion is the version of the peer protocol that this build speaks.
+	ProtocolVersion = 1
+
+	// MaxFrameBytes bounds one frame. It admits tables of one megabyte.
+	MaxFrameBytes = 4 << 20
+
+	lengthBytes = 4
+)
+
+// Errors of the framing.
+var (
+	ErrFrameTooLarge = eris.New("messenger: frame exceeds the maximum size")
+	ErrProtocol      = eris.New("messenger: peer speaks another protocol version")
+)
+
+// Write sends one envelope as a frame and stamps the protocol version on it.
+func Write(wri io.Writer, env *Envelope) error {
+	env.Protocol = ProtocolVersion
+	size := proto.Size(env)
+	if size > MaxFrameBytes {
+		return ErrFrameTooLarge
+	}
+	buf := make([]byte, lengthBytes, lengthBytes+size)
+	binary.BigEndian.PutUint32(buf, uint32(size))
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, env)
+	if err != nil {
+		return eris.Wrap(err, "messenger.Write: encode")
+	}
+	_, err = wri.Write(buf)
+	return eris.Wrap(err, "messenger.Write: send")
+}
+
+// Read receives one frame. It returns io.EOF unwrapped when the stream ends
+// before a frame starts.
+func Read(rea io.Reader) (*Envelope, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(rea, head[:]); err != nil {
+		if err == io.EOF {
+			return nil, err
+		}
+		return nil, eris.Wrap(err, "messenger.Read: length")
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > MaxFrameBytes {
+		return nil, ErrFrameTooLarge
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(rea, buf); err != nil {
+		return nil, eris.Wrap(err, "messenger.Read: body")
+	}
+	env := &Envelope{}
+	if err := proto.Unmarshal(buf, env); err != nil {
+		return nil, eris.Wrap(err, "messenger.Read: decode")
+	}
+	if env.GetProtocol() != ProtocolVersion {
+		return nil, ErrProtocol
+	}
+	return env, nil
+}
+
+// NewFailure builds the envelope that refuses a call.
+func NewFailure(code, message string) *Envelope {
+	return &Envelope{Body: &Envelope_Failure{Failure: &Failure{Code: code, Message: message}}}
+}
--- /dev/null
+++ b/connection/persister/persister.go
@@ -0,0 +1,187 @@
+// Package persister is the client of the platform: its object API, its list of
+// hosts and endpoints, and its weight store. All knowledge of the platform's
+// wire format stands here.
+//
+// Objects: GET, PUT and DELETE /v1/objects/{path}; the version travels as ETag
+// and If-Match. Watch: GET /v1/watch. List: GET /v1/hosts.
+package persister
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// MaxValueBytes bounds the value of one object.
+	MaxValueBytes = 1 << 20
+
+	maxListBytes = 64 << 20
+)
+
+// Errors of the object API. Any other error of a Put or Delete leaves the
+// result of the write unknown.
+var (
+	ErrNotFound    = eris.New("persister: object not found")
+	ErrConflict    = eris.New("persister: object has another version")
+	ErrTooLarge    = eris.New("persister: value exceeds the maximum size")
+	ErrRateLimited = eris.New("persister: platform refused the call by rate")
+	ErrUnavailable = eris.New("persister: platform unavailable")
+)
+
+// Object is one versioned value. Version 0 stands for an absent object.
+type Object struct {
+	Path    string
+	Version uint64
+	Value   []byte
+}
+
+// EntryKind is the kind of a listed process.
+type EntryKind string
+
+// Kinds of listed processes.
+const (
+	KindEntry   EntryKind = "Entry"
+	KindEngine  EntryKind = "Engine"
+	KindService EntryKind = "Service"
+)
+
+// Entry is one line of the platform's list of hosts and endpoints.
+type Entry struct {
+	ID         string
+	Kind       EntryKind
+	Service    string
+	Address    string
+	DataCenter string
+	Models     []string
+	Leaving    bool
+}
+
+// Persister calls the platform at BaseURL.
+type Persister struct {
+	BaseURL string
+	Client  http.Client
+}
+
+// Get reads one object.
+func (per *Persister) Get(ctx context.Context, path string) (Object, error) {
+	res, err := per.do(ctx, http.MethodGet, "/v1/objects/"+path, nil, nil)
+	if err != nil {
+		return Object{}, eris.Wrapf(err, "Persister.Get: %s from platform %s", path, per.BaseURL)
+	}
+	return Object{Path: path, Version: parseVersion(res.etag), Value: res.body}, nil
+}
+
+// Put writes obj on the condition that the stored version is obj.Version.
+// It returns the new version. Errors other than ErrConflict, ErrTooLarge and
+// ErrRateLimited leave the result unknown.
+func (per *Persister) Put(ctx context.Context, obj Object) (uint64, error) {
+	if len(obj.Value) > MaxValueBytes {
+		return 0, eris.Wrapf(ErrTooLarge, "Persister.Put: %s has %d bytes", obj.Path, len(obj.Value))
+	}
+	res, err := per.do(ctx, http.MethodPut, "/v1/objects/"+obj.Path, condition(obj.Version), obj.Value)
+	if err != nil {
+		return 0, eris.Wrapf(err, "Persister.Put: %s to platform %s", obj.Path, per.BaseURL)
+	}
+	return parseVersion(res.etag), nil
+}
+
+// Delete removes an object on the condition that its version is as given.
+func (per *Persister) Delete(ctx context.Context, path string, version uint64) error {
+	_, err := per.do(ctx, http.MethodDelete, "/v1/objects/"+path, condition(version), nil)
+	return eris.Wrapf(err, "Persister.Delete: %s at platform %s", path, per.BaseURL)
+}
+
+// Watch waits until an object under prefix has a version above after, or until
+// wait has passed, and returns the changed objects.
+func (per *Persister) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, error) {
+	qry := url.Values{}
+	qry.Set("Prefix", prefix)
+	qry.Set("After", strconv.FormatUint(after, 10))
+	qry.Set("WaitMs", strconv.FormatInt(wait.Milliseconds(), 10))
+	res, err := per.do(ctx, http.MethodGet, "/v1/watch?"+qry.Encode(), nil, nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "Persister.Watch: %s at platform %s", prefix, per.BaseURL)
+	}
+	var objs []Object
+	err = json.Unmarshal(res.body, &objs)
+	return objs, eris.Wrapf(err, "Persister.Watch: decode answer of platform %s", per.BaseURL)
+}
+
+// Entries reads the lagging list of hosts and endpoints.
+func (per *Persister) Entries(ctx context.Context) ([]Entry, error) {
+	res, err := per.do(ctx, http.MethodGet, "/v1/hosts", nil, nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "Persister.Entries: platform %s", per.BaseURL)
+	}
+	var ents []Entry
+	err = json.Unmarshal(res.body, &ents)
+	return ents, eris.Wrapf(err, "Persister.Entries: decode answer of platform %s", per.BaseURL)
+}
+
+type response struct {
+	etag string
+	body []byte
+}
+
+func (per *Persister) do(ctx context.Context, method, path string, head http.Header, body []byte) (response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, per.BaseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return response{}, eris.Wrap(err, "build request")
+	}
+	for nam, val := range head {
+		req.Header[nam] = val
+	}
+	res, err := per.Client.Do(req)
+	if err != nil {
+		return response{}, eris.Wrap(err, "send")
+	}
+	defer res.Body.Close()
+	buf, err := io.ReadAll(io.LimitReader(res.Body, maxListBytes))
+	if err != nil {
+		return response{}, eris.Wrap(err, "read answer")
+	}
+	if err := statusError(res.StatusCode); err != nil {
+		return response{}, err
+	}
+	return response{etag: res.Header.Get("ETag"), body: buf}, nil
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusPreconditionFailed:
+		return ErrConflict
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusTooManyRequests:
+		return ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return ErrUnavailable
+	default:
+		return eris.Errorf("unexpected status %d", status)
+	}
+}
+
+func condition(version uint64) http.Header {
+	if version == 0 {
+		return http.Header{"If-None-Match": {"*"}}
+	}
+	return http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(version, 10))}}
+}
+
+func parseVersion(etag string) uint64 {
+	ver, _ := strconv.ParseUint(strings.Trim(etag, `"`), 10, 64)
+	return ver
+}
--- /dev/null
+++ b/process/allocator/allocator.go
@@ -0,0 +1,131 @@
+// Package allocator places requests from this host's own view and keeps count
+// of what the host has on each endpoint.
+package allocator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/process/watcher"
+	"hemlockpin/request/executor"
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+
+	"github.com/rotisserie/eris"
+)
+
+const releaseTimeout = time.Second
+
+// Allocator places requests. Its maps are ready as zero values.
+type Allocator struct {
+	Policy  placer.Policy
+	Watcher *watcher.Watcher
+	Invoker *invoker.Invoker
+	Owner   invoker.Owner
+
+	mu   sync.Mutex
+	work map[string]tally
+}
+
+// tally counts this host's requests on one endpoint.
+type tally struct {
+	requests int
+	tokens   int64
+}
+
+// Acquire places a request once. Waiting is left to the engines' queues.
+func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+	now := time.Now()
+	all.mu.Lock()
+	vie := all.view(poo)
+	dec := placer.Decide(all.Policy, req, vie, now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	switch dec := dec.(type) {
+	case placer.Place:
+		defer all.mu.Unlock()
+		return all.lease(dec.Endpoint, dec.Address, req.PromptTokens), nil
+	case placer.PlaceGroup:
+		all.mu.Unlock()
+		return all.group(ctx, req, dec)
+	case placer.Refuse:
+		all.mu.Unlock()
+		return executor.Lease{}, &executor.RefusedError{Refuse: dec}
+	default:
+		all.mu.Unlock()
+		return executor.Lease{}, eris.Errorf("Allocator.Acquire: unexpected decision %T", dec)
+	}
+}
+
+func (all *Allocator) view(poo parser.Pool) placer.View {
+	vie := all.Watcher.Pool(poo)
+	for ind := range vie.Endpoints {
+		end := &vie.Endpoints[ind]
+		end.Outstanding = all.work[end.ID].requests
+		end.OutstandingTokens = all.work[end.ID].tokens
+	}
+	return vie
+}
+
+// lease counts the request. The caller holds the lock.
+func (all *Allocator) lease(id, address string, tokens int64) executor.Lease {
+	all.add(id, 1, tokens)
+	var pre, rel sync.Once
+	prefilled := func() { pre.Do(func() { all.change(id, 0, -tokens) }) }
+	return executor.Lease{
+		Endpoint: id, Address: address, Prefilled: prefilled,
+		Release: func() {
+			prefilled()
+			rel.Do(func() { all.change(id, -1, 0) })
+		},
+	}
+}
+
+func (all *Allocator) change(id string, requests int, tokens int64) {
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	all.add(id, requests, tokens)
+}
+
+func (all *Allocator) add(id string, requests int, tokens int64) {
+	if all.work == nil {
+		all.work = map[string]tally{}
+	}
+	wor := all.work[id]
+	wor.requests += requests
+	wor.tokens += tokens
+	all.work[id] = wor
+}
+
+// group reserves memory on every engine of a group, or on none.
+func (all *Allocator) group(ctx context.Context, req placer.Request, dec placer.PlaceGroup) (executor.Lease, error) {
+	resID := req.ID
+	var pars []invoker.Part
+	free := func() { all.free(ctx, pars) }
+	for _, par := range dec.Parts {
+		pars = append(pars, invoker.Part{Endpoint: par.Endpoint, Address: par.Address, Tokens: par.Tokens, ReservationID: resID})
+		if err := all.Invoker.Reserve(ctx, par.Address, resID, req.ID, all.Owner, par.Tokens); err != nil {
+			free()
+			return executor.Lease{}, &executor.RefusedError{Refuse: placer.Refuse{
+				Code: "group_unavailable", Message: "the engines cannot hold the prompt together now: " + err.Error(), RetryAfter: time.Second,
+			}}
+		}
+	}
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	lea := all.lease(pars[0].Endpoint, pars[0].Address, req.PromptTokens)
+	lea.ReservationID = resID
+	lea.Group = pars
+	rel := lea.Release
+	lea.Release = sync.OnceFunc(func() { free(); rel() })
+	return lea, nil
+}
+
+func (all *Allocator) free(ctx context.Context, pars []invoker.Part) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer stop()
+	for _, par := range pars {
+		_ = all.Invoker.Release(ctx, par.Address, par.ReservationID)
+	}
+}
--- /dev/null
+++ b/process/server/caller.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"net/http"
+	"strconv"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/request/receiver"
+	"hemlockpin/request/responder"
+	"hemlockpin/version/matcher"
+
+	"github.com/gorilla/mux"
+)
+
+func (ser *Server) callerRoutes() http.Handler {
+	rou := mux.NewRouter().SkipClean(true)
+	rou.HandleFunc("/healthz", func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusOK) })
+	rou.HandleFunc("/readyz", ser.ready)
+	rou.HandleFunc("/v1/chat/completions", ser.prompt(true)).Methods(http.MethodPost)
+	rou.HandleFunc("/v1/completions", ser.prompt(false)).Methods(http.MethodPost)
+	rou.HandleFunc("/v1/models", ser.models).Methods(http.MethodGet)
+	rou.PathPrefix("/").HandlerFunc(ser.call)
+	return rou
+}
+
+func (ser *Server) ready(wri http.ResponseWriter, _ *http.Request) {
+	if ser.draining.Load() || ser.publisher.Current().Revision() == 0 {
+		wri.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	wri.WriteHeader(http.StatusOK)
+}
+
+// tables pins the version of the tables that a request begins with.
+func (ser *Server) tables(wri http.ResponseWriter) *matcher.Matcher {
+	mat := ser.publisher.Current()
+	wri.Header().Set(responder.RevisionHeader, strconv.FormatUint(mat.Revision(), 10))
+	return mat
+}
+
+func (ser *Server) prompt(chat bool) http.HandlerFunc {
+	return func(wri http.ResponseWriter, req *http.Request) {
+		ctx, spa := ser.startSpan(req, "prompt")
+		defer spa.End()
+		ser.executor.Generate(ctx, wri, req, ser.tables(wri), chat)
+	}
+}
+
+func (ser *Server) call(wri http.ResponseWriter, req *http.Request) {
+	ctx, spa := ser.startSpan(req, "call")
+	defer spa.End()
+	ser.executor.Call(ctx, wri, req, ser.tables(wri))
+}
+
+func (ser *Server) models(wri http.ResponseWriter, req *http.Request) {
+	mat := ser.tables(wri)
+	key, err := receiver.BearerKey(req.Header)
+	tea, ok := mat.Team(key)
+	if err != nil || !ok {
+		responder.WriteProblem(wri, responder.Problem{Status: http.StatusUnauthorized, Code: "invalid_api_key", Message: "a known bearer key is required", Ran: invoker.NotRun})
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	mods := []model{}
+	for _, nam := range mat.Models(tea.Name) {
+		mods = append(mods, model{nam, "model", ser.started.Unix(), "hemlockpin"})
+	}
+	responder.WriteJSON(wri, http.StatusOK, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", mods})
+}
--- /dev/null
+++ b/request/executor/executor.go
@@ -0,0 +1,153 @@
+// Package executor carries out one request: it asks the deciding packages what
+// to do and does it through the endpoints and the claims.
+package executor
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/connection/messenger"
+	"hemlockpin/request/placer"
+	"hemlockpin/request/receiver"
+	"hemlockpin/request/responder"
+	"hemlockpin/version/matcher"
+	"hemlockpin/version/parser"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Lease is the right to use an endpoint, or a group of engines, for a request.
+type Lease struct {
+	Endpoint string
+	Address  string
+	// ReservationID and Group are set when several engines hold the prompt.
+	ReservationID string
+	Group         []invoker.Part
+	// Release ends the lease. It is idempotent and never nil.
+	Release func()
+	// Prefilled tells the allocator that the first token has arrived. It is
+	// idempotent and never nil.
+	Prefilled func()
+}
+
+// RefusedError reports that no endpoint could be had.
+type RefusedError struct{ Refuse placer.Refuse }
+
+// Error formats the refusal.
+func (err *RefusedError) Error() string {
+	return "refused: " + err.Refuse.Code + ": " + err.Refuse.Message
+}
+
+// Allocator finds endpoints. It may wait until the request's deadline.
+type Allocator interface {
+	Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (Lease, error)
+}
+
+// Claims commits changes of claims.
+type Claims interface {
+	Commit(ctx context.Context, com *messenger.ClaimCommit, now time.Time) *messenger.ClaimResult
+}
+
+// Admitter decides whether a request may enter at all.
+type Admitter interface {
+	Admit(req placer.Request, tea parser.Team, poo parser.Pool, now time.Time) (done func(), ref *placer.Refuse)
+}
+
+// Executor carries out requests of one host.
+type Executor struct {
+	Owner     invoker.Owner
+	Invoker   *invoker.Invoker
+	Allocator Allocator
+	Admitter  Admitter
+	Claims    Claims
+	Clock     func() time.Time
+	Scope     tally.Scope
+	Tracer    trace.Tracer
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+}
+
+// request is the part that prompts and calls share.
+type request struct {
+	id       string
+	arrived  time.Time
+	deadline time.Time
+	team     parser.Team
+	route    parser.Route
+	pool     parser.Pool
+	writer   http.ResponseWriter
+}
+
+func (exe *Executor) begin(wri http.ResponseWriter, mat *matcher.Matcher, hea http.Header) (request, error) {
+	req := request{id: uuid.Must(uuid.NewV7()).String(), arrived: exe.Clock(), writer: wri}
+	wri.Header().Set(responder.RequestIDHeader, req.id)
+	key, err := receiver.BearerKey(hea)
+	if err != nil {
+		return req, err
+	}
+	tea, ok := mat.Team(key)
+	if !ok {
+		return req, &receiver.BadRequestError{Status: http.StatusUnauthorized, Code: "invalid_api_key", Message: "the bearer key belongs to no team"}
+	}
+	req.team = tea
+	return req, nil
+}
+
+func (exe *Executor) route(req *request, mat *matcher.Matcher, que matcher.Query, hea http.Header) error {
+	rou, poo, ok := mat.Route(que)
+	if !ok && que.Model != "" {
+		return &receiver.BadRequestError{Status: http.StatusNotFound, Code: "model_not_found", Param: "model", Message: "no route takes model " + que.Model + " for this team and prompt length"}
+	}
+	if !ok {
+		return &receiver.BadRequestError{Status: http.StatusNotFound, Code: "route_not_found", Message: "no route takes this request"}
+	}
+	ded, err := receiver.Deadline(hea, time.Duration(rou.TimeLimit), req.arrived)
+	if err != nil {
+		return err
+	}
+	req.route = rou
+	req.pool = poo
+	req.deadline = ded
+	return nil
+}
+
+// problemOf turns an error from before any dispatch into a problem.
+func problemOf(err error) responder.Problem {
+	var bad *receiver.BadRequestError
+	if eris.As(err, &bad) {
+		return responder.Problem{Status: bad.Status, Code: bad.Code, Param: bad.Param, Message: bad.Message, Ran: invoker.NotRun}
+	}
+	var ref *RefusedError
+	if eris.As(err, &ref) {
+		return refusal(ref.Refuse)
+	}
+	return responder.Problem{Status: http.StatusInternalServerError, Code: "internal", Message: err.Error(), Ran: invoker.NotRun}
+}
+
+// refusal maps a refusal to its status.
+func refusal(ref placer.Refuse) responder.Problem {
+	return responder.Problem{Status: StatusOf(ref.Code), Code: ref.Code, Message: ref.Message, Ran: invoker.NotRun, RetryAfter: ref.RetryAfter}
+}
+
+// StatusOf maps a code to its HTTP status.
+func StatusOf(code string) int {
+	switch code {
+	case "team_limit", "pool_full":
+		return http.StatusTooManyRequests
+	case "prompt_too_large":
+		return http.StatusRequestEntityTooLarge
+	case "time_limit":
+		return http.StatusGatewayTimeout
+	case "endpoint_refused", "endpoint_failed":
+		return http.StatusBadGateway
+	case "internal":
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/version/parser/pool.go
@@ -0,0 +1,63 @@
+package parser
+
+import "fmt"
+
+// PoolKind is the kind of endpoint that a pool names.
+type PoolKind string
+
+// Kinds of pools.
+const (
+	PoolEngine  PoolKind = "Engine"
+	PoolService PoolKind = "Service"
+)
+
+// Selector picks the endpoints of a pool from the platform's list.
+type Selector struct {
+	Service     string
+	DataCenters []string `json:",omitempty"`
+}
+
+// Pool names a group of endpoints.
+type Pool struct {
+	Name     string
+	Kind     PoolKind
+	Selector Selector
+	// MaxOutstanding bounds the requests on one endpoint; 0 stands for no bound.
+	MaxOutstanding int `json:",omitempty"`
+	// MaxWaiting bounds the requests that wait for the pool on one host.
+	MaxWaiting int `json:",omitempty"`
+	// ChecksFencing says that the endpoints refuse orders with an old fencing number.
+	ChecksFencing bool `json:",omitempty"`
+	// LongShare is the share of the engines, 0 to 1, that long prompts may
+	// occupy at a time; 0 stands for the default.
+	LongShare float64 `json:",omitempty"`
+}
+
+// Defaults fills in the fields left empty.
+func (poo Pool) Defaults() Pool {
+	if poo.MaxWaiting == 0 {
+		poo.MaxWaiting = 1000
+	}
+	return poo
+}
+
+// Validate lists every fault of the pool by itself.
+func (poo Pool) Validate() []string {
+	var fas []string
+	if !validName(poo.Name) {
+		fas = append(fas, fmt.Sprintf("pool %q: Name must be 1 to 63 of a-z, 0-9 and -", poo.Name))
+	}
+	if poo.Kind != PoolEngine && poo.Kind != PoolService {
+		fas = append(fas, fmt.Sprintf("pool %q: Kind %q must be Engine or Service", poo.Name, poo.Kind))
+	}
+	if poo.Selector.Service == "" {
+		fas = append(fas, fmt.Sprintf("pool %q: Selector.Service is missing", poo.Name))
+	}
+	if poo.MaxOutstanding < 0 || poo.MaxWaiting < 0 {
+		fas = append(fas, fmt.Sprintf("pool %q: limits must not be negative", poo.Name))
+	}
+	if poo.LongShare < 0 || poo.LongShare > 1 {
+		fas = append(fas, fmt.Sprintf("pool %q: LongShare %g is outside 0 to 1", poo.Name, poo.LongShare))
+	}
+	return fas
+}
