--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockpin/connection/messenger"
@@ -33,6 +34,7 @@
 type Multiplexer struct {
 	Handler Handler
 
+	bytes    atomic.Int64
 	mu       sync.Mutex
 	sessions map[string]*yamux.Session
 	accepted map[*yamux.Session]struct{}
@@ -92,7 +94,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "Multiplexer.session: dial peer %s", address)
 	}
-	ses, err = yamux.Client(con, sessionConfig())
+	ses, err = yamux.Client(countedConn{con, &mul.bytes}, sessionConfig())
 	if err != nil {
 		con.Close()
 		return nil, eris.Wrapf(err, "Multiplexer.session: open session to peer %s", address)
@@ -136,7 +138,7 @@
 }
 
 func (mul *Multiplexer) serveConn(con net.Conn) {
-	ses, err := yamux.Server(con, sessionConfig())
+	ses, err := yamux.Server(countedConn{con, &mul.bytes}, sessionConfig())
 	if err != nil {
 		con.Close()
 		return
--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -15,6 +15,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,8 +70,13 @@
 type Persister struct {
 	BaseURL string
 	Client  http.Client
+
+	calls atomic.Int64
 }
 
+// Calls returns the number of calls sent so far.
+func (per *Persister) Calls() int64 { return per.calls.Load() }
+
 // Get reads one object.
 func (per *Persister) Get(ctx context.Context, path string) (Object, error) {
 	res, err := per.do(ctx, http.MethodGet, "/v1/objects/"+path, nil, nil)
@@ -140,6 +146,7 @@
 	for nam, val := range head {
 		req.Header[nam] = val
 	}
+	per.calls.Add(1)
 	res, err := per.Client.Do(req)
 	if err != nil {
 		return response{}, eris.Wrap(err, "send")
--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -9,7 +9,6 @@
 	_ "github.com/anishathalye/porcupine"
 	_ "github.com/cenkalti/backoff/v5"
 	_ "github.com/cockroachdb/datadriven"
-	_ "github.com/go-echarts/go-echarts/v2/charts"
 	_ "github.com/google/uuid"
 	_ "github.com/openai/openai-go/v3"
 	_ "github.com/rogpeppe/go-internal/testscript"
--- a/process/server/operator.go
+++ b/process/server/operator.go
@@ -36,6 +36,7 @@
 	rou.HandleFunc("/healthz", func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusOK) })
 	rou.HandleFunc("/readyz", ser.ready)
 	rou.HandleFunc("/v1/status", ser.status).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/usage", ser.usage).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/tables", ser.getTables).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/tables", ser.putTables).Methods(http.MethodPut)
 	return rou
--- /dev/null
+++ b/process/server/usage.go
@@ -0,0 +1,59 @@
+package server
+
+import (
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"hemlockpin/request/responder"
+)
+
+// Usage is what the process has used since its start.
+type Usage struct {
+	Host        string
+	Incarnation uint64
+	// CPUSeconds is the processor time in user and system mode.
+	CPUSeconds float64
+	// MemoryBytes is the resident memory.
+	MemoryBytes int64
+	// PeerBytes counts bytes sent to and received from other hosts.
+	PeerBytes int64
+	// PlatformCalls counts calls to the platform.
+	PlatformCalls int64
+}
+
+func (ser *Server) usage(wri http.ResponseWriter, _ *http.Request) {
+	responder.WriteJSON(wri, http.StatusOK, Usage{
+		Host: ser.Settings.HostID, Incarnation: ser.Incarnation, CPUSeconds: cpuSeconds(), MemoryBytes: residentBytes(),
+		PeerBytes: ser.multiplexer.Bytes(), PlatformCalls: ser.persister.Calls(),
+	})
+}
+
+func cpuSeconds() float64 {
+	var rus syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &rus) != nil {
+		return 0
+	}
+	return seconds(rus.Utime) + seconds(rus.Stime)
+}
+
+func seconds(tim syscall.Timeval) float64 {
+	const microseconds = 1e6
+	return float64(tim.Sec) + float64(tim.Usec)/microseconds
+}
+
+// residentBytes reads the second field of /proc/self/statm, in pages.
+func residentBytes() int64 {
+	buf, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fies := strings.Fields(string(buf))
+	if len(fies) < 2 {
+		return 0
+	}
+	pag, _ := strconv.ParseInt(fies[1], 10, 64)
+	return pag * int64(os.Getpagesize())
+}
