Add the load command with reports and comparison

Ruled out: an echarts page, which is not self-contained; counting only answered requests, which hides refusals. Conclusion: the tool measures; reports are JSON, HTML and a table.

--- a/cmd/hemlockload/main.go
+++ b/cmd/hemlockload/main.go
@@ -1,4 +1,5 @@
-// Command hemlockload sends load to entry hosts and reports the outcomes.
+// Command hemlockload sends open-loop load to entry hosts, switches faults of
+// the stand-ins at given times and reports the outcomes.
 package main
 
 import (
@@ -10,13 +11,26 @@
 	"github.com/jessevdk/go-flags"
 )
 
+const exitUsage = 2
+
 func main() {
 	par := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	_, _ = par.AddCommand("run", runShort, runLong, &runCommand{})
+	_, _ = par.AddCommand("compare", compareShort, compareLong, &compareCommand{})
+	_, _ = par.AddCommand("mixes", mixesShort, mixesLong, &mixesCommand{})
 	if _, err := par.Parse(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
 		if flags.WroteHelp(err) {
+			fmt.Println(err)
 			return
 		}
-		os.Exit(2)
+		fmt.Fprintln(os.Stderr, "hemlockload:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	if _, ok := err.(*flags.Error); ok { //nolint:errorlint // The parser returns its errors unwrapped.
+		return exitUsage
 	}
+	return 1
 }
--- /dev/null
+++ b/cmd/hemlockload/run.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"hemlockpin/load/driver"
+	"hemlockpin/load/mixer"
+	"hemlockpin/load/reporter"
+	"hemlockpin/load/sender"
+	"hemlockpin/load/summarizer"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	runShort = "send load and report the outcomes"
+	runLong  = `Sends requests of a mix to one or more hosts at a mean rate. Arrivals are a
+Poisson process that does not wait for answers. All draws come from the seed.
+
+A fault is given as AT=URL=BODY: at the time AT after the start, BODY is sent
+with PUT to URL, which is the control of a stand-in. For example:
+
+  --fault '10s=http://127.0.0.1:7000/control/faults={"Down":true}'
+
+The report is written as JSON with --json and as one HTML page with --html.
+The exit code is 1 if an answer was wrong or a connection broke.`
+)
+
+type runCommand struct {
+	Hosts     []string      `long:"host" required:"true" description:"caller address of a host, as IP:port; may be repeated"`
+	Operators []string      `long:"operator" description:"operator address of a host whose usage is reported; may be repeated"`
+	Mix       string        `long:"mix" default:"wijesinghe" description:"name of the mix"`
+	Rate      float64       `long:"rate" default:"20" description:"requests a second"`
+	Duration  time.Duration `long:"duration" default:"30s" description:"time during which requests start"`
+	WarmUp    time.Duration `long:"warm-up" default:"5s" description:"part at the start that is not counted"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of all draws"`
+	Scale     float64       `long:"length-scale" default:"1" description:"divides the lengths of prompts"`
+	OnlyShort bool          `long:"only-short" description:"leave out the prompts over 4,000 tokens, the rate of the rest unchanged"`
+	Faults    []string      `long:"fault" description:"AT=URL=BODY; may be repeated"`
+	Name      string        `long:"name" default:"run" description:"name of the run in the report"`
+	JSON      string        `long:"json" description:"file for the report as JSON"`
+	HTML      string        `long:"html" description:"file for the report as HTML"`
+	Quiet     bool          `long:"quiet" description:"no progress lines"`
+}
+
+// Execute runs the load.
+func (com *runCommand) Execute([]string) error {
+	run, err := com.plan()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	rep, err := run.Do(ctx)
+	if err != nil {
+		return err
+	}
+	rep.Name = com.Name
+	if err := com.write(rep); err != nil {
+		return err
+	}
+	out := rep.Outcomes()
+	if bad := out[sender.Wrong] + out[sender.Broken]; bad > 0 {
+		return eris.Errorf("%d answers were wrong or broken", bad)
+	}
+	return nil
+}
+
+func (com *runCommand) plan() (*driver.Run, error) {
+	mix, ok := mixer.ByName(com.Mix)
+	if !ok {
+		return nil, eris.Errorf("unknown mix %q; see hemlockload mixes", com.Mix)
+	}
+	rate := com.Rate
+	if com.OnlyShort {
+		short, shr := mix.WithoutLong(mixer.ShortTokens)
+		mix = short
+		rate *= shr
+	}
+	run := &driver.Run{
+		Mix: mix.WithScale(com.Scale), Rate: rate, Seed: com.Seed, Duration: com.Duration, WarmUp: com.WarmUp,
+		Sender: &sender.Sender{Hosts: com.Hosts, Model: mix.Model, Verify: true}, Operators: com.Operators,
+	}
+	if !com.Quiet {
+		run.Progress = os.Stderr
+	}
+	for _, txt := range com.Faults {
+		fau, err := parseFault(txt)
+		if err != nil {
+			return nil, err
+		}
+		run.Faults = append(run.Faults, fau)
+	}
+	return run, nil
+}
+
+func parseFault(txt string) (driver.Fault, error) {
+	pars := strings.SplitN(txt, "=", 3)
+	if len(pars) != 3 {
+		return driver.Fault{}, eris.Errorf("bad fault %q: use AT=URL=BODY", txt)
+	}
+	at, err := time.ParseDuration(pars[0])
+	if err != nil {
+		return driver.Fault{}, eris.Errorf("bad fault %q: %q is not a duration", txt, pars[0])
+	}
+	return driver.Fault{At: at, URL: pars[1], Body: pars[2]}, nil
+}
+
+func (com *runCommand) write(rep summarizer.Report) error {
+	fmt.Printf("%s: mix %s, seed %d, %.1f requests a second, %.2f a second whole and in time\n", rep.Name, rep.Mix, rep.Seed, rep.Rate, rep.Goodput)
+	if err := reporter.Print(os.Stdout, rep); err != nil {
+		return err
+	}
+	reps := []summarizer.Report{rep}
+	if com.JSON != "" {
+		if err := reporter.WriteJSON(com.JSON, reps); err != nil {
+			return err
+		}
+	}
+	if com.HTML != "" {
+		return reporter.WriteHTML(com.HTML, "Load report: "+rep.Name, reps)
+	}
+	return nil
+}
--- a/load/mixer/mixer.go
+++ b/load/mixer/mixer.go
@@ -202,28 +202,28 @@
 // WithoutLong returns the mix without the prompts of over limit tokens. The
 // rate must be scaled by the returned share to keep the other classes' rates.
 func (mix Mix) WithoutLong(limit int64) (Mix, float64) {
-	var clas []Class
-	var kept, all float64
+	var kept []Class
+	var weight, all float64
 	for _, cla := range mix.Classes {
 		all += cla.Weight
 		if cla.MaxTokens <= limit {
-			clas = append(clas, cla)
-			kept += cla.Weight
+			kept = append(kept, cla)
+			weight += cla.Weight
 		}
 	}
-	mix.Classes = clas
-	return mix, mix.CallShare + (1-mix.CallShare)*kept/all
+	mix.Classes = kept
+	return mix, mix.CallShare + (1-mix.CallShare)*weight/all
 }
 
 // WithScale returns the mix with all prompt lengths divided by scale.
 func (mix Mix) WithScale(scale float64) Mix {
-	clas := make([]Class, len(mix.Classes))
+	kept := make([]Class, len(mix.Classes))
 	for ind, cla := range mix.Classes {
 		cla.MinTokens = max(1, int64(float64(cla.MinTokens)/scale))
 		cla.MaxTokens = max(cla.MinTokens, int64(float64(cla.MaxTokens)/scale))
-		clas[ind] = cla
+		kept[ind] = cla
 	}
-	mix.Classes = clas
+	mix.Classes = kept
 	return mix
 }
 
