--- a/internal/testkit/link.go
+++ b/internal/testkit/link.go
@@ -73,7 +73,7 @@
 	if !ok {
 		return 0
 	}
-	return val.(*atomic.Int64).Load() //nolint:errcheck // Only this file stores values.
+	return val.(*atomic.Int64).Load()
 }
 
 // Link is a fault-injecting proxy in front of one address, inside the program
