Add the operators' command line with explain, status of all hosts and drain

Ruled out: an editor as a child process (a process starts no other), so an edit sets fields or takes an entry from a file or standard input; sending a change to the next host after a failure, which could apply it twice; a watch or a poll of all hosts for the status, which would grow with the fleet: it is asked on demand over the peer connections. Before / After: before, one subcommand and no tests; after, `go test -race ./internal/clitest ./operator/...` passes (2 hosts as processes a script). With UnknownError switched off on a scratch copy: FAIL TestPutError/answer_lost; with the check of the base revision off: edit.txtar:42: exit code 0, want 3. Conclusion: history and rollback need the history of the operator API and say so until it is there.

--- /dev/null
+++ b/cmd/hemlockpin/apply.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"hemlockpin/operator/editor"
+	"hemlockpin/operator/requester"
+	"hemlockpin/version/parser"
+)
+
+const (
+	applyShort = "change the tables by a file"
+	applyLong  = `Changes the tables by a JSON file; - stands for standard input. The entries in
+the file replace those of the same name and new ones are added; with --whole the
+file replaces all tables. All of the file is accepted or nothing. A file with a
+Revision, as get prints it, is refused if another revision is in force.`
+)
+
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" description:"JSON document; - for standard input"`
+}
+
+type applyCommand struct {
+	*command `no-flag:"yes"`
+	editOptions
+	Whole bool         `long:"whole" description:"the file holds all entries; others are removed"`
+	Args  fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute applies the file.
+func (com *applyCommand) Execute([]string) error {
+	fil, err := com.decodeFile(com.Args.File)
+	if err != nil {
+		return err
+	}
+	if com.Base == 0 {
+		com.Base = fil.Revision
+	}
+	return com.edit(com.editOptions, func(old parser.Tables) (parser.Tables, error) {
+		return combine(old, fil, com.Whole), nil
+	})
+}
+
+func (com *command) decodeFile(name string) (parser.Tables, error) {
+	doc, err := com.readFile(name)
+	if err != nil {
+		return parser.Tables{}, err
+	}
+	fil, err := editor.Decode(doc)
+	if err != nil {
+		return fil, &requester.RejectedError{Host: "this command", Faults: []string{name + ": " + err.Error()}}
+	}
+	return fil, nil
+}
+
+func combine(old, fil parser.Tables, whole bool) parser.Tables {
+	if !whole {
+		return editor.Merge(old, fil)
+	}
+	fil.Revision = old.Revision
+	fil.Nonce = old.Nonce
+	return fil
+}
--- /dev/null
+++ b/cmd/hemlockpin/drain.go
@@ -0,0 +1,28 @@
+package main
+
+import "fmt"
+
+const (
+	drainShort = "make a host finish its requests and stop"
+	drainLong  = "Has the effect of SIGTERM on a host: it reports not ready, takes no new connections, finishes the requests in progress and stops. The order may go through any host; HOST is the name that status prints."
+)
+
+type drainCommand struct {
+	*command `no-flag:"yes"`
+	Args     struct {
+		Host string `positional-arg-name:"HOST"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute sends the order.
+func (com *drainCommand) Execute([]string) error {
+	hos, err := com.requester().Drain(com.ctx, com.Args.Host)
+	if err != nil {
+		return err
+	}
+	if com.JSON {
+		return com.printJSON(struct{ Host string }{hos})
+	}
+	fmt.Fprintf(com.out, "host %s drains\n", hos)
+	return nil
+}
--- /dev/null
+++ b/cmd/hemlockpin/entries.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"hemlockpin/operator/editor"
+	"hemlockpin/version/parser"
+
+	"github.com/jessevdk/go-flags"
+)
+
+const (
+	listLong   = "Lists the entries of the table."
+	showLong   = "Prints one entry as JSON."
+	setLong    = "Changes fields of one entry, for example\n  hemlockpin routes set questions TimeLimit=5s Match.MaxPromptTokens=8000\nor, without FIELD=VALUE, adds or replaces the entry by JSON from --file."
+	removeLong = "Removes one entry. The edit is rejected if another entry refers to it."
+)
+
+// addTableCommands adds routes, pools and teams with their own subcommands.
+func addTableCommands(par *flags.Parser, com *command) error {
+	for _, kin := range []editor.Kind{editor.Routes, editor.Pools, editor.Teams} {
+		nam := string(kin) + "s"
+		tab, err := par.AddCommand(nam, "list and edit "+nam, "Lists and edits "+nam+".", &struct{}{})
+		if err != nil {
+			return err
+		}
+		subs := []subcommand{
+			{"list", "list " + nam, listLong, &listCommand{command: com, kind: kin}},
+			{"get", "print one " + string(kin), showLong, &showCommand{command: com, kind: kin}},
+			{"set", "change or add one " + string(kin), setLong, &setCommand{command: com, kind: kin}},
+			{"remove", "remove one " + string(kin), removeLong, &removeCommand{command: com, kind: kin}},
+		}
+		for _, sub := range subs {
+			if _, err := tab.AddCommand(sub.name, sub.short, sub.long, sub.data); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+type listCommand struct {
+	*command `no-flag:"yes"`
+	kind     editor.Kind
+}
+
+// Execute lists the entries.
+func (com *listCommand) Execute([]string) error {
+	tab, err := com.requester().Tables(com.ctx)
+	if err != nil {
+		return err
+	}
+	if com.JSON {
+		return com.printJSON(editor.Entries(tab, com.kind))
+	}
+	heads, rows := columns(editor.Entries(tab, com.kind))
+	return com.printTable(heads, rows)
+}
+
+func columns(ents any) (heads []string, rows [][]string) {
+	switch ents := ents.(type) {
+	case []parser.Route:
+		for _, rou := range ents {
+			rows = append(rows, routeRow(rou))
+		}
+		return []string{"ROUTE", "MODEL", "TEAM", "PATH", "PROMPT TOKENS", "POOL", "TIME LIMIT", "PRIORITY", "REPEATABLE"}, rows
+	case []parser.Pool:
+		for _, poo := range ents {
+			rows = append(rows, []string{poo.Name, string(poo.Kind), poo.Selector.Service, orDash(strings.Join(poo.Selector.DataCenters, ",")),
+				limit(poo.MaxOutstanding), limit(poo.MaxWaiting), strconv.FormatBool(poo.ChecksFencing)})
+		}
+		return []string{"POOL", "KIND", "SERVICE", "DATA CENTRES", "MAX OUTSTANDING", "MAX WAITING", "CHECKS FENCING"}, rows
+	case []parser.Team:
+		for _, tea := range ents {
+			rat := "-"
+			if tea.TokensPerSecond > 0 {
+				rat = fmt.Sprintf("%g", tea.TokensPerSecond)
+			}
+			rows = append(rows, []string{tea.Name, strconv.Itoa(len(tea.KeyDigests)), fmt.Sprintf("%g", tea.Share), rat})
+		}
+		return []string{"TEAM", "KEYS", "SHARE", "TOKENS/S"}, rows
+	default:
+		return nil, nil
+	}
+}
+
+func routeRow(rou parser.Route) []string {
+	ran := "-"
+	switch {
+	case rou.Match.MaxPromptTokens > 0:
+		ran = fmt.Sprintf("%d to %d", rou.Match.MinPromptTokens, rou.Match.MaxPromptTokens)
+	case rou.Match.MinPromptTokens > 0:
+		ran = fmt.Sprintf("from %d", rou.Match.MinPromptTokens)
+	}
+	return []string{rou.Name, orDash(rou.Match.Model), orDash(rou.Match.Team), orDash(rou.Match.PathPrefix), ran, rou.Pool,
+		time.Duration(rou.TimeLimit).String(), strconv.Itoa(rou.Priority), strconv.FormatBool(rou.Repeatable)}
+}
+
+func limit(num int) string {
+	if num == 0 {
+		return "-"
+	}
+	return strconv.Itoa(num)
+}
+
+type nameArgument struct {
+	Name string `positional-arg-name:"NAME"`
+}
+
+type showCommand struct {
+	*command `no-flag:"yes"`
+	kind     editor.Kind
+	Args     nameArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute prints the entry.
+func (com *showCommand) Execute([]string) error {
+	tab, err := com.requester().Tables(com.ctx)
+	if err != nil {
+		return err
+	}
+	ent, err := editor.Find(tab, com.kind, com.Args.Name)
+	if err != nil {
+		return err
+	}
+	return com.printJSON(ent)
+}
+
+type setCommand struct {
+	*command `no-flag:"yes"`
+	editOptions
+	kind editor.Kind
+	File string `long:"file" description:"JSON of the whole entry; - for standard input"`
+	Args struct {
+		Name   string   `positional-arg-name:"NAME" required:"yes"`
+		Fields []string `positional-arg-name:"FIELD=VALUE"`
+	} `positional-args:"yes"`
+}
+
+// Execute changes the entry.
+func (com *setCommand) Execute([]string) error {
+	if (com.File == "") == (len(com.Args.Fields) == 0) {
+		return usage("set needs either FIELD=VALUE or --file")
+	}
+	if com.File == "" {
+		return com.edit(com.editOptions, func(tab parser.Tables) (parser.Tables, error) {
+			out, err := editor.Set(tab, com.kind, com.Args.Name, com.Args.Fields)
+			return out, badInput(err)
+		})
+	}
+	doc, err := com.readFile(com.File)
+	if err != nil {
+		return err
+	}
+	one, err := editor.Put(parser.Tables{}, com.kind, doc)
+	if err != nil {
+		return badInput(err)
+	}
+	if nams := editor.Names(one, com.kind); nams[0] != com.Args.Name {
+		return usage("the entry in %s is named %q, not %q", com.File, nams[0], com.Args.Name)
+	}
+	return com.edit(com.editOptions, func(tab parser.Tables) (parser.Tables, error) {
+		return editor.Merge(tab, one), nil
+	})
+}
+
+func badInput(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &usageError{err}
+}
+
+type removeCommand struct {
+	*command `no-flag:"yes"`
+	editOptions
+	kind editor.Kind
+	Args nameArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute removes the entry.
+func (com *removeCommand) Execute([]string) error {
+	return com.edit(com.editOptions, func(tab parser.Tables) (parser.Tables, error) {
+		out, err := editor.Remove(tab, com.kind, com.Args.Name)
+		return out, badInput(err)
+	})
+}
--- a/cmd/hemlockpin/get.go
+++ b/cmd/hemlockpin/get.go
@@ -1,29 +1,19 @@
 package main
 
-import (
-	"io"
-	"net/http"
-	"os"
-
-	"github.com/rotisserie/eris"
-)
-
 const (
 	getShort = "print the tables in force"
-	getLong  = "Prints the tables in force on a host as JSON, with their revision."
+	getLong  = "Prints the tables in force as one JSON document with its revision. Saved to a file and edited, the document can be given to apply, which then refuses it if another edit was accepted meanwhile."
 )
 
 type getCommand struct {
-	Host string `long:"host" env:"HEMLOCKPIN_OPERATOR" default:"http://127.0.0.1:8082" description:"operator address of a host"`
+	*command `no-flag:"yes"`
 }
 
 // Execute prints the tables.
 func (com *getCommand) Execute([]string) error {
-	res, err := http.Get(com.Host + "/v1/tables")
+	tab, err := com.requester().Tables(com.ctx)
 	if err != nil {
-		return eris.Wrapf(err, "getCommand.Execute: host %s", com.Host)
+		return err
 	}
-	defer res.Body.Close()
-	_, err = io.Copy(os.Stdout, res.Body)
-	return err
+	return com.printJSON(tab)
 }
--- a/cmd/hemlockpin/main.go
+++ b/cmd/hemlockpin/main.go
@@ -2,24 +2,133 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	_ "runtime/cgo"
 
+	"hemlockpin/operator/requester"
+
 	"github.com/jessevdk/go-flags"
 )
 
-const exitUsage = 2
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitUsage    = 2
+	exitRaced    = 3
+	exitUnknown  = 4
+	exitRejected = 5
+)
+
+const mainLong = `Reads and edits the tables of a fleet and shows its state.
+
+Exit codes: 0 done; 1 failure, nothing was changed; 2 bad usage or input;
+3 another edit was accepted first, nothing was changed; 4 it is unknown
+whether the change took effect; 5 the edit was rejected, every fault is listed.`
+
+// command is what all subcommands share.
+type command struct {
+	Hosts []string `long:"host" env:"HEMLOCKPIN_OPERATOR" env-delim:"," default:"http://127.0.0.1:8082" description:"operator URL of a host; may stand several times: reads go to the first that answers, changes to the first only"`
+	JSON  bool     `long:"json" description:"print JSON"`
+
+	ctx context.Context
+	in  io.Reader
+	out io.Writer
+}
+
+func (com *command) requester() *requester.Requester { return &requester.Requester{Hosts: com.Hosts} }
+
+// usageError is a fault of the command line or of an input file.
+type usageError struct{ err error }
+
+// Error formats the fault.
+func (err *usageError) Error() string { return err.err.Error() }
+
+// Unwrap returns the cause.
+func (err *usageError) Unwrap() error { return err.err }
+
+func usage(format string, args ...any) error { return &usageError{fmt.Errorf(format, args...)} }
+
+// exitCode maps an error to the exit code that is documented for it.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, new(*usageError)), errors.As(err, new(*flags.Error)):
+		return exitUsage
+	case errors.As(err, new(*requester.RacedError)):
+		return exitRaced
+	case errors.As(err, new(*requester.UnknownError)):
+		return exitUnknown
+	case errors.As(err, new(*requester.RejectedError)):
+		return exitRejected
+	default:
+		return exitFailure
+	}
+}
 
 func main() {
-	par := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
-	_, _ = par.AddCommand("get", getShort, getLong, &getCommand{})
-	if _, err := par.Parse(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		if flags.WroteHelp(err) {
-			return
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string) int {
+	com := &command{ctx: ctx, in: os.Stdin, out: os.Stdout}
+	par := flags.NewNamedParser("hemlockpin", flags.HelpFlag|flags.PassDoubleDash)
+	par.LongDescription = mainLong
+	if _, err := par.AddGroup("Common options", "", com); err != nil {
+		fmt.Fprintln(os.Stderr, "hemlockpin:", err)
+		return exitFailure
+	}
+	if err := addCommands(par, com); err != nil {
+		fmt.Fprintln(os.Stderr, "hemlockpin:", err)
+		return exitFailure
+	}
+	_, err := par.ParseArgs(args)
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hemlockpin:", err)
+	}
+	return exitCode(err)
+}
+
+// subcommand is one command with its help.
+type subcommand struct {
+	name, short, long string
+	data              any
+}
+
+func addCommands(par *flags.Parser, com *command) error {
+	subs := []subcommand{
+		{"get", getShort, getLong, &getCommand{command: com}},
+		{"apply", applyShort, applyLong, &applyCommand{command: com}},
+		{"diff", diffShort, diffLong, &diffCommand{command: com}},
+		{"history", historyShort, historyLong, &historyCommand{command: com}},
+		{"rollback", rollbackShort, rollbackLong, &rollbackCommand{command: com}},
+		{"explain", explainShort, explainLong, &explainCommand{command: com}},
+		{"status", statusShort, statusLong, &statusCommand{command: com}},
+		{"endpoints", endpointsShort, endpointsLong, &endpointsCommand{command: com}},
+		{"drain", drainShort, drainLong, &drainCommand{command: com}},
+		{"digest", digestShort, digestLong, &digestCommand{command: com}},
+		{"completion", completionShort, completionLong, &completionCommand{command: com}},
+		{"version", versionShort, versionLong, &versionCommand{command: com}},
+	}
+	for _, sub := range subs {
+		if _, err := par.AddCommand(sub.name, sub.short, sub.long, sub.data); err != nil {
+			return err
 		}
-		os.Exit(exitUsage)
 	}
+	return addTableCommands(par, com)
 }
--- /dev/null
+++ b/cmd/hemlockpin/status.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	statusShort    = "show the state of all hosts"
+	statusLong     = "Asks one host, which asks all others. A host that does not answer stands with the error. Exit code 1 if a host did not answer."
+	endpointsShort = "show the endpoints as one host knows them"
+	endpointsLong  = "Shows the listed endpoints with the age and content of their last load reports, and the requests that the host asked has on each."
+)
+
+type statusCommand struct {
+	*command `no-flag:"yes"`
+}
+
+// Execute prints the hosts.
+func (com *statusCommand) Execute([]string) error {
+	stas, err := com.requester().HostStatuses(com.ctx)
+	if err != nil {
+		return err
+	}
+	sil := 0
+	rows := make([][]string, 0, len(stas))
+	for _, sta := range stas {
+		if sta.Error != "" {
+			sil++
+			rows = append(rows, []string{sta.Host, sta.DataCenter, "no answer", "-", "-", "-", "-", sta.Error})
+			continue
+		}
+		sit := "serving"
+		if sta.Draining {
+			sit = "draining"
+		}
+		rows = append(rows, []string{sta.Host, sta.DataCenter, sit, strconv.FormatInt(sta.Requests, 10), strconv.FormatUint(sta.TablesRevision, 10),
+			age(sta.TablesConfirmed), strconv.FormatInt(sta.Peers, 10), sta.Operator})
+	}
+	if com.JSON {
+		err = com.printJSON(stas)
+	} else {
+		err = com.printTable([]string{"HOST", "DATA CENTRE", "STATE", "REQUESTS", "REVISION", "CONFIRMED", "PEERS", "OPERATOR"}, rows)
+	}
+	if err == nil && sil > 0 {
+		return fmt.Errorf("%d of %d hosts did not answer", sil, len(stas))
+	}
+	return err
+}
+
+func age(at time.Time) string {
+	if at.UnixMilli() <= 0 {
+		return "never"
+	}
+	return time.Since(at).Round(time.Millisecond).String() + " ago"
+}
+
+type endpointsCommand struct {
+	*command `no-flag:"yes"`
+}
+
+// Execute prints the endpoints.
+func (com *endpointsCommand) Execute([]string) error {
+	stas, err := com.requester().EndpointStatuses(com.ctx)
+	if err != nil {
+		return err
+	}
+	if com.JSON {
+		return com.printJSON(stas)
+	}
+	rows := make([][]string, 0, len(stas))
+	for _, sta := range stas {
+		sit := "listed"
+		if sta.Leaving {
+			sit = "leaving"
+		}
+		rep := "-"
+		if sta.ReportAgeMs >= 0 {
+			rep = (time.Duration(sta.ReportAgeMs) * time.Millisecond).String()
+		}
+		rows = append(rows, []string{sta.ID, string(sta.Kind), sta.Service, sta.DataCenter, sit, orDash(strings.Join(sta.Models, ",")),
+			tokens(sta.UsedTokens, sta.MemoryTokens), strconv.FormatInt(sta.QueuedTokens, 10), rep, strconv.Itoa(sta.Outstanding)})
+	}
+	return com.printTable([]string{"ENDPOINT", "KIND", "SERVICE", "DATA CENTRE", "STATE", "MODELS", "MEMORY TOKENS", "QUEUED TOKENS", "REPORT AGE", "OWN REQUESTS"}, rows)
+}
--- /dev/null
+++ b/internal/clitest/cli_test.go
@@ -0,0 +1,99 @@
+// Package clitest runs the operators' command line against real hosts by
+// scripts under testdata.
+package clitest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"hemlockpin/internal/testkit"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+)
+
+// propagation is the time within which an accepted edit holds on every host.
+const propagation = 7 * time.Second
+
+func TestScripts(t *testing.T) {
+	bin, err := testkit.Build()
+	require.NoError(t, err)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			fle, err := testkit.Start(context.Background(), testkit.Plan{Bin: bin, Hosts: 2, Engines: 1, Services: 1, Model: testkit.Model, Tables: testkit.SampleTables()})
+			if err != nil {
+				return err
+			}
+			env.Defer(fle.Stop)
+			env.Values["fleet"] = fle
+			env.Setenv("PATH", bin+":"+os.Getenv("PATH"))
+			env.Setenv("HOST0", "http://"+fle.Hosts[0].Operator)
+			env.Setenv("HOST1", "http://"+fle.Hosts[1].Operator)
+			env.Setenv("NOBODY", "http://"+testkit.FreeAddress())
+			env.Setenv("HEMLOCKPIN_OPERATOR", "http://"+fle.Hosts[0].Operator)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits": exits, "fault": fault, "revision": revision, "ended": ended,
+		},
+	})
+}
+
+// exits runs a program that must end with the given code, with its output in
+// the files out and err.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	cmd := exec.Command(filepath.Join(fleet(ts).Plan.Bin, args[1]), args[2:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Env = append(os.Environ(), "HEMLOCKPIN_OPERATOR="+ts.Getenv("HEMLOCKPIN_OPERATOR"))
+	out, err := os.Create(ts.MkAbs("out"))
+	ts.Check(err)
+	defer out.Close()
+	bad, err := os.Create(ts.MkAbs("err"))
+	ts.Check(err)
+	defer bad.Close()
+	cmd.Stdout, cmd.Stderr = out, bad
+	_ = cmd.Run()
+	if got := cmd.ProcessState.ExitCode(); got != want {
+		ts.Fatalf("exit code %d, want %d: %s", got, want, ts.ReadFile("err"))
+	}
+}
+
+func fleet(ts *testscript.TestScript) *testkit.Fleet {
+	return ts.Value("fleet").(*testkit.Fleet)
+}
+
+// fault switches faults of the platform.
+func fault(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(fleet(ts).Fault(context.Background(), fleet(ts).Platform, json.RawMessage(args[0])))
+}
+
+// revision waits until a host has a revision in force.
+func revision(ts *testscript.TestScript, _ bool, args []string) {
+	hos, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	ts.Check(testkit.Poll(context.Background(), propagation, func() bool {
+		sta, err := fleet(ts).Status(context.Background(), fleet(ts).Hosts[hos])
+		return err == nil && fmt.Sprint(sta.TablesRevision) == args[1]
+	}))
+}
+
+// ended waits until a host has ended by itself with code 0.
+func ended(ts *testscript.TestScript, _ bool, args []string) {
+	hos, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	cod, err := fleet(ts).Hosts[hos].Wait(propagation)
+	ts.Check(err)
+	if cod != 0 {
+		ts.Fatalf("exit code %d", cod)
+	}
+}
--- /dev/null
+++ b/operator/editor/editor.go
@@ -0,0 +1,179 @@
+// Package editor builds new tables from old ones for the operators' command
+// line: it merges files, sets fields of entries, removes entries and compares
+// two versions. Nothing here talks to a host.
+package editor
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"hemlockpin/version/parser"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind names one of the tables.
+type Kind string
+
+// Kinds of entries.
+const (
+	Routes Kind = "route"
+	Pools  Kind = "pool"
+	Teams  Kind = "team"
+)
+
+// Entry is a named line of a table: a parser.Route, parser.Pool or parser.Team.
+type Entry interface {
+	parser.Route | parser.Pool | parser.Team
+}
+
+// Entries returns the entries of one kind as a slice of parser.Route,
+// parser.Pool or parser.Team.
+func Entries(tab parser.Tables, kin Kind) any {
+	switch kin {
+	case Routes:
+		return tab.Routes
+	case Pools:
+		return tab.Pools
+	default:
+		return tab.Teams
+	}
+}
+
+// Names lists the names of one kind in the order of the table.
+func Names(tab parser.Tables, kin Kind) []string {
+	switch kin {
+	case Routes:
+		return names(tab.Routes)
+	case Pools:
+		return names(tab.Pools)
+	default:
+		return names(tab.Teams)
+	}
+}
+
+// Find returns one entry as a parser.Route, parser.Pool or parser.Team.
+func Find(tab parser.Tables, kin Kind, name string) (any, error) {
+	switch kin {
+	case Routes:
+		return find(tab.Routes, kin, name)
+	case Pools:
+		return find(tab.Pools, kin, name)
+	default:
+		return find(tab.Teams, kin, name)
+	}
+}
+
+// Put adds the entry in doc, a JSON object, or replaces the one of its name.
+func Put(tab parser.Tables, kin Kind, doc []byte) (parser.Tables, error) {
+	var err error
+	switch kin {
+	case Routes:
+		tab.Routes, err = put(tab.Routes, kin, doc)
+	case Pools:
+		tab.Pools, err = put(tab.Pools, kin, doc)
+	default:
+		tab.Teams, err = put(tab.Teams, kin, doc)
+	}
+	return tab, err
+}
+
+// Remove drops an entry.
+func Remove(tab parser.Tables, kin Kind, name string) (parser.Tables, error) {
+	if _, err := Find(tab, kin, name); err != nil {
+		return tab, err
+	}
+	switch kin {
+	case Routes:
+		tab.Routes = remove(tab.Routes, name)
+	case Pools:
+		tab.Pools = remove(tab.Pools, name)
+	default:
+		tab.Teams = remove(tab.Teams, name)
+	}
+	return tab, nil
+}
+
+// Merge replaces the entries that part names, by kind and name, and adds those
+// that are new. The other entries stay.
+func Merge(tab, part parser.Tables) parser.Tables {
+	tab.Routes = merge(tab.Routes, part.Routes)
+	tab.Pools = merge(tab.Pools, part.Pools)
+	tab.Teams = merge(tab.Teams, part.Teams)
+	return tab
+}
+
+// Decode reads a whole or partial document without checking references.
+func Decode(doc []byte) (parser.Tables, error) {
+	tab, err := strict[parser.Tables](doc)
+	return tab.Defaults(), err
+}
+
+func strict[T any](doc []byte) (T, error) {
+	var val T
+	dec := json.NewDecoder(bytes.NewReader(doc))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&val); err != nil {
+		return val, eris.Errorf("byte %d: %v", dec.InputOffset(), err)
+	}
+	if dec.More() {
+		return val, eris.Errorf("byte %d: text after the document", dec.InputOffset())
+	}
+	return val, nil
+}
+
+func nameOf[T Entry](ent T) string {
+	switch ent := any(ent).(type) {
+	case parser.Route:
+		return ent.Name
+	case parser.Pool:
+		return ent.Name
+	case parser.Team:
+		return ent.Name
+	default:
+		return ""
+	}
+}
+
+func names[T Entry](ents []T) []string {
+	out := make([]string, 0, len(ents))
+	for _, ent := range ents {
+		out = append(out, nameOf(ent))
+	}
+	return out
+}
+
+func find[T Entry](ents []T, kin Kind, name string) (any, error) {
+	for _, ent := range ents {
+		if nameOf(ent) == name {
+			return ent, nil
+		}
+	}
+	return nil, eris.Errorf("no %s %q", kin, name)
+}
+
+func put[T Entry](ents []T, kin Kind, doc []byte) ([]T, error) {
+	ent, err := strict[T](doc)
+	if err != nil {
+		return ents, eris.Wrapf(err, "%s", kin)
+	}
+	return merge(ents, []T{ent}), nil
+}
+
+func remove[T Entry](ents []T, name string) []T {
+	return slices.DeleteFunc(slices.Clone(ents), func(ent T) bool { return nameOf(ent) == name })
+}
+
+func merge[T Entry](ents, part []T) []T {
+	out := slices.Clone(ents)
+	for _, ent := range part {
+		ind := slices.IndexFunc(out, func(old T) bool { return nameOf(old) == nameOf(ent) })
+		if ind < 0 {
+			out = append(out, ent)
+			continue
+		}
+		out[ind] = ent
+	}
+	return out
+}
--- /dev/null
+++ b/operator/requester/requester.go
@@ -0,0 +1,245 @@
+// Package requester is the client of the hosts' operator API.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hemlockpin/process/server"
+	"hemlockpin/version/parser"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	readTimeout   = 10 * time.Second
+	writeTimeout  = 30 * time.Second
+	maxReplyBytes = 64 << 20
+)
+
+// UnreachableError reports that no host answered and nothing was sent or, for a
+// read, that the answer does not matter.
+type UnreachableError struct{ Causes []string }
+
+// Error lists what each host said.
+func (err *UnreachableError) Error() string {
+	return "no host answered:\n  " + strings.Join(err.Causes, "\n  ")
+}
+
+// UnknownError reports a write that may or may not have taken effect.
+type UnknownError struct {
+	Host    string
+	Message string
+}
+
+// Error formats the failure.
+func (err *UnknownError) Error() string {
+	return fmt.Sprintf("host %s: it is unknown whether the change was accepted: %s", err.Host, err.Message)
+}
+
+// RacedError reports an edit that lost against another one.
+type RacedError struct {
+	Host    string
+	Base    uint64
+	Current parser.Tables
+}
+
+// Error formats the failure.
+func (err *RacedError) Error() string {
+	return fmt.Sprintf("host %s: the edit was based on revision %d, but revision %d is in force; nothing was changed", err.Host, err.Base, err.Current.Revision)
+}
+
+// RejectedError lists every fault of a refused edit.
+type RejectedError struct {
+	Host   string
+	Faults []string
+}
+
+// Error lists the faults.
+func (err *RejectedError) Error() string {
+	return fmt.Sprintf("host %s: the tables have faults; nothing was changed:\n  %s", err.Host, strings.Join(err.Faults, "\n  "))
+}
+
+// AnswerError is any other refusal of a host.
+type AnswerError struct {
+	Host    string
+	Status  int
+	Code    string
+	Message string
+}
+
+// Error formats the refusal.
+func (err *AnswerError) Error() string {
+	return fmt.Sprintf("host %s: status %d %s: %s", err.Host, err.Status, err.Code, err.Message)
+}
+
+// Requester asks the hosts at the given operator URLs. Reads go to the first
+// that answers, writes to the first only.
+type Requester struct {
+	Hosts  []string
+	Client http.Client
+}
+
+// Tables reads the tables in force.
+func (req *Requester) Tables(ctx context.Context) (parser.Tables, error) {
+	return read[parser.Tables](ctx, req, http.MethodGet, "/v1/tables", nil)
+}
+
+// Status reads what one host says of itself.
+func (req *Requester) Status(ctx context.Context) (server.Status, error) {
+	return read[server.Status](ctx, req, http.MethodGet, "/v1/status", nil)
+}
+
+// HostStatuses reads the state of all hosts through one of them.
+func (req *Requester) HostStatuses(ctx context.Context) ([]server.HostStatus, error) {
+	return read[[]server.HostStatus](ctx, req, http.MethodGet, "/v1/status/hosts", nil)
+}
+
+// EndpointStatuses reads the endpoints as one host knows them.
+func (req *Requester) EndpointStatuses(ctx context.Context) ([]server.EndpointStatus, error) {
+	return read[[]server.EndpointStatus](ctx, req, http.MethodGet, "/v1/status/endpoints", nil)
+}
+
+// Explain asks which way a request would take.
+func (req *Requester) Explain(ctx context.Context, exp server.ExplainRequest) (server.Explanation, error) {
+	return read[server.Explanation](ctx, req, http.MethodPost, "/v1/explain", exp)
+}
+
+// HistoryEntry is one accepted revision.
+type HistoryEntry struct {
+	Revision uint64
+	Nonce    string    `json:",omitempty"`
+	Time     time.Time `json:",omitzero"`
+}
+
+// History lists the accepted revisions that are kept.
+func (req *Requester) History(ctx context.Context) ([]HistoryEntry, error) {
+	return read[[]HistoryEntry](ctx, req, http.MethodGet, "/v1/tables/history", nil)
+}
+
+// Revision reads an accepted revision of the tables.
+func (req *Requester) Revision(ctx context.Context, rev uint64) (parser.Tables, error) {
+	return read[parser.Tables](ctx, req, http.MethodGet, "/v1/tables/history/"+strconv.FormatUint(rev, 10), nil)
+}
+
+// Put replaces the tables if their revision is still base. Its errors are
+// UnreachableError, RejectedError, RacedError, UnknownError and AnswerError.
+func (req *Requester) Put(ctx context.Context, tab parser.Tables, base uint64) (parser.Tables, error) {
+	var out parser.Tables
+	hea := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(base, 10))}}
+	err := req.write(ctx, http.MethodPut, "/v1/tables", hea, tab, &out)
+	var rac *RacedError
+	if errors.As(err, &rac) {
+		rac.Base = base
+	}
+	return out, err
+}
+
+// Drain makes a host drain and stop; empty stands for the host asked. It
+// returns the name of the draining host.
+func (req *Requester) Drain(ctx context.Context, host string) (string, error) {
+	var out server.DrainRequest
+	err := req.write(ctx, http.MethodPost, "/v1/drain", nil, server.DrainRequest{Host: host}, &out)
+	return out.Host, err
+}
+
+// read tries one host after the other.
+func read[T any](ctx context.Context, req *Requester, method, path string, in any) (T, error) {
+	var cau []string
+	for _, hos := range req.Hosts {
+		var out T
+		sen, err := req.exchange(ctx, readTimeout, method, hos, path, nil, in, &out)
+		if err == nil || sen && isAnswer(err) {
+			return out, err
+		}
+		cau = append(cau, err.Error())
+	}
+	var out T
+	return out, &UnreachableError{cau}
+}
+
+func isAnswer(err error) bool {
+	var ans *AnswerError
+	var rej *RejectedError
+	return errors.As(err, &ans) || errors.As(err, &rej)
+}
+
+func (req *Requester) write(ctx context.Context, method, path string, hea http.Header, in, out any) error {
+	if len(req.Hosts) == 0 {
+		return &UnreachableError{[]string{"no host was named"}}
+	}
+	hos := req.Hosts[0]
+	sen, err := req.exchange(ctx, writeTimeout, method, hos, path, hea, in, out)
+	switch {
+	case err == nil:
+		return nil
+	case !sen:
+		return &UnreachableError{[]string{err.Error() + " (nothing was sent)"}}
+	case isAnswer(err) || errors.As(err, new(*RacedError)) || errors.As(err, new(*UnknownError)):
+		return err
+	default:
+		return &UnknownError{Host: hos, Message: err.Error()}
+	}
+}
+
+// exchange reports whether the request may have reached the host.
+func (req *Requester) exchange(ctx context.Context, timeout time.Duration, method, host, path string, hea http.Header, in, out any) (sent bool, err error) {
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	buf, err := json.Marshal(in)
+	if err != nil {
+		return false, eris.Wrapf(err, "Requester.exchange: encode %s", path)
+	}
+	htr, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(host, "/")+path, bytes.NewReader(buf))
+	if err != nil {
+		return false, eris.Wrapf(err, "Requester.exchange: host %s", host)
+	}
+	for nam, val := range hea {
+		htr.Header[nam] = val
+	}
+	res, err := req.Client.Do(htr)
+	if err != nil {
+		return !notSent(err), eris.Wrapf(err, "Requester.exchange: host %s", host)
+	}
+	defer res.Body.Close()
+	txt, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	if err != nil {
+		return true, eris.Wrapf(err, "Requester.exchange: answer of host %s", host)
+	}
+	if res.StatusCode/100 != 2 {
+		return true, answerError(host, res.StatusCode, txt)
+	}
+	return true, eris.Wrapf(json.Unmarshal(txt, out), "Requester.exchange: decode answer of host %s", host)
+}
+
+// notSent reports that no connection was made.
+func notSent(err error) bool {
+	var ope *net.OpError
+	return errors.As(err, &ope) && ope.Op == "dial"
+}
+
+func answerError(host string, status int, txt []byte) error {
+	var bod server.OperatorError
+	if json.Unmarshal(txt, &bod) != nil {
+		bod.Message = strings.TrimSpace(string(txt))
+	}
+	switch {
+	case bod.Code == "raced" && bod.Current != nil:
+		return &RacedError{Host: host, Current: *bod.Current}
+	case bod.Code == "rejected":
+		return &RejectedError{Host: host, Faults: bod.Faults}
+	case bod.Code == "unknown":
+		return &UnknownError{Host: host, Message: bod.Message}
+	default:
+		return &AnswerError{Host: host, Status: status, Code: bod.Code, Message: bod.Message}
+	}
+}
--- /dev/null
+++ b/process/server/explain.go
@@ -0,0 +1,127 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"hemlockpin/request/placer"
+	"hemlockpin/request/responder"
+	"hemlockpin/version/explainer"
+	"hemlockpin/version/matcher"
+	"hemlockpin/version/parser"
+)
+
+// ExplainRequest describes a request that need not be sent.
+type ExplainRequest struct {
+	Team string
+	// Model is set for prompts, Path for calls of services.
+	Model        string `json:",omitempty"`
+	Path         string `json:",omitempty"`
+	PromptTokens int64  `json:",omitempty"`
+	MaxTokens    int64  `json:",omitempty"`
+}
+
+// Explanation says which route, pool and endpoint would take a request.
+type Explanation struct {
+	Host string
+	explainer.Explanation
+	// Decision is what placement on this host would do now.
+	Decision  string
+	Endpoint  string `json:",omitempty"`
+	Endpoints []EndpointView
+}
+
+// EndpointView is one endpoint of the pool as this host knows it.
+type EndpointView struct {
+	ID         string
+	Address    string
+	DataCenter string
+	Takes      bool
+	// Reasons keep the request off the endpoint.
+	Reasons      []string `json:",omitempty"`
+	ReportAgeMs  int64
+	MemoryTokens int64
+	UsedTokens   int64
+	QueuedTokens int64
+}
+
+func (ser *Server) explain(wri http.ResponseWriter, htr *http.Request) {
+	var req ExplainRequest
+	dec := json.NewDecoder(http.MaxBytesReader(wri, htr.Body, maxOperatorBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil {
+		responder.WriteJSON(wri, http.StatusBadRequest, OperatorError{Code: "invalid_json", Message: err.Error()})
+		return
+	}
+	mat := ser.publisher.Current()
+	if !slices.ContainsFunc(mat.Tables().Teams, func(tea parser.Team) bool { return tea.Name == req.Team }) {
+		responder.WriteJSON(wri, http.StatusNotFound, OperatorError{Code: "unknown_team", Message: fmt.Sprintf("no team %q", req.Team)})
+		return
+	}
+	responder.WriteJSON(wri, http.StatusOK, ser.Explain(mat, req, time.Now()))
+}
+
+// Explain finds the way that a request would take now.
+func (ser *Server) Explain(mat *matcher.Matcher, req ExplainRequest, now time.Time) Explanation {
+	que := matcher.Query{Kind: parser.PoolService, Model: req.Model, Team: req.Team, Path: req.Path, PromptTokens: req.PromptTokens}
+	if req.Model != "" {
+		que.Kind = parser.PoolEngine
+	}
+	exp := Explanation{Host: ser.Settings.HostID, Explanation: explainer.Explain(mat, que), Endpoints: []EndpointView{}}
+	if exp.Pool == nil {
+		exp.Decision = "Refuse: no route takes the request"
+		return exp
+	}
+	vie := ser.watcher.Pool(*exp.Pool)
+	pla := placer.Request{Team: req.Team, Model: req.Model, Pool: exp.Pool.Name, PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens,
+		Priority: exp.Route.Priority, Deadline: now.Add(time.Duration(exp.Route.TimeLimit))}
+	for _, end := range vie.Endpoints {
+		exp.Endpoints = append(exp.Endpoints, endpointView(end, pla, now))
+	}
+	seed := uint64(now.UnixNano())
+	exp.Decision, exp.Endpoint = describe(placer.Decide(placer.Policy(ser.Settings.Placement), pla, vie, now, rand.New(rand.NewPCG(seed, seed))))
+	return exp
+}
+
+func endpointView(end placer.Endpoint, req placer.Request, now time.Time) EndpointView {
+	vie := EndpointView{ID: end.ID, Address: end.Address, DataCenter: end.DataCenter, ReportAgeMs: -1,
+		MemoryTokens: end.MemoryTokens, UsedTokens: end.UsedTokens, QueuedTokens: end.QueuedTokens}
+	if !end.ReportedAt.IsZero() {
+		vie.ReportAgeMs = now.Sub(end.ReportedAt).Milliseconds()
+	}
+	if end.Leaving {
+		vie.Reasons = append(vie.Reasons, "it is leaving")
+	}
+	if req.Model != "" && !slices.Contains(end.Models, req.Model) {
+		vie.Reasons = append(vie.Reasons, fmt.Sprintf("model %q is not loaded", req.Model))
+	}
+	need := req.PromptTokens + req.MaxTokens
+	if end.MemoryTokens > 0 && need > end.MemoryTokens {
+		vie.Reasons = append(vie.Reasons, fmt.Sprintf("its memory of %d tokens is less than the %d needed; only a group of engines can hold them", end.MemoryTokens, need))
+	}
+	vie.Takes = len(vie.Reasons) == 0
+	return vie
+}
+
+func describe(dec placer.Decision) (text, endpoint string) {
+	switch dec := dec.(type) {
+	case placer.Place:
+		return "Place", dec.Endpoint
+	case placer.PlaceGroup:
+		txt := "PlaceGroup:"
+		for _, par := range dec.Parts {
+			txt += fmt.Sprintf(" %s (%d tokens)", par.Endpoint, par.Tokens)
+		}
+		return txt, ""
+	case placer.Wait:
+		return "Wait", ""
+	case placer.Refuse:
+		return "Refuse: " + dec.Message, ""
+	default:
+		return fmt.Sprintf("%T", dec), ""
+	}
+}
--- /dev/null
+++ b/process/server/hosts.go
@@ -0,0 +1,186 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+	"hemlockpin/request/responder"
+)
+
+const (
+	hostCallTimeout = 2 * time.Second
+	// hostCalls bounds the peers asked at a time.
+	hostCalls       = 32
+	maxOperatorBody = 1 << 20
+)
+
+// HostStatus is one host as it answered for itself, or the error of asking it.
+type HostStatus struct {
+	Host            string
+	DataCenter      string
+	Incarnation     uint64
+	Draining        bool
+	Requests        int64
+	TablesRevision  uint64
+	TablesConfirmed time.Time
+	Started         time.Time
+	Peers           int64
+	Endpoints       int64
+	Operator        string
+	// Error says why the host did not answer; the other fields are then empty
+	// but for Host and DataCenter.
+	Error string `json:",omitempty"`
+}
+
+// EndpointStatus is one endpoint as the answering host knows it.
+type EndpointStatus struct {
+	persister.Entry
+	// ReportAgeMs is -1 if the host has no load report of the endpoint.
+	ReportAgeMs  int64
+	MemoryTokens int64
+	UsedTokens   int64
+	QueuedTokens int64
+	// Outstanding counts this host's requests on the endpoint.
+	Outstanding int
+}
+
+func (ser *Server) report() *messenger.StatusReport {
+	return &messenger.StatusReport{
+		Host: ser.Settings.HostID, DataCenter: ser.Settings.DataCenter, Incarnation: ser.Incarnation,
+		Draining: ser.draining.Load(), Requests: int64(ser.admitter.Current()),
+		TablesRevision: ser.publisher.Current().Revision(), TablesConfirmedMs: ser.publisher.Confirmed().UnixMilli(),
+		Peers: int64(len(ser.gossiper.Peers())), Endpoints: int64(len(ser.watcher.Entries())),
+		OperatorAddress: ser.Settings.Operator, StartedMs: ser.started.UnixMilli(),
+	}
+}
+
+func newHostStatus(rep *messenger.StatusReport) HostStatus {
+	return HostStatus{
+		Host: rep.GetHost(), DataCenter: rep.GetDataCenter(), Incarnation: rep.GetIncarnation(), Draining: rep.GetDraining(),
+		Requests: rep.GetRequests(), TablesRevision: rep.GetTablesRevision(), TablesConfirmed: time.UnixMilli(rep.GetTablesConfirmedMs()),
+		Started: time.UnixMilli(rep.GetStartedMs()), Peers: rep.GetPeers(), Endpoints: rep.GetEndpoints(), Operator: rep.GetOperatorAddress(),
+	}
+}
+
+// statusHosts asks every listed host. It is made for operators, not for polling.
+func (ser *Server) statusHosts(wri http.ResponseWriter, htr *http.Request) {
+	ents := ser.hosts()
+	stas := make([]HostStatus, len(ents), len(ents)+1)
+	sem := make(chan struct{}, hostCalls)
+	var gro sync.WaitGroup
+	for ind, ent := range ents {
+		sem <- struct{}{}
+		gro.Go(func() {
+			defer func() { <-sem }()
+			stas[ind] = ser.askStatus(htr.Context(), ent)
+		})
+	}
+	gro.Wait()
+	stas = append(stas, newHostStatus(ser.report()))
+	slices.SortFunc(stas, func(one, two HostStatus) int { return cmp.Compare(one.Host, two.Host) })
+	responder.WriteJSON(wri, http.StatusOK, stas)
+}
+
+// hosts lists the other entry hosts.
+func (ser *Server) hosts() []persister.Entry {
+	return slices.DeleteFunc(slices.Clone(ser.watcher.Entries()), func(ent persister.Entry) bool {
+		return ent.Kind != persister.KindEntry || ent.ID == ser.Settings.HostID
+	})
+}
+
+func (ser *Server) askStatus(ctx context.Context, ent persister.Entry) HostStatus {
+	ctx, stop := context.WithTimeout(ctx, hostCallTimeout)
+	defer stop()
+	rep, err := ser.multiplexer.Call(ctx, ent.Address, &messenger.Envelope{Body: &messenger.Envelope_StatusQuery{StatusQuery: &messenger.StatusQuery{}}})
+	if err == nil && rep.GetStatusReport() == nil {
+		err = errors.New("the host answered with another message")
+	}
+	if err != nil {
+		return HostStatus{Host: ent.ID, DataCenter: ent.DataCenter, Error: err.Error()}
+	}
+	return newHostStatus(rep.GetStatusReport())
+}
+
+func (ser *Server) statusEndpoints(wri http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	outs := []EndpointStatus{}
+	for _, ent := range ser.watcher.Entries() {
+		if ent.Kind == persister.KindEntry {
+			continue
+		}
+		outs = append(outs, ser.endpointStatus(ent, now))
+	}
+	slices.SortFunc(outs, func(one, two EndpointStatus) int { return cmp.Compare(one.ID, two.ID) })
+	responder.WriteJSON(wri, http.StatusOK, outs)
+}
+
+func (ser *Server) endpointStatus(ent persister.Entry, now time.Time) EndpointStatus {
+	out := EndpointStatus{Entry: ent, ReportAgeMs: -1}
+	end := ser.watcher.Endpoint(ent.ID)
+	out.Leaving = out.Leaving || end.Leaving
+	out.MemoryTokens = end.MemoryTokens
+	out.UsedTokens = end.UsedTokens
+	out.QueuedTokens = end.QueuedTokens
+	out.Outstanding = ser.allocator.Outstanding(ent.ID)
+	if !end.ReportedAt.IsZero() {
+		out.ReportAgeMs = now.Sub(end.ReportedAt).Milliseconds()
+	}
+	return out
+}
+
+// DrainRequest names the host to drain; empty stands for the host asked.
+type DrainRequest struct{ Host string }
+
+func (ser *Server) postDrain(wri http.ResponseWriter, htr *http.Request) {
+	var req DrainRequest
+	if err := json.NewDecoder(http.MaxBytesReader(wri, htr.Body, maxOperatorBody)).Decode(&req); err != nil && !errors.Is(err, io.EOF) {
+		responder.WriteJSON(wri, http.StatusBadRequest, OperatorError{Code: "invalid_json", Message: err.Error()})
+		return
+	}
+	if req.Host == "" || req.Host == ser.Settings.HostID {
+		responder.WriteJSON(wri, http.StatusAccepted, DrainRequest{Host: ser.Settings.HostID})
+		ser.beginDrain()
+		return
+	}
+	ser.forwardDrain(htr.Context(), wri, req)
+}
+
+func (ser *Server) forwardDrain(ctx context.Context, wri http.ResponseWriter, req DrainRequest) {
+	hoss := ser.hosts()
+	ind := slices.IndexFunc(hoss, func(ent persister.Entry) bool { return ent.ID == req.Host })
+	if ind < 0 {
+		responder.WriteJSON(wri, http.StatusNotFound, OperatorError{Code: "unknown_host", Message: fmt.Sprintf("no host %q is listed", req.Host)})
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, hostCallTimeout)
+	defer stop()
+	_, err := ser.multiplexer.Call(ctx, hoss[ind].Address, &messenger.Envelope{Body: &messenger.Envelope_DrainOrder{DrainOrder: &messenger.DrainOrder{Host: req.Host}}})
+	if err != nil {
+		responder.WriteJSON(wri, http.StatusBadGateway, OperatorError{Code: "unknown", Message: err.Error()})
+		return
+	}
+	responder.WriteJSON(wri, http.StatusAccepted, req)
+}
+
+func (ser *Server) handleDrain(ord *messenger.DrainOrder) *messenger.Envelope {
+	if ord.GetHost() != ser.Settings.HostID {
+		return messenger.NewFailure("other_host", "this is host "+ser.Settings.HostID)
+	}
+	ser.beginDrain()
+	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
+}
+
+func (ser *Server) beginDrain() {
+	ser.Log.Info().Msg("an operator asked for a drain")
+	ser.requestDrain()
+}
--- a/process/server/operator.go
+++ b/process/server/operator.go
@@ -36,6 +36,10 @@
 	rou.HandleFunc("/healthz", func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusOK) })
 	rou.HandleFunc("/readyz", ser.ready)
 	rou.HandleFunc("/v1/status", ser.status).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/status/hosts", ser.statusHosts).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/status/endpoints", ser.statusEndpoints).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/explain", ser.explain).Methods(http.MethodPost)
+	rou.HandleFunc("/v1/drain", ser.postDrain).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/tables", ser.getTables).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/tables", ser.putTables).Methods(http.MethodPut)
 	return rou
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -56,9 +56,12 @@
 	watcher     *watcher.Watcher
 	journal     *journaler.Journal
 	admitter    *admitter.Admitter
+	allocator   *allocator.Allocator
 	executor    *executor.Executor
 	draining    atomic.Bool
 	started     time.Time
+	// requestDrain has the effect of SIGTERM. It is set by Run.
+	requestDrain context.CancelFunc
 }
 
 // New joins the parts of a host.
@@ -82,16 +85,19 @@
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
 	}
 	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
+	ser.allocator = &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own}
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own},
+		Allocator: ser.allocator,
 	}
 	return ser
 }
 
 // Run serves until ctx ends, then drains.
 func (ser *Server) Run(ctx context.Context) error {
+	ctx, ser.requestDrain = context.WithCancel(ctx)
+	defer ser.requestDrain()
 	liss, err := ser.listen()
 	if err != nil {
 		return err
@@ -183,6 +189,10 @@
 		return &messenger.Envelope{Body: &messenger.Envelope_TablesAck{TablesAck: &messenger.TablesAck{Revision: ser.publisher.Current().Revision()}}}
 	case *messenger.Envelope_ClaimCommit:
 		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, time.Now())}}
+	case *messenger.Envelope_StatusQuery:
+		return &messenger.Envelope{Body: &messenger.Envelope_StatusReport{StatusReport: ser.report()}}
+	case *messenger.Envelope_DrainOrder:
+		return ser.handleDrain(bod.DrainOrder)
 	default:
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
