Read engine streams without a goroutine and send tokens in batches

Cause: the stream path decoded each token by reflection in a goroutine of its own, encoded each chunk by reflection and flushed each by itself; a silent connection was given 3 s and closed the idle connections of all endpoints; an engine that sent signs of life without progress held a request to its deadline. Ruled out: the network stack as the bound; the batched benchmark was as slow as the one that flushes every token. Silence is found within 1.5 s on its own connection, a stall within a third of the time left, retries come out of a budget, and a caller that does not read is given up.

--- a/connection/invoker/engine.go
+++ b/connection/invoker/engine.go
@@ -1,21 +1,13 @@
 package invoker
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
+	"net/url"
+	"strconv"
 	"time"
-
-	"github.com/rotisserie/eris"
-	"github.com/tmaxmax/go-sse"
 )
 
-const (
-	maxEventBytes = 1 << 20
-	maxReplyBytes = 16 << 20
-)
+const maxReplyBytes = 16 << 20
 
 // Owner identifies the host process that an engine's work belongs to.
 type Owner struct {
@@ -54,142 +46,15 @@
 	Group []Part
 }
 
-// Event is one step of an engine's answer: Token, Finish or Idle.
-type Event interface{ event() }
-
-// Token is one generated token. Attempt and RequestID tie it to its dispatch.
-type Token struct {
-	RequestID string
-	Attempt   int
-	Index     int64
-	Text      string
-}
-
-// Finish ends a complete answer.
-type Finish struct {
-	RequestID        string
-	Attempt          int
-	Reason           string
-	PromptTokens     int64
-	CachedTokens     int64
-	CompletionTokens int64
-}
-
-// Idle shows that the engine is alive while it has no token to send.
-type Idle struct{}
-
-func (Token) event()  {}
-func (Finish) event() {}
-func (Idle) event()   {}
-
-// Stream is one running answer of an engine.
-type Stream struct {
-	peer   string
-	events chan Event
-	err    error
-	cancel context.CancelFunc
-}
-
-// Generate dispatches a request to the engine at address and returns its
-// stream. The stream must be closed.
-func (inv *Invoker) Generate(ctx context.Context, address string, gen GenerateRequest) (*Stream, error) {
-	body, err := json.Marshal(gen)
-	if err != nil {
-		return nil, &Error{Step: "Invoker.Generate: encode", Peer: address, Ran: NotRun, Err: err}
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/generate", bytes.NewReader(body))
-	if err != nil {
-		cancel()
-		return nil, &Error{Step: "Invoker.Generate: build", Peer: address, Ran: NotRun, Err: err}
-	}
-	inject(ctx, req)
-	res, err := inv.client().Do(req)
-	if err != nil {
-		cancel()
-		return nil, &Error{Step: "Invoker.Generate: send", Peer: address, Ran: ranAfterSend(err), Err: err}
-	}
-	if res.StatusCode != http.StatusOK {
-		defer cancel()
-		defer res.Body.Close()
-		return nil, replyError("Invoker.Generate: refused", address, res)
-	}
-	str := &Stream{peer: address, events: make(chan Event), cancel: cancel}
-	go str.read(ctx, res.Body)
-	return str, nil
-}
-
-func (str *Stream) read(ctx context.Context, body io.ReadCloser) {
-	defer close(str.events)
-	defer body.Close()
-	for eve, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
-		if err != nil {
-			str.err = &Error{Step: "Stream.read", Peer: str.peer, Ran: Ran, Err: err}
-			return
-		}
-		out, err := decodeEvent(eve)
-		if err != nil {
-			str.err = &Error{Step: "Stream.read: decode", Peer: str.peer, Ran: Ran, Err: err}
-			return
-		}
-		select {
-		case str.events <- out:
-		case <-ctx.Done():
-			str.err = &Error{Step: "Stream.read", Peer: str.peer, Ran: Ran, Err: ctx.Err()}
-			return
-		}
-	}
-	str.err = &Error{Step: "Stream.read: end before finish", Peer: str.peer, Ran: Ran, Err: io.ErrUnexpectedEOF}
-}
-
-func decodeEvent(eve sse.Event) (Event, error) {
-	switch eve.Type {
-	case "Token":
-		var tok Token
-		err := json.Unmarshal([]byte(eve.Data), &tok)
-		return tok, err
-	case "Finish":
-		var fin Finish
-		err := json.Unmarshal([]byte(eve.Data), &fin)
-		return fin, err
-	case "Idle":
-		return Idle{}, nil
-	case "Error":
-		return nil, eris.Errorf("engine reports: %s", eve.Data)
-	default:
-		return nil, eris.Errorf("unknown event type %q", eve.Type)
-	}
-}
-
-// Next waits for the next event. It fails when none comes within timeout, and
-// the stream is then of no more use.
-func (str *Stream) Next(ctx context.Context, timeout time.Duration) (Event, error) {
-	tim := time.NewTimer(timeout)
-	defer tim.Stop()
-	select {
-	case eve, ok := <-str.events:
-		if !ok {
-			return nil, str.err
-		}
-		return eve, nil
-	case <-tim.C:
-		return nil, &Error{Step: "Stream.Next: silent", Peer: str.peer, Ran: Ran, Err: ErrSilent}
-	case <-ctx.Done():
-		return nil, &Error{Step: "Stream.Next", Peer: str.peer, Ran: Ran, Err: ctx.Err()}
-	}
-}
-
-// Close gives the stream up. The engine stops the sequence when it notices;
-// Cancel makes it certain.
-func (str *Stream) Close() { str.cancel() }
-
-// Cancel stops every attempt of a request on the engine and frees its memory.
-// It is idempotent.
-func (inv *Invoker) Cancel(ctx context.Context, address, requestID string, own Owner) error {
+// Cancel stops the attempts of a request up to the given one and frees their
+// memory. Work of another owner or of a newer attempt is left alone. It is
+// idempotent.
+func (inv *Invoker) Cancel(ctx context.Context, address, requestID string, att int, own Owner) error {
 	return inv.post(ctx, "Invoker.Cancel", address, "/v1/cancel", struct {
 		RequestID string
+		Attempt   int
 		Owner     Owner
-	}{requestID, own}, nil)
+	}{requestID, att, own}, nil)
 }
 
 // Sequence is one holder of an engine's memory.
@@ -201,8 +66,22 @@
 	// Kind is Running, Queued, Reservation or Export.
 	Kind string
 	// ID names a reservation or an export.
-	ID    string
+	ID string
+	// AgeMs is the time since the work was accepted.
 	AgeMs int64
+	// IdleMs is the time since the work last moved or was last attached.
+	IdleMs int64
+	// ExpiresMs is the time until the owner's deadline, negative after it. It
+	// is as of the report.
+	ExpiresMs int64
+	// Detached marks work whose connection has gone.
+	Detached bool
+}
+
+// Expired reports whether the owner's deadline had passed by more than margin
+// at age after the report.
+func (seq Sequence) Expired(age, margin time.Duration) bool {
+	return time.Duration(seq.ExpiresMs)*time.Millisecond < age-margin
 }
 
 // Load is an engine's lagging report of its work and memory, in tokens.
@@ -230,15 +109,51 @@
 	return loa, err
 }
 
+// Sequences reads who holds an engine's memory, with the lag of the load
+// report. Work younger than minAge is left out.
+func (inv *Invoker) Sequences(ctx context.Context, address string, minAge time.Duration) (Load, error) {
+	var loa Load
+	que := url.Values{"Sequences": {"true"}, "MinAgeMs": {strconv.FormatInt(minAge.Milliseconds(), 10)}}
+	err := inv.get(ctx, "Invoker.Sequences", address, "/v1/load?"+que.Encode(), &loa)
+	return loa, err
+}
+
+// Reservation is memory of an engine that is set aside for a request.
+type Reservation struct {
+	ReservationID string
+	RequestID     string
+	Owner         Owner
+	Tokens        int64
+	// BudgetMs is the time until the request's deadline; 0 stands for the
+	// engine's default.
+	BudgetMs int64
+}
+
+// ReserveFor sets memory of an engine aside until it is released. It is
+// idempotent by reservation ID.
+func (inv *Invoker) ReserveFor(ctx context.Context, address string, res Reservation) error {
+	return inv.post(ctx, "Invoker.ReserveFor", address, "/v1/reserve", res, nil)
+}
+
+// Free names one holder of memory exactly, so that nothing newer is freed.
+type Free struct {
+	// Kind is Running or Queued for a sequence, Reservation or Export for a hold.
+	Kind      string
+	ID        string
+	RequestID string
+	Attempt   int
+	Owner     Owner
+}
+
+// Free releases what a lost owner held. It is idempotent.
+func (inv *Invoker) Free(ctx context.Context, address string, fre Free) error {
+	return inv.post(ctx, "Invoker.Free", address, "/v1/free", fre, nil)
+}
+
 // Reserve sets memory of an engine aside for a request. It is idempotent by
 // reservation ID.
 func (inv *Invoker) Reserve(ctx context.Context, address, reservationID, requestID string, own Owner, tokens int64) error {
-	return inv.post(ctx, "Invoker.Reserve", address, "/v1/reserve", struct {
-		ReservationID string
-		RequestID     string
-		Owner         Owner
-		Tokens        int64
-	}{reservationID, requestID, own, tokens}, nil)
+	return inv.ReserveFor(ctx, address, Reservation{ReservationID: reservationID, RequestID: requestID, Owner: own, Tokens: tokens})
 }
 
 // Release frees a reservation or an export. It is idempotent.
--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -23,6 +23,8 @@
 	dialTimeout        = 500 * time.Millisecond
 	idleConnTimeout    = 30 * time.Second
 	maxIdlePerEndpoint = 64
+	// clientRetention is how long an endpoint that is not called is remembered.
+	clientRetention = 10 * time.Minute
 )
 
 // ErrSilent marks a connection on which nothing arrived within the timeout.
@@ -58,45 +60,90 @@
 
 // Invoker calls endpoints by address. Its zero value is ready.
 type Invoker struct {
-	once   sync.Once
-	htc    *http.Client
-	single *http.Client
-}
-
-func (inv *Invoker) client() *http.Client {
-	inv.once.Do(func() {
-		dia := &net.Dialer{Timeout: dialTimeout}
-		inv.htc = &http.Client{Transport: &http.Transport{
-			DialContext:         dia.DialContext,
-			MaxIdleConnsPerHost: maxIdlePerEndpoint,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
-		}}
-		inv.single = &http.Client{
-			Transport: &http.Transport{
-				DialContext:        dia.DialContext,
-				DisableKeepAlives:  true,
-				DisableCompression: true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	mu      sync.Mutex
+	clients map[string]*client
+	swept   time.Time
+}
+
+// client holds the connections to one endpoint, so that those of a silent one
+// can be closed without touching the others.
+type client struct {
+	http.Client
+	transport *http.Transport
+	used      time.Time
+}
+
+func (inv *Invoker) client(address string) *http.Client {
+	now := time.Now()
+	inv.mu.Lock()
+	defer inv.mu.Unlock()
+	cli := inv.clients[address]
+	if cli == nil {
+		cli = newClient()
+		if inv.clients == nil {
+			inv.clients = map[string]*client{}
 		}
-	})
-	return inv.htc
+		inv.clients[address] = cli
+	}
+	cli.used = now
+	inv.sweep(now)
+	return &cli.Client
+}
+
+func newClient() *client {
+	tra := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerEndpoint,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	return &client{Client: http.Client{Transport: tra}, transport: tra}
+}
+
+// sweep forgets endpoints that were not called for long. The caller holds the
+// lock.
+func (inv *Invoker) sweep(now time.Time) {
+	if now.Sub(inv.swept) < clientRetention {
+		return
+	}
+	inv.swept = now
+	for add, cli := range inv.clients {
+		if now.Sub(cli.used) > clientRetention {
+			cli.transport.CloseIdleConnections()
+			delete(inv.clients, add)
+		}
+	}
+}
+
+var onceClient = &http.Client{
+	Transport: &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
 // clientFor picks the client of a call. The transport of net/http sends a
 // request again by itself when a reused connection fails under it, so a call
 // that must run at most once gets a connection of its own.
-func (inv *Invoker) clientFor(cal ServiceCall) *http.Client {
-	htc := inv.client()
+func (inv *Invoker) clientFor(address string, cal ServiceCall) *http.Client {
 	if cal.Once {
-		return inv.single
+		return onceClient
 	}
-	return htc
+	return inv.client(address)
 }
 
-// Condemn closes idle connections, so that later calls dial anew.
-func (inv *Invoker) Condemn() { inv.client().CloseIdleConnections() }
+// Condemn closes the idle connections to an endpoint, so that later calls dial
+// anew. Connections in use are judged by their own progress.
+func (inv *Invoker) Condemn(address string) {
+	inv.mu.Lock()
+	cli := inv.clients[address]
+	inv.mu.Unlock()
+	if cli != nil {
+		cli.transport.CloseIdleConnections()
+	}
+}
 
 func inject(ctx context.Context, req *http.Request) {
 	req.Header.Set("Content-Type", "application/json")
@@ -143,7 +190,7 @@
 		return &Error{Step: step, Peer: address, Ran: NotRun, Err: err}
 	}
 	inject(ctx, req)
-	res, err := inv.client().Do(req)
+	res, err := inv.client(address).Do(req)
 	if err != nil {
 		return &Error{Step: step, Peer: address, Ran: ranAfterSend(err), Err: err}
 	}
--- a/connection/invoker/service.go
+++ b/connection/invoker/service.go
@@ -43,7 +43,7 @@
 	if cal.Key != "" {
 		req.Header.Set(KeyHeader, cal.Key)
 	}
-	res, err := inv.clientFor(cal).Do(req)
+	res, err := inv.clientFor(address, cal).Do(req)
 	if err != nil {
 		return ServiceReply{}, &Error{Step: "Invoker.Call: send", Peer: address, Ran: ranAfterSend(err), Err: err}
 	}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -127,6 +127,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), ser.Settings.DrainTimeout)
 	defer stop()
 	err := cal.Shutdown(ctx)
+	ser.executor.Settle()
 	ser.Log.Info().Err(err).Msg("host stopped")
 	return eris.Wrap(err, "Server.drain: requests in progress at the drain time-out")
 }
--- a/request/assembler/assembler.go
+++ b/request/assembler/assembler.go
@@ -18,12 +18,25 @@
 	Foreign
 	// Gap marks a token beyond the next index: the stream can't be trusted.
 	Gap
+	// Excess marks a token beyond the limit that was asked for.
+	Excess
 	// Complete marks the true end of the answer.
 	Complete
-	// Short marks an end before the tokens that it claims.
+	// Short marks an end that does not fit the tokens that came.
 	Short
 )
 
+var names = [...]string{"Deliver", "Drop", "Foreign", "Gap", "Excess", "Complete", "Short"}
+
+// String returns the name of the verdict.
+func (ver Verdict) String() string { return names[ver] }
+
+// Reasons with which an engine ends an answer.
+const (
+	reasonLength = "length"
+	reasonStop   = "stop"
+)
+
 // Assembler is the state of one answer. It is an immutable value.
 type Assembler struct {
 	RequestID string
@@ -31,6 +44,8 @@
 	Attempt int
 	// Next is the index of the next token wanted.
 	Next int64
+	// MaxTokens is the limit that was asked for.
+	MaxTokens int64
 }
 
 // WithAttempt returns the state for a new dispatch.
@@ -48,12 +63,15 @@
 		return ass, Drop
 	case tok.Index > ass.Next:
 		return ass, Gap
+	case ass.Next >= ass.MaxTokens:
+		return ass, Excess
 	}
 	ass.Next++
 	return ass, Deliver
 }
 
-// Finish judges the end of a stream.
+// Finish judges the end of a stream. The engine must claim just the tokens that
+// came, and may name the limit as its reason only when the limit is reached.
 func (ass Assembler) Finish(fin invoker.Finish) Verdict {
 	switch {
 	case fin.RequestID != ass.RequestID:
@@ -62,6 +80,10 @@
 		return Drop
 	case fin.CompletionTokens != ass.Next:
 		return Short
+	case fin.Reason == reasonLength && ass.Next != ass.MaxTokens:
+		return Short
+	case fin.Reason != reasonLength && fin.Reason != reasonStop:
+		return Short
 	}
 	return Complete
 }
--- a/request/attempter/attempter.go
+++ b/request/attempter/attempter.go
@@ -1,8 +1,9 @@
-// Package attempter decides what happens to a prompt after each step: dispatch
-// it again, resume it elsewhere, or fail it truthfully.
+// Package attempter decides what happens to a prompt after each step: resume it
+// on the same engine, dispatch it elsewhere, wait on, or fail it truthfully.
 package attempter
 
 import (
+	"slices"
 	"time"
 
 	"hemlockpin/connection/invoker"
@@ -10,9 +11,18 @@
 
 const (
 	// MaxAttempts bounds the dispatches of one request.
-	MaxAttempts = 5
+	MaxAttempts = 8
+	// MaxRounds bounds how often a request returns to endpoints that failed it.
+	MaxRounds = 3
 	// MinBudget is the least time left for which a dispatch is worth while.
 	MinBudget = 5 * time.Millisecond
+
+	roundPause       = 100 * time.Millisecond
+	minProgressLimit = time.Second
+	maxProgressLimit = 20 * time.Second
+	// progressShare of the time left is given to one engine without progress,
+	// so that another can still answer.
+	progressShare = 3
 )
 
 // State is what is known of one request. It is an immutable value.
@@ -26,9 +36,13 @@
 	Ran invoker.Execution
 	// Excluded lists endpoints that failed the request.
 	Excluded []string
+	// Rounds counts how often the exclusions were lifted.
+	Rounds int
+	// Resumed marks that the current endpoint was already given a second try.
+	Resumed bool
 }
 
-// Event is a step of a request: Refused, Failed or Expired.
+// Event is a step of a request: Refused, Failed, Stalled, Gone or Expired.
 type Event interface{ event() }
 
 // Refused reports that no endpoint could be had.
@@ -44,21 +58,45 @@
 	Ran      invoker.Execution
 	// Permanent marks a failure that another endpoint would repeat.
 	Permanent bool
-	Message   string
+	// Connection marks a failure of the connection: the engine may still hold
+	// the sequence.
+	Connection bool
+	Message    string
 }
 
+// Stalled reports that an engine is alive but has made no progress within the
+// limit.
+type Stalled struct{ Endpoint string }
+
+// Gone reports that the caller has left or does not read.
+type Gone struct{}
+
 // Expired reports that the time limit has passed.
 type Expired struct{}
 
 func (Refused) event() {}
 func (Failed) event()  {}
+func (Stalled) event() {}
+func (Gone) event()    {}
 func (Expired) event() {}
 
-// Action is what to do next: Dispatch or Fail.
+// Action is what to do next: Dispatch, Resume, Stay, Abandon or Fail. Every
+// action but Stay ends the current dispatch, which is cancelled on the engine.
 type Action interface{ action() }
 
-// Dispatch places the request again and resumes at the next token.
-type Dispatch struct{}
+// Dispatch places the request again after a pause and goes on at the next
+// token. It spends one retry.
+type Dispatch struct{ After time.Duration }
+
+// Resume dispatches to the same endpoint over a new connection. It spends one
+// retry.
+type Resume struct{}
+
+// Stay keeps waiting for the current dispatch.
+type Stay struct{}
+
+// Abandon ends the request without an answer, because nobody reads it.
+type Abandon struct{}
 
 // Fail ends the request with an error.
 type Fail struct {
@@ -69,6 +107,9 @@
 }
 
 func (Dispatch) action() {}
+func (Resume) action()   {}
+func (Stay) action()     {}
+func (Abandon) action()  {}
 func (Fail) action()     {}
 
 // WithAttempt returns the state after a dispatch was begun.
@@ -77,17 +118,19 @@
 	return sta
 }
 
-// WithDelivered returns the state after a token reached the caller.
+// WithDelivered returns the state after a token reached the caller. Progress
+// gives the endpoint a new second try.
 func (sta State) WithDelivered(cou int64) State {
 	sta.Delivered = cou
 	sta.Ran = invoker.Ran
+	sta.Resumed = false
 	return sta
 }
 
-func (sta State) withFailure(fai Failed) State {
-	exc := make([]string, 0, len(sta.Excluded)+1)
-	sta.Excluded = append(append(exc, sta.Excluded...), fai.Endpoint)
-	sta.Ran = worse(sta.Ran, fai.Ran)
+func (sta State) withFailure(end string, ran invoker.Execution) State {
+	sta.Excluded = append(slices.Clip(sta.Excluded), end)
+	sta.Resumed = false
+	sta.Ran = worse(sta.Ran, ran)
 	return sta
 }
 
@@ -100,31 +143,77 @@
 	return invoker.NotRun
 }
 
-// Next decides on an event.
-func (sta State) Next(eve Event, now time.Time) (State, Action) {
+// ProgressLimit is the time that an engine which is alive may take without any
+// progress.
+func (sta State) ProgressLimit(now time.Time) time.Duration {
+	return max(minProgressLimit, min(maxProgressLimit, sta.Deadline.Sub(now)/progressShare))
+}
+
+// Next decides on an event. A retry is spent only if one is available.
+func (sta State) Next(eve Event, retry bool, now time.Time) (State, Action) {
 	switch eve := eve.(type) {
 	case Refused:
-		return sta, Fail{Code: eve.Code, Message: eve.Message, Ran: sta.ran(), RetryAfter: eve.RetryAfter}
+		return sta.afterRefusal(eve, now)
 	case Failed:
-		sta = sta.withFailure(eve)
-		return sta, sta.afterFailure(eve, now)
+		return sta.afterFailure(eve, retry, now)
+	case Stalled:
+		return sta.afterStall(eve, retry, now)
+	case Gone:
+		return sta, Abandon{}
 	case Expired:
-		return sta, Fail{Code: "time_limit", Message: "the time limit has passed", Ran: sta.ran()}
+		return sta, sta.fail("time_limit", "the time limit has passed")
 	default:
-		return sta, Fail{Code: "internal", Message: "unknown event", Ran: sta.ran()}
+		return sta, sta.fail("internal", "unknown event")
 	}
 }
 
-func (sta State) afterFailure(fai Failed, now time.Time) Action {
+func (sta State) afterRefusal(ref Refused, now time.Time) (State, Action) {
+	again := ref.Code == "no_endpoint" && len(sta.Excluded) > 0
+	if !again || sta.Rounds >= MaxRounds || sta.left(now) < roundPause+MinBudget {
+		return sta, Fail{Code: ref.Code, Message: ref.Message, Ran: sta.ran(), RetryAfter: ref.RetryAfter}
+	}
+	sta.Excluded = nil
+	sta.Rounds++
+	return sta, Dispatch{After: roundPause}
+}
+
+func (sta State) afterFailure(fai Failed, retry bool, now time.Time) (State, Action) {
+	if sta.mayResume(fai, retry, now) {
+		sta.Resumed = true
+		sta.Ran = worse(sta.Ran, fai.Ran)
+		return sta, Resume{}
+	}
+	sta = sta.withFailure(fai.Endpoint, fai.Ran)
 	switch {
 	case fai.Permanent:
-		return Fail{Code: "endpoint_refused", Message: fai.Message, Ran: sta.ran()}
-	case sta.Deadline.Sub(now) < MinBudget:
-		return Fail{Code: "time_limit", Message: "the time limit has passed", Ran: sta.ran()}
+		return sta, sta.fail("endpoint_refused", fai.Message)
+	case sta.left(now) < MinBudget:
+		return sta, sta.fail("time_limit", "the time limit has passed")
 	case sta.Attempt >= MaxAttempts:
-		return Fail{Code: "endpoint_failed", Message: fai.Message, Ran: sta.ran()}
+		return sta, sta.fail("endpoint_failed", fai.Message)
+	case !retry:
+		return sta, sta.fail("retry_budget", "an endpoint failed and this host has no retries left: "+fai.Message)
+	}
+	return sta, Dispatch{}
+}
+
+// mayResume holds when the connection failed, not the engine, and the endpoint
+// has not failed again right after a resume.
+func (sta State) mayResume(fai Failed, retry bool, now time.Time) bool {
+	return fai.Connection && !fai.Permanent && !sta.Resumed && retry && sta.Attempt < MaxAttempts && sta.left(now) >= MinBudget
+}
+
+func (sta State) afterStall(eve Stalled, retry bool, now time.Time) (State, Action) {
+	if !retry || sta.Attempt >= MaxAttempts || sta.left(now) < MinBudget {
+		return sta, Stay{}
 	}
-	return Dispatch{}
+	return sta.withFailure(eve.Endpoint, invoker.Unknown), Dispatch{}
+}
+
+func (sta State) left(now time.Time) time.Duration { return sta.Deadline.Sub(now) }
+
+func (sta State) fail(code, message string) Fail {
+	return Fail{Code: code, Message: message, Ran: sta.ran()}
 }
 
 func (sta State) ran() invoker.Execution {
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
+	"hemlockpin/request/budgeter"
 	"hemlockpin/request/placer"
 	"hemlockpin/request/receiver"
 	"hemlockpin/request/responder"
@@ -70,8 +72,43 @@
 	Tracer    trace.Tracer
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// Retries bounds the dispatches after the first of all requests.
+	Retries budgeter.Budget
+
+	counted sync.Once
+	count   counters
+	pending sync.WaitGroup
+	mu      sync.Mutex
+	running map[string]int
 }
 
+// track notes a request as in progress until the returned function is called.
+func (exe *Executor) track(id string) func() {
+	exe.mu.Lock()
+	defer exe.mu.Unlock()
+	if exe.running == nil {
+		exe.running = map[string]int{}
+	}
+	exe.running[id]++
+	return func() {
+		exe.mu.Lock()
+		defer exe.mu.Unlock()
+		if exe.running[id]--; exe.running[id] == 0 {
+			delete(exe.running, id)
+		}
+	}
+}
+
+// InProgress reports whether this host works on a request.
+func (exe *Executor) InProgress(id string) bool {
+	exe.mu.Lock()
+	defer exe.mu.Unlock()
+	return exe.running[id] > 0
+}
+
+// Settle waits until what ended requests left to do on endpoints is done.
+func (exe *Executor) Settle() { exe.pending.Wait() }
+
 // request is the part that prompts and calls share.
 type request struct {
 	id       string
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -16,18 +15,12 @@
 	"hemlockpin/version/matcher"
 	"hemlockpin/version/parser"
 
-	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 )
 
-const (
-	// progressTimeout bounds the silence of an engine that has a request.
-	progressTimeout = 3 * time.Second
-	cancelTimeout   = time.Second
-)
-
-var errUntrusted = eris.New("the engine's stream does not fit the request")
+// cancelTimeout bounds one cancellation on an engine.
+const cancelTimeout = time.Second
 
 // generation is the running state of one prompt.
 type generation struct {
@@ -37,6 +30,11 @@
 	assembler assembler.Assembler
 	answer    *responder.Answer
 	blocks    []uint64
+	// lease is held while the request has an endpoint, stream while it has a
+	// dispatch there.
+	lease    *Lease
+	stream   *invoker.Stream
+	progress progress
 }
 
 // Generate answers a prompt.
@@ -60,7 +58,7 @@
 		request:   req,
 		prompt:    pro,
 		state:     attempter.State{Deadline: req.deadline},
-		assembler: assembler.Assembler{RequestID: req.id},
+		assembler: assembler.Assembler{RequestID: req.id, MaxTokens: pro.MaxTokens},
 		blocks:    hasher.Blocks(pro.Text),
 		answer: &responder.Answer{
 			Writer: wri, ID: req.id, Model: pro.Model, Chat: chat, Stream: pro.Stream,
@@ -68,32 +66,79 @@
 		},
 	}
 	exe.generate(ctx, gen)
+	gen.answer.Close()
 }
 
 func (exe *Executor) generate(ctx context.Context, gen *generation) {
 	done, ref := exe.Admitter.Admit(gen.placement(), gen.team, gen.pool, exe.Clock())
 	if ref != nil {
-		gen.answer.Fail(refusal(*ref))
+		gen.answer.Fail(refusal(*ref), exe.Clock())
 		return
 	}
 	defer done()
+	defer exe.track(gen.id)()
+	exe.Retries.Earn(exe.Clock())
 	for {
-		eve := exe.attempt(ctx, gen)
+		eve := exe.step(ctx, gen)
 		if eve == nil {
+			gen.stream.Close()
+			gen.lease.Release()
 			return
 		}
-		sta, act := gen.state.Next(eve, exe.Clock())
-		gen.state = sta
-		switch act := act.(type) {
-		case attempter.Dispatch:
-			exe.Scope.Counter("attempts_resumed").Inc(1)
-		case attempter.Fail:
-			gen.answer.Fail(responder.Problem{Status: StatusOf(act.Code), Code: act.Code, Message: act.Message, Ran: act.Ran, RetryAfter: act.RetryAfter})
+		if exe.carryOut(ctx, gen, exe.decide(gen, eve)) {
 			return
 		}
 	}
 }
 
+// decide takes a retry beforehand and gives it back where it is not used.
+func (exe *Executor) decide(gen *generation, eve attempter.Event) attempter.Action {
+	now := exe.Clock()
+	ret := exe.Retries.Take(now)
+	sta, act := gen.state.Next(eve, ret, now)
+	gen.state = sta
+	switch act.(type) {
+	case attempter.Dispatch, attempter.Resume:
+		exe.counters().resumed.Inc(1)
+		return act
+	}
+	if ret {
+		exe.Retries.Return()
+	}
+	return act
+}
+
+// carryOut does what was decided and reports whether the request has ended.
+func (exe *Executor) carryOut(ctx context.Context, gen *generation, act attempter.Action) bool {
+	switch act := act.(type) {
+	case attempter.Stay:
+		gen.progress.at = exe.Clock()
+		return false
+	case attempter.Resume:
+		gen.stream.Close()
+		gen.stream = nil
+		return false
+	case attempter.Dispatch:
+		exe.drop(ctx, gen)
+		pause(ctx, act.After)
+		return false
+	case attempter.Fail:
+		gen.answer.Fail(responder.Problem{Status: StatusOf(act.Code), Code: act.Code, Message: act.Message, Ran: act.Ran, RetryAfter: act.RetryAfter}, exe.Clock())
+	}
+	exe.drop(ctx, gen)
+	return true
+}
+
+func pause(ctx context.Context, dur time.Duration) {
+	if dur == 0 {
+		return
+	}
+	select {
+	case <-time.After(dur):
+	case <-ctx.Done():
+	}
+}
+
 func (gen *generation) placement() placer.Request {
 	return placer.Request{
 		ID: gen.id, Team: gen.team.Name, Model: gen.prompt.Model, Pool: gen.pool.Name,
@@ -102,116 +147,69 @@
 	}
 }
 
-// attempt places and dispatches once. It returns nil when the answer is whole
-// or the caller has gone, else the event to decide on.
-func (exe *Executor) attempt(ctx context.Context, gen *generation) attempter.Event {
-	lea, err := exe.Allocator.Acquire(ctx, gen.placement(), gen.pool)
-	if err != nil {
-		return refusedEvent(ctx, err)
+// step goes on from where the request stands: it places, dispatches and
+// relays. It returns nil when the answer is whole, else the event to decide on.
+func (exe *Executor) step(ctx context.Context, gen *generation) attempter.Event {
+	if gen.lease == nil {
+		lea, err := exe.Allocator.Acquire(ctx, gen.placement(), gen.pool)
+		if err != nil {
+			return refusedEvent(ctx, err)
+		}
+		gen.lease = &lea
 	}
-	defer lea.Release()
-	ctx, spa := exe.Tracer.Start(ctx, "engine", trace.WithAttributes(attribute.String("Endpoint", lea.Endpoint)))
+	ctx, spa := exe.Tracer.Start(ctx, "engine", trace.WithAttributes(attribute.String("Endpoint", gen.lease.Endpoint)))
 	defer spa.End()
+	if gen.stream == nil {
+		if err := exe.open(ctx, gen); err != nil {
+			return exe.failed(ctx, gen, err)
+		}
+	}
+	if err := exe.relay(gen); err != nil {
+		return exe.failed(ctx, gen, err)
+	}
+	return nil
+}
+
+func (exe *Executor) open(ctx context.Context, gen *generation) error {
 	gen.state = gen.state.WithAttempt()
 	gen.assembler = gen.assembler.WithAttempt(gen.state.Attempt)
-	str, err := exe.Invoker.Generate(ctx, lea.Address, exe.dispatch(gen, lea))
+	gen.progress = progress{at: exe.Clock()}
+	str, err := exe.Invoker.Generate(ctx, gen.lease.Address, exe.dispatch(gen))
 	if err != nil {
-		return exe.failed(ctx, gen, lea, err)
-	}
-	defer str.Close()
-	err = exe.relay(ctx, gen, lea, str)
-	if err != nil {
-		return exe.failed(ctx, gen, lea, err)
+		return err
 	}
+	gen.stream = str
 	return nil
 }
 
-func (exe *Executor) dispatch(gen *generation, lea Lease) invoker.GenerateRequest {
+func (exe *Executor) dispatch(gen *generation) invoker.GenerateRequest {
 	return invoker.GenerateRequest{
 		RequestID: gen.id, Attempt: gen.state.Attempt, Owner: exe.Owner, Model: gen.prompt.Model,
 		Prompt: gen.prompt.Text, PromptTokens: gen.prompt.Tokens, MaxTokens: gen.prompt.MaxTokens, Seed: gen.prompt.Seed,
 		Priority: gen.route.Priority, StartIndex: gen.assembler.Next, Generated: gen.answer.Text(),
-		BudgetMs: gen.deadline.Sub(exe.Clock()).Milliseconds(), ReservationID: lea.ReservationID, Group: lea.Group,
-	}
-}
-
-// relay passes tokens on until the end of the answer.
-func (exe *Executor) relay(ctx context.Context, gen *generation, lea Lease, str *invoker.Stream) error {
-	for {
-		eve, err := str.Next(ctx, progressTimeout)
-		if err != nil {
-			return err
-		}
-		switch eve := eve.(type) {
-		case invoker.Token:
-			lea.Prefilled()
-			if err := exe.token(gen, eve); err != nil {
-				return err
-			}
-		case invoker.Finish:
-			switch gen.assembler.Finish(eve) {
-			case assembler.Complete:
-				return gen.answer.Finish(eve)
-			case assembler.Drop:
-			default:
-				return errUntrusted
-			}
-		case invoker.Idle:
-		}
-	}
-}
-
-func (exe *Executor) token(gen *generation, tok invoker.Token) error {
-	ass, ver := gen.assembler.Token(tok)
-	gen.assembler = ass
-	switch ver {
-	case assembler.Deliver:
-		gen.state = gen.state.WithDelivered(ass.Next)
-		exe.Scope.Counter("tokens").Inc(1)
-		return gen.answer.Token(tok.Text)
-	case assembler.Drop:
-		exe.Scope.Counter("tokens_dropped").Inc(1)
-		return nil
-	default:
-		exe.Scope.Counter("streams_untrusted").Inc(1)
-		return errUntrusted
-	}
-}
-
-func refusedEvent(ctx context.Context, err error) attempter.Event {
-	if ctx.Err() != nil {
-		return attempter.Expired{}
+		BudgetMs: gen.deadline.Sub(exe.Clock()).Milliseconds(), ReservationID: gen.lease.ReservationID, Group: gen.lease.Group,
 	}
-	var ref *RefusedError
-	if errors.As(err, &ref) {
-		return attempter.Refused{Code: ref.Refuse.Code, Message: ref.Refuse.Message, RetryAfter: ref.Refuse.RetryAfter}
-	}
-	return attempter.Refused{Code: "internal", Message: err.Error()}
-}
-
-// failed cancels what may still run on the engine and builds the event.
-func (exe *Executor) failed(ctx context.Context, gen *generation, lea Lease, err error) attempter.Event {
-	exe.cancel(ctx, gen, lea)
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return nil
-	}
-	if ctx.Err() != nil {
-		return attempter.Expired{}
-	}
-	exe.Invoker.Condemn()
-	eve := attempter.Failed{Endpoint: lea.Endpoint, Ran: invoker.Unknown, Message: err.Error()}
-	var ine *invoker.Error
-	if errors.As(err, &ine) {
-		eve.Ran = ine.Ran
-		eve.Permanent = ine.Status == http.StatusBadRequest
-	}
-	return eve
 }
 
-func (exe *Executor) cancel(ctx context.Context, gen *generation, lea Lease) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
-	defer stop()
-	if err := exe.Invoker.Cancel(ctx, lea.Address, gen.id, exe.Owner); err != nil {
-		exe.Scope.Counter("cancels_failed").Inc(1)
+// drop ends the current dispatch and gives the endpoint back. It does not wait
+// for the engine, so that a failure reaches the caller in time.
+func (exe *Executor) drop(ctx context.Context, gen *generation) {
+	if gen.stream != nil {
+		gen.stream.Close()
+	}
+	lea := gen.lease
+	att := gen.state.Attempt
+	gen.stream = nil
+	gen.lease = nil
+	if lea == nil {
+		return
 	}
+	exe.pending.Go(func() {
+		defer lea.Release()
+		ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+		defer stop()
+		if err := exe.Invoker.Cancel(ctx, lea.Address, gen.id, att, exe.Owner); err != nil {
+			exe.counters().cancelsFailed.Inc(1)
+		}
+	})
 }
--- a/standin/generator/handler.go
+++ b/standin/generator/handler.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"hemlockpin/connection/invoker"
@@ -73,7 +74,12 @@
 	default:
 	}
 	defer seq.stop()
-	wri.Header().Set("Content-Type", "text/event-stream")
+	hea := wri.Header()
+	hea.Set("Content-Type", "text/event-stream")
+	hea.Set(invoker.EngineRequestHeader, req.RequestID)
+	hea.Set(invoker.EngineAttemptHeader, strconv.Itoa(req.Attempt))
+	hea.Set(invoker.EngineModelHeader, req.Model)
+	hea.Set(invoker.EnginePromptHeader, strconv.FormatInt(req.PromptTokens, 10))
 	wri.WriteHeader(http.StatusOK)
 	gen.stream(wri, htr, seq)
 }
