--- a/internal/testkit/fleet.go
+++ b/internal/testkit/fleet.go
@@ -357,6 +357,11 @@
 	return send(ctx, http.MethodPut, url, nil, in, nil)
 }
 
+// GetOK fails unless a GET answers with success.
+func GetOK(ctx context.Context, url string) error {
+	return send(ctx, http.MethodGet, url, nil, nil, nil)
+}
+
 // GetJSON reads a value.
 func GetJSON(ctx context.Context, url string, out any) error {
 	return send(ctx, http.MethodGet, url, nil, nil, out)
@@ -392,3 +397,10 @@
 	}
 	return json.NewDecoder(res.Body).Decode(out)
 }
+
+// Tables reads the tables in force on a host.
+func (fle *Fleet) Tables(ctx context.Context, host int) (parser.Tables, error) {
+	var tab parser.Tables
+	err := GetJSON(ctx, "http://"+fle.Hosts[host].Operator+"/v1/tables", &tab)
+	return tab, err
+}
--- a/load/driver/driver.go
+++ b/load/driver/driver.go
@@ -47,6 +47,8 @@
 	Operators []string
 	// Progress receives a line every few seconds; nil for none.
 	Progress io.Writer
+	// Observe is called with each result, from several goroutines; nil for none.
+	Observe func(sender.Result)
 
 	flying  atomic.Int64
 	dropped atomic.Int64
@@ -161,7 +163,11 @@
 			if req.Kind == mixer.KindPrompt {
 				text = mix.Text(req)
 			}
-			sum.Add(run.Sender.Send(ctx, req, text))
+			res := run.Sender.Send(ctx, req, text)
+			sum.Add(res)
+			if run.Observe != nil {
+				run.Observe(res)
+			}
 		})
 	}
 }
--- a/load/sender/sender.go
+++ b/load/sender/sender.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"hemlockpin/load/mixer"
+	"hemlockpin/request/receiver"
 	"hemlockpin/request/responder"
 	"hemlockpin/standin/generator"
 
@@ -27,6 +28,7 @@
 	verifyTokens  = 40_000
 	maxEventBytes = 1 << 20
 	maxConns      = 4096
+	repeatPause   = 700 * time.Millisecond
 )
 
 // Outcome is how a request ended.
@@ -64,6 +66,12 @@
 	Gaps []time.Duration
 	// CallKey is the idempotency key of a call.
 	CallKey string
+	// Says holds what each try of the call was told of its run; it is empty
+	// where a try had no answer.
+	Says []string
+	// Host is the address that took the request, Began the time it was sent.
+	Host  string
+	Began time.Time
 }
 
 // Sender sends to Hosts in turn, like a balancer that passes by hosts that
@@ -73,6 +81,10 @@
 	Model string
 	// Verify compares answers with those of the engine stand-in.
 	Verify bool
+	// Repeats bounds how often a call is sent again under its key.
+	Repeats int
+	// TimeLimit is sent with each request; 0 leaves the route's.
+	TimeLimit time.Duration
 
 	once sync.Once
 	htc  *http.Client
@@ -89,9 +101,21 @@
 
 // Send runs one request to its end.
 func (sen *Sender) Send(ctx context.Context, req mixer.Request, text string) Result {
-	if req.Kind != mixer.KindPrompt {
-		return sen.call(ctx, req)
+	beg := time.Now()
+	var res Result
+	if req.Kind == mixer.KindPrompt {
+		res = sen.prompt(ctx, req, text)
+	} else {
+		res = sen.call(ctx, req)
+	}
+	res.Began = beg
+	if res.Total == 0 {
+		res.Total = time.Since(beg)
 	}
+	return res
+}
+
+func (sen *Sender) prompt(ctx context.Context, req mixer.Request, text string) Result {
 	body, err := json.Marshal(struct {
 		Model     string `json:"model"`
 		Prompt    string `json:"prompt"`
@@ -102,19 +126,21 @@
 		return Result{Request: req, Outcome: Broken, Code: err.Error()}
 	}
 	beg := time.Now()
-	res, err := sen.post(ctx, req, body, "")
+	res, hos, err := sen.post(ctx, req, body, "")
 	if err != nil {
-		return unanswered(req, err)
+		return unanswered(req, hos, err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return refused(req, res, beg)
+		return refused(req, hos, res, beg)
 	}
-	return sen.stream(req, text, res, beg)
+	out := sen.stream(req, text, res, beg)
+	out.Host = hos
+	return out
 }
 
-func unanswered(req mixer.Request, err error) Result {
-	res := Result{Request: req, Outcome: Broken, Code: err.Error()}
+func unanswered(req mixer.Request, hos string, err error) Result {
+	res := Result{Request: req, Outcome: Broken, Code: err.Error(), Host: hos}
 	if isDial(err) {
 		res.Outcome = Unreachable
 	}
@@ -126,30 +152,33 @@
 	return errors.As(err, &ope) && ope.Op == "dial"
 }
 
-// post tries hosts until one takes the connection.
-func (sen *Sender) post(ctx context.Context, req mixer.Request, body []byte, key string) (*http.Response, error) {
+// post tries hosts until one takes the connection and returns that host.
+func (sen *Sender) post(ctx context.Context, req mixer.Request, body []byte, key string) (*http.Response, string, error) {
 	var las error
 	for _, hos := range sen.order(time.Now()) {
 		htr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hos+req.Path, bytes.NewReader(body))
 		if err != nil {
-			return nil, err
+			return nil, hos, err
 		}
 		htr.Header.Set("Authorization", "Bearer "+req.Key)
 		htr.Header.Set("Content-Type", "application/json")
 		if key != "" {
 			htr.Header.Set("Idempotency-Key", key)
 		}
+		if sen.TimeLimit > 0 {
+			htr.Header.Set(receiver.TimeLimitHeader, sen.TimeLimit.String())
+		}
 		res, err := sen.client().Do(htr)
 		if err == nil {
-			return res, nil
+			return res, hos, nil
 		}
 		las = err
 		if !isDial(err) {
-			return nil, err
+			return nil, hos, err
 		}
 		sen.markDown(hos, time.Now())
 	}
-	return nil, las
+	return nil, "", las
 }
 
 // order returns the hosts from a random start, those seen down last.
@@ -178,14 +207,14 @@
 	sen.down[hos] = now.Add(hostDownFor)
 }
 
-func refused(req mixer.Request, res *http.Response, beg time.Time) Result {
+func refused(req mixer.Request, hos string, res *http.Response, beg time.Time) Result {
 	var bod struct {
 		Error struct {
 			Code string `json:"code"`
 		} `json:"error"`
 	}
 	_ = json.NewDecoder(res.Body).Decode(&bod)
-	out := Result{Request: req, Outcome: Failed, Status: res.StatusCode, Code: bod.Error.Code, Ran: res.Header.Get(responder.RunHeader), Total: time.Since(beg)}
+	out := Result{Request: req, Outcome: Failed, Host: hos, Status: res.StatusCode, Code: bod.Error.Code, Ran: res.Header.Get(responder.RunHeader), Total: time.Since(beg)}
 	if out.Ran == "NotRun" {
 		out.Outcome = Refused
 	}
@@ -268,28 +297,48 @@
 	return buf.String()
 }
 
-// call sends a call to a plain service; calls that may not be repeated carry a
-// key of their own.
+// call sends a call to a plain service. Calls that may not be repeated carry a
+// key of their own and are sent again under it while their end is not known to
+// the caller.
 func (sen *Sender) call(ctx context.Context, req mixer.Request) Result {
-	key := ""
-	if req.Kind == mixer.KindOnce {
-		key = uuid.Must(uuid.NewV7()).String()
+	if req.Kind != mixer.KindOnce {
+		return sen.callOnce(ctx, req, "")
+	}
+	key := uuid.Must(uuid.NewV7()).String()
+	var says []string
+	for try := 0; ; try++ {
+		res := sen.callOnce(ctx, req, key)
+		says = append(says, res.Ran)
+		res.CallKey = key
+		res.Says = says
+		if res.Status == http.StatusOK || try >= sen.Repeats || !pause(ctx, repeatPause) {
+			return res
+		}
+	}
+}
+
+// pause waits and reports whether ctx still lasts.
+func pause(ctx context.Context, dur time.Duration) bool {
+	select {
+	case <-time.After(dur):
+		return true
+	case <-ctx.Done():
+		return false
 	}
+}
+
+func (sen *Sender) callOnce(ctx context.Context, req mixer.Request, key string) Result {
 	beg := time.Now()
-	res, err := sen.post(ctx, req, []byte(`{"Order":1}`), key)
+	res, hos, err := sen.post(ctx, req, []byte(`{"Order":1}`), key)
 	if err != nil {
-		out := unanswered(req, err)
-		out.CallKey = key
-		return out
+		return unanswered(req, hos, err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		out := refused(req, res, beg)
-		out.CallKey = key
-		return out
+		return refused(req, hos, res, beg)
 	}
 	_, err = io.Copy(io.Discard, res.Body)
-	out := Result{Request: req, Outcome: Whole, Status: res.StatusCode, Ran: res.Header.Get(responder.RunHeader), Total: time.Since(beg), CallKey: key}
+	out := Result{Request: req, Outcome: Whole, Status: res.StatusCode, Ran: res.Header.Get(responder.RunHeader), Total: time.Since(beg), Host: hos}
 	out.First = out.Total
 	switch {
 	case err != nil:
--- /dev/null
+++ b/tools/soaker/main.go
@@ -0,0 +1,146 @@
+// Command soaker runs a fleet of real processes under load and random faults
+// for a time, then checks from outside that every promise was kept.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"hemlockpin/internal/auditor"
+	"hemlockpin/internal/disturber"
+	"hemlockpin/internal/testkit"
+	"hemlockpin/load/driver"
+	"hemlockpin/load/mixer"
+	"hemlockpin/load/reporter"
+	"hemlockpin/load/sender"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	exitUsage     = 2
+	watchInterval = 500 * time.Millisecond
+	callRepeats   = 3
+	operators     = 2
+)
+
+type settings struct {
+	Bin       string        `long:"bin" default:"bin" description:"folder of the built programs"`
+	Duration  time.Duration `long:"duration" default:"2m" description:"time under load and faults"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of load, faults and edits"`
+	Hosts     int           `long:"hosts" default:"5" description:"entry hosts"`
+	Engines   int           `long:"engines" default:"6" description:"model engines"`
+	Services  int           `long:"services" default:"3" description:"plain services"`
+	Rate      float64       `long:"rate" default:"25" description:"requests a second"`
+	Scale     float64       `long:"length-scale" default:"10" description:"divides the lengths of prompts and the memory of engines"`
+	Every     time.Duration `long:"fault-every" default:"1500ms" description:"mean time between faults; 0 for none"`
+	EditEvery time.Duration `long:"edit-every" default:"2s" description:"mean time between the edits of each operator"`
+	TimeLimit time.Duration `long:"time-limit" default:"15s" description:"time limit of each request"`
+	Log       string        `long:"log" description:"file for the logs of all processes"`
+}
+
+func main() {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(set); err != nil {
+		fmt.Fprintln(os.Stderr, "soaker:", err)
+		os.Exit(1)
+	}
+}
+
+func run(set settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var logs io.Writer
+	if set.Log != "" {
+		fil, err := os.Create(set.Log)
+		if err != nil {
+			return err
+		}
+		defer fil.Close()
+		logs = fil
+	}
+	mix := mixer.Wijesinghe().WithScale(set.Scale)
+	mix.CallShare = 0.4
+	lis := &disturber.Links{}
+	fle, err := testkit.Start(ctx, plan(set, mix, lis, logs))
+	if err != nil {
+		return err
+	}
+	defer fle.Stop()
+	return soak(ctx, set, mix, lis, fle)
+}
+
+func plan(set settings, mix mixer.Mix, lis *disturber.Links, logs io.Writer) testkit.Plan {
+	const engineMemory = 400_000
+	return testkit.Plan{
+		Bin: set.Bin, Logs: logs, Hosts: set.Hosts, Engines: set.Engines, Services: set.Services, Model: mix.Model,
+		Tables:      testkit.LoadTables(mix),
+		EngineArgs:  []string{"--memory-tokens", strconv.Itoa(int(engineMemory / set.Scale))},
+		PlatformVia: lis.ViaPlatform, EndpointVia: lis.Via, PeerVia: lis.Via,
+	}
+}
+
+func soak(ctx context.Context, set settings, mix mixer.Mix, lis *disturber.Links, fle *testkit.Fleet) error {
+	aud := &auditor.Auditor{Fleet: fle, TimeLimit: set.TimeLimit}
+	dis := &disturber.Disturber{Fleet: fle, Links: lis, Every: set.Every, Seed: set.Seed, Log: os.Stderr}
+	run := &driver.Run{
+		Mix: mix, Rate: set.Rate, Seed: set.Seed, Duration: set.Duration, Progress: os.Stderr, Observe: aud.Observe,
+		Sender: &sender.Sender{Model: mix.Model, Verify: true, Repeats: callRepeats, TimeLimit: set.TimeLimit},
+	}
+	for _, hos := range fle.Hosts {
+		run.Sender.Hosts = append(run.Sender.Hosts, hos.Address)
+	}
+	aud.Accepted(1)
+	bgd, stop := context.WithCancel(ctx)
+	defer stop()
+	var gro sync.WaitGroup
+	gro.Go(func() { aud.WatchTables(bgd, watchInterval) })
+	if set.Every > 0 {
+		gro.Go(func() { dis.Run(bgd) })
+	}
+	for ind := range operators {
+		gro.Go(func() { aud.Edit(bgd, set.EditEvery, set.Seed+uint64(ind)) })
+	}
+	rep, err := run.Do(ctx)
+	stop()
+	gro.Wait()
+	if err != nil {
+		return err
+	}
+	rep.Name = "soak"
+	if err := reporter.Print(os.Stdout, rep); err != nil {
+		return err
+	}
+	fmt.Println("codes:", rep.Codes)
+	return judge(ctx, set, aud, dis)
+}
+
+func judge(ctx context.Context, set settings, aud *auditor.Auditor, dis *disturber.Disturber) error {
+	spas := dis.Spans()
+	fins := aud.Judge(ctx, spas)
+	fmt.Printf("seed %d, %s, %d requests, %d faults, %d accepted edits\n", set.Seed, set.Duration, aud.Requests(), len(spas), aud.AcceptedRevision())
+	for _, fin := range fins {
+		fmt.Printf("%6d  %s\n", fin.Count, fin.Kind)
+		for _, exa := range fin.Examples {
+			fmt.Println("        ", exa)
+		}
+	}
+	if auditor.Failed(fins) {
+		return eris.New("promises were broken")
+	}
+	return nil
+}
