Commit claims in groups through one writer a shard

Cause: each claim cost a read and a write of its own, so the store's some hundred writes a second bounded the whole fleet; a claim whose write had no answer, or a store that hung, could hold a caller past its time; a key past its retention would have run again after its claim was dropped. Ruled out: batches without a writer a shard: hosts that race for a shard's version lose most of their writes. Deciding on expiry by clocks alone: a writer whose clock is behind would accept a dropped key, so the shard keeps the newest dropped key time and refuses up to it. The shard's table of cases fails without the newest dropped key time: testdata/shard/retention:48, "claim a nonce=n3" at 1m, gives COMMITTED in place of EXPIRED. The booking test of internal/wholepath used a fixed key of the year 2024, which the retention now refuses; it takes a new UUIDv7 and checks the same counts. Conclusion: claims are grouped, forwarded to a writer chosen by rendezvous hashing, resolved by nonce, and told NOT_COMMITTED only where no write can have taken effect. Outcomes and releases are retried in the background and a draining host waits for them. Not yet proved: every fault at every step.

--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -10,11 +10,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +28,10 @@
 	MaxValueBytes = 1 << 20
 
 	maxListBytes = 64 << 20
+
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = 30 * time.Second
+	maxIdleConns    = 64
 )
 
 // Errors of the object API. Any other error of a Put or Delete leaves the
@@ -68,7 +75,23 @@
 // Persister calls the platform at BaseURL.
 type Persister struct {
 	BaseURL string
-	Client  http.Client
+	// Client places the calls. A zero client gets a transport of its own.
+	Client http.Client
+
+	once sync.Once
+}
+
+func (per *Persister) client() *http.Client {
+	per.once.Do(func() {
+		if per.Client.Transport != nil {
+			return
+		}
+		dia := &net.Dialer{Timeout: dialTimeout}
+		per.Client.Transport = &http.Transport{
+			DialContext: dia.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		}
+	})
+	return &per.Client
 }
 
 // Get reads one object.
@@ -140,13 +163,15 @@
 	for nam, val := range head {
 		req.Header[nam] = val
 	}
-	res, err := per.Client.Do(req)
+	res, err := per.client().Do(req)
 	if err != nil {
+		per.condemn(err)
 		return response{}, eris.Wrap(err, "send")
 	}
 	defer res.Body.Close()
 	buf, err := io.ReadAll(io.LimitReader(res.Body, maxListBytes))
 	if err != nil {
+		per.condemn(err)
 		return response{}, eris.Wrap(err, "read answer")
 	}
 	if err := statusError(res.StatusCode); err != nil {
@@ -155,6 +180,14 @@
 	return response{etag: res.Header.Get("ETag"), body: buf}, nil
 }
 
+// condemn closes the idle connections after a call timed out: what silenced one
+// may have silenced all that were open, while new ones work.
+func (per *Persister) condemn(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		per.client().CloseIdleConnections()
+	}
+}
+
 func statusError(status int) error {
 	switch status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
--- a/internal/wholepath/wholepath_test.go
+++ b/internal/wholepath/wholepath_test.go
@@ -13,6 +13,7 @@
 	"hemlockpin/standin/generator"
 	"hemlockpin/version/parser"
 
+	"github.com/google/uuid"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
@@ -92,12 +93,13 @@
 	})
 
 	t.Run("booking", func(t *testing.T) {
-		first := book(t, fle.Hosts[1], "0193a000-0000-7000-8000-000000000001", "slot")
-		again := book(t, fle.Hosts[2], "0193a000-0000-7000-8000-000000000001", "slot")
+		key := uuid.Must(uuid.NewV7()).String()
+		first := book(t, fle.Hosts[1], key, "slot")
+		again := book(t, fle.Hosts[2], key, "slot")
 		require.Equal(t, first, again)
 		var runs map[string]int
 		require.NoError(t, testkit.GetJSON(t.Context(), "http://"+fle.Services[0].Address+"/control/runs", &runs))
-		require.Equal(t, map[string]int{"0193a000-0000-7000-8000-000000000001": 1}, runs)
+		require.Equal(t, map[string]int{key: 1}, runs)
 	})
 
 	t.Run("edit", func(t *testing.T) {
--- /dev/null
+++ b/process/journaler/generate.go
@@ -0,0 +1,3 @@
+package journaler
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative shard.proto
--- a/process/journaler/journaler.go
+++ b/process/journaler/journaler.go
@@ -1,165 +1,186 @@
 // Package journaler keeps the claims of calls that must run at most once in
 // shard objects of the platform's store.
+//
+// A key hashes to a shard. Changes of a shard go to its current writer, which
+// commits those that wait with one conditional write. Two writers of one shard
+// are harmless, since only the version of the object decides.
 package journaler
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
 )
 
 const (
-	// Shards is the number of shard objects that keys are hashed to.
-	Shards = 64
-	// Retention is how long a claim answers repeats, counted from the time of
-	// its key.
-	Retention = 10 * time.Minute
-
-	maxTries = 8
+	// forwardShare is the part of the time left that one peer gets.
+	forwardShare      = 3
+	maxForwardTimeout = time.Second
+	// shunPeriod is how long a peer that failed a forward is passed over.
+	shunPeriod = 5 * time.Second
+	// defaultBudget bounds a commit whose context has no deadline.
+	defaultBudget = 5 * time.Second
 )
 
-// Claim is one key in a shard.
-type Claim struct {
-	Key         string
-	BodyDigest  []byte
-	Host        string
-	Incarnation uint64
-	Nonce       string
-	KeyTimeMs   int64
-	Finished    bool
-	Outcome     *messenger.Outcome `json:",omitempty"`
-}
-
-// Shard is the value of a shard object.
-type Shard struct{ Claims map[string]Claim }
-
-// Store is the part of the platform that the journal needs.
-type Store interface {
+// ObjectStore is the part of the platform that the journal needs.
+type ObjectStore interface {
 	Get(ctx context.Context, path string) (persister.Object, error)
 	Put(ctx context.Context, obj persister.Object) (uint64, error)
 }
 
-// Journal commits changes of claims.
+// Caller places calls to other hosts.
+type Caller interface {
+	Call(ctx context.Context, address string, env *messenger.Envelope) (*messenger.Envelope, error)
+}
+
+// Journal commits changes of claims. It needs a Store.
 type Journal struct {
-	Store Store
+	Store ObjectStore
+	// Self, Members and Peers route changes to the writers of their shards.
+	// Without Members the host writes all shards itself.
+	Self    Member
+	Members Members
+	Peers   Caller
+	// Clock returns the present time; nil stands for the system's clock.
+	Clock func() time.Time
+	Scope tally.Scope
+
+	// batch bounds the changes of one write; 0 stands for maxBatch.
+	batch int
+
+	mu       sync.Mutex
+	writers  [Shards]*writer
+	shunned  map[string]time.Time
+	settling atomic.Int64
+}
 
-	mus [Shards]sync.Mutex
+func (jou *Journal) now() time.Time {
+	if jou.Clock == nil {
+		return time.Now()
+	}
+	return jou.Clock()
 }
 
-// ShardOf returns the shard of a key.
-func ShardOf(key string) uint32 { return uint32(xxhash.Sum64String(key) % Shards) }
-
-// Commit applies one change with a conditional write and returns what the
-// shard holds afterwards.
-func (jou *Journal) Commit(ctx context.Context, com *messenger.ClaimCommit, now time.Time) *messenger.ClaimResult {
-	ind := ShardOf(com.GetKey())
-	jou.mus[ind].Lock()
-	defer jou.mus[ind].Unlock()
-	path := fmt.Sprintf("claims/%02d", ind)
-	var las error
-	for range maxTries {
-		obj, sha, err := jou.read(ctx, path)
-		if err != nil {
-			return unknown(err)
-		}
-		sha.expire(now)
-		res, cha := sha.apply(com)
-		if !cha {
-			return res
-		}
-		obj.Value, err = json.Marshal(sha)
-		if err != nil {
-			return unknown(err)
+func (jou *Journal) scope() tally.Scope {
+	if jou.Scope == nil {
+		return tally.NoopScope
+	}
+	return jou.Scope
+}
+
+func (jou *Journal) writer(ind uint32) *writer {
+	jou.mu.Lock()
+	defer jou.mu.Unlock()
+	if jou.writers[ind] == nil {
+		jou.writers[ind] = newWriter(jou, ind)
+	}
+	return jou.writers[ind]
+}
+
+// Commit brings a change to the shard's writer and returns what the shard holds
+// afterwards. It ends with ctx. The state is NOT_COMMITTED only if the change
+// had no effect and can have none later, and UNKNOWN if that could not be
+// found out.
+func (jou *Journal) Commit(ctx context.Context, com *messenger.ClaimCommit) *messenger.ClaimResult {
+	ctx, stop := withBudget(ctx, com)
+	defer stop()
+	lost := false
+	res := unknown("no writer answered")
+	for _, mem := range jou.route(ShardOf(com.GetKey())) {
+		if mem.ID == jou.Self.ID {
+			res = jou.Write(ctx, com)
+		} else {
+			res = jou.forward(ctx, mem, com)
 		}
-		if _, las = jou.Store.Put(ctx, obj); las == nil {
+		switch res.GetState() {
+		case messenger.ClaimResult_STATE_UNKNOWN:
+			lost = true
+		case messenger.ClaimResult_STATE_NOT_COMMITTED:
+		default:
 			return res
 		}
 		if ctx.Err() != nil {
-			return unknown(las)
+			break
 		}
-		// Whatever the error, the next read shows by the nonce whether the
-		// write took effect.
 	}
-	return unknown(las)
+	if lost {
+		return unknown(res.GetMessage())
+	}
+	return res
 }
 
-func (jou *Journal) read(ctx context.Context, path string) (persister.Object, Shard, error) {
-	sha := Shard{Claims: map[string]Claim{}}
-	obj, err := jou.Store.Get(ctx, path)
-	if eris.Is(err, persister.ErrNotFound) {
-		return persister.Object{Path: path}, sha, nil
+func withBudget(ctx context.Context, com *messenger.ClaimCommit) (context.Context, context.CancelFunc) {
+	bud := time.Duration(com.GetBudgetMs()) * time.Millisecond
+	if bud <= 0 {
+		bud = defaultBudget
 	}
-	if err != nil {
-		return obj, sha, err
-	}
-	err = json.Unmarshal(obj.Value, &sha)
-	return obj, sha, eris.Wrapf(err, "Journal.read: decode %s", path)
+	return context.WithTimeout(ctx, bud)
 }
 
-func unknown(err error) *messenger.ClaimResult {
-	return &messenger.ClaimResult{State: messenger.ClaimResult_STATE_UNKNOWN, Message: err.Error()}
+// Write commits a change on this host. It serves the forwards of peers.
+func (jou *Journal) Write(ctx context.Context, com *messenger.ClaimCommit) *messenger.ClaimResult {
+	ctx, stop := withBudget(ctx, com)
+	defer stop()
+	return jou.writer(ShardOf(com.GetKey())).commit(ctx, com)
 }
 
-func (sha Shard) expire(now time.Time) {
-	lim := now.Add(-Retention).UnixMilli()
-	for key, cla := range sha.Claims {
-		if cla.KeyTimeMs < lim {
-			delete(sha.Claims, key)
+// route returns the writers to try, without the peers that failed of late.
+func (jou *Journal) route(ind uint32) []Member {
+	if jou.Members == nil || jou.Peers == nil {
+		return []Member{jou.Self}
+	}
+	now := jou.now()
+	jou.mu.Lock()
+	defer jou.mu.Unlock()
+	var liv []Member
+	for _, mem := range jou.Members.Live() {
+		if unt, ok := jou.shunned[mem.ID]; ok && now.Before(unt) {
+			continue
 		}
+		delete(jou.shunned, mem.ID)
+		liv = append(liv, mem)
 	}
+	return Writers(ind, liv, jou.Self)
 }
 
-// apply changes the shard and reports whether it must be written.
-func (sha Shard) apply(com *messenger.ClaimCommit) (*messenger.ClaimResult, bool) {
-	old, fou := sha.Claims[com.GetKey()]
-	own := fou && old.Nonce == com.GetNonce()
-	switch com.GetStep() {
-	case messenger.ClaimCommit_STEP_FINISH:
-		if !own || old.Finished {
-			return result(messenger.ClaimResult_STATE_FINISHED), false
-		}
-		old.Finished = true
-		old.Outcome = com.GetOutcome()
-		sha.Claims[old.Key] = old
-		return result(messenger.ClaimResult_STATE_FINISHED), true
-	case messenger.ClaimCommit_STEP_RELEASE:
-		if own {
-			delete(sha.Claims, old.Key)
-		}
-		return result(messenger.ClaimResult_STATE_NOT_COMMITTED), own
-	default:
-		return sha.claim(com, old, fou, own)
+func (jou *Journal) forward(ctx context.Context, mem Member, com *messenger.ClaimCommit) *messenger.ClaimResult {
+	dea, _ := ctx.Deadline()
+	bud := min(dea.Sub(jou.now())/forwardShare, maxForwardTimeout)
+	ctx, stop := context.WithTimeout(ctx, bud)
+	defer stop()
+	one := withBudgetMs(com, bud)
+	rep, err := jou.Peers.Call(ctx, mem.Address, &messenger.Envelope{Body: &messenger.Envelope_ClaimCommit{ClaimCommit: one}})
+	if err != nil {
+		jou.shun(mem)
+		return unknown("peer " + mem.ID + ": " + err.Error())
 	}
+	if rep.GetClaimResult() == nil {
+		jou.shun(mem)
+		return unknown("peer " + mem.ID + " sent another message than the result of a claim")
+	}
+	return rep.GetClaimResult()
 }
 
-func (sha Shard) claim(com *messenger.ClaimCommit, old Claim, fou, own bool) (*messenger.ClaimResult, bool) {
-	switch {
-	case !fou:
-		sha.Claims[com.GetKey()] = Claim{
-			Key: com.GetKey(), BodyDigest: com.GetBodyDigest(), Host: com.GetHost(), Incarnation: com.GetIncarnation(),
-			Nonce: com.GetNonce(), KeyTimeMs: com.GetKeyTimeMs(),
-		}
-		return result(messenger.ClaimResult_STATE_COMMITTED), true
-	case own:
-		return result(messenger.ClaimResult_STATE_COMMITTED), false
-	case !bytes.Equal(old.BodyDigest, com.GetBodyDigest()):
-		return result(messenger.ClaimResult_STATE_CONFLICT), false
-	case old.Finished:
-		return &messenger.ClaimResult{State: messenger.ClaimResult_STATE_FINISHED, Outcome: old.Outcome}, false
-	default:
-		return result(messenger.ClaimResult_STATE_HELD), false
+func (jou *Journal) shun(mem Member) {
+	jou.scope().Counter("claim_forwards_failed").Inc(1)
+	jou.mu.Lock()
+	defer jou.mu.Unlock()
+	if jou.shunned == nil {
+		jou.shunned = map[string]time.Time{}
 	}
+	jou.shunned[mem.ID] = jou.now().Add(shunPeriod)
 }
 
-func result(sta messenger.ClaimResult_State) *messenger.ClaimResult {
-	return &messenger.ClaimResult{State: sta}
+func withBudgetMs(com *messenger.ClaimCommit, bud time.Duration) *messenger.ClaimCommit {
+	return &messenger.ClaimCommit{
+		Step: com.GetStep(), Shard: ShardOf(com.GetKey()), Key: com.GetKey(), BodyDigest: com.GetBodyDigest(), Host: com.GetHost(),
+		Incarnation: com.GetIncarnation(), Nonce: com.GetNonce(), KeyTimeMs: com.GetKeyTimeMs(), Outcome: com.GetOutcome(),
+		BudgetMs: max(1, bud.Milliseconds()),
+	}
 }
--- /dev/null
+++ b/process/journaler/shard_test.go
@@ -0,0 +1,142 @@
+package journaler
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Date(2026, 12, 1, 9, 0, 0, 0, time.UTC)
+
+// parseChange reads a line such as "claim a body=x nonce=n1 time=0".
+func parseChange(t *testing.T, line string) *messenger.ClaimCommit {
+	t.Helper()
+	fis := strings.Fields(line)
+	com := &messenger.ClaimCommit{Key: fis[1], BodyDigest: []byte("x"), Host: "host-0", KeyTimeMs: epoch.UnixMilli()}
+	ste, ok := messenger.ClaimCommit_Step_value["STEP_"+strings.ToUpper(fis[0])]
+	require.True(t, ok, line)
+	com.Step = messenger.ClaimCommit_Step(ste)
+	for _, fie := range fis[2:] {
+		nam, val, _ := strings.Cut(fie, "=")
+		switch nam {
+		case "body":
+			com.BodyDigest = []byte(val)
+		case "nonce":
+			com.Nonce = val
+		case "time":
+			dur, err := time.ParseDuration(val)
+			require.NoError(t, err)
+			com.KeyTimeMs = epoch.Add(dur).UnixMilli()
+		case "outcome":
+			com.Outcome = &messenger.Outcome{Status: 200, Body: []byte(val)}
+		default:
+			require.Fail(t, "unknown field", line)
+		}
+	}
+	return com
+}
+
+func formatShard(sha Shard) string {
+	var lins []string
+	for _, cla := range sha.claims {
+		lins = append(lins, fmt.Sprintf("%s %s nonce=%s status=%d body=%q truncated=%v\n", cla.Key, [...]string{"held", "finished", "released"}[cla.State],
+			cla.Nonce, cla.Outcome.GetStatus(), cla.Outcome.GetBody(), cla.Outcome.GetTruncated()))
+	}
+	slices.Sort(lins)
+	if sha.forgottenMs != 0 {
+		lins = append(lins, "forgotten "+time.UnixMilli(sha.forgottenMs).Sub(epoch).String()+"\n")
+	}
+	return strings.Join(lins, "")
+}
+
+func formatResult(res *messenger.ClaimResult) string {
+	out := strings.TrimPrefix(res.GetState().String(), "STATE_")
+	if res.GetOutcome() != nil {
+		out += fmt.Sprintf(" status=%d body=%q", res.GetOutcome().GetStatus(), res.GetOutcome().GetBody())
+	}
+	if res.GetMessage() != "" {
+		out += ": " + res.GetMessage()
+	}
+	return out
+}
+
+func TestShard(t *testing.T) {
+	datadriven.Walk(t, "testdata/shard", func(t *testing.T, path string) {
+		var sha Shard
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			at := 0 * time.Second
+			if td.HasArg("at") {
+				var txt string
+				td.ScanArgs(t, "at", &txt)
+				var err error
+				at, err = time.ParseDuration(txt)
+				require.NoError(t, err)
+			}
+			var coms []*messenger.ClaimCommit
+			for line := range strings.Lines(td.Input) {
+				coms = append(coms, parseChange(t, line))
+			}
+			nex, ress, cha := sha.Apply(coms, epoch.Add(at))
+			var bui strings.Builder
+			for _, res := range ress {
+				bui.WriteString(formatResult(res) + "\n")
+			}
+			if !cha {
+				require.Equal(t, formatShard(sha), formatShard(nex))
+				return bui.String() + "no write\n"
+			}
+			val, err := nex.Encode()
+			require.NoError(t, err)
+			dec, err := DecodeShard(val)
+			require.NoError(t, err)
+			require.Equal(t, formatShard(nex), formatShard(dec))
+			require.Equal(t, nex.Bytes(), dec.Bytes())
+			sha = nex
+			return bui.String() + "write\n" + formatShard(sha)
+		})
+	})
+}
+
+// fill adds claims until the shard refuses one, and returns their number.
+func fill(t testing.TB, sha Shard, body int) (Shard, int) {
+	cou := 0
+	for {
+		key := "team/0193a000-0000-7000-8000-" + fmt.Sprintf("%012d", cou)
+		non := "0193a000-0000-7000-8000-" + fmt.Sprintf("%012d", cou)
+		cla := &messenger.ClaimCommit{Key: key, BodyDigest: make([]byte, 16), Host: "host-000", Nonce: non, KeyTimeMs: epoch.UnixMilli() + int64(cou)}
+		fin := &messenger.ClaimCommit{Step: messenger.ClaimCommit_STEP_FINISH, Key: key, Nonce: non, Outcome: &messenger.Outcome{Status: 200, ContentType: "application/json", Body: make([]byte, body)}}
+		nex, ress, _ := sha.Apply([]*messenger.ClaimCommit{cla, fin}, epoch)
+		if ress[0].GetState() == messenger.ClaimResult_STATE_FULL {
+			return sha, cou
+		}
+		require.Equal(t, messenger.ClaimResult_STATE_FINISHED, ress[1].GetState())
+		sha = nex
+		cou++
+	}
+}
+
+func TestShardFull(t *testing.T) {
+	sha, cou := fill(t, Shard{}, 2000)
+	require.Greater(t, cou, 5000, "bodies give way to claims")
+	val, err := sha.Encode()
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(val), sha.Bytes())
+	require.Less(t, len(val), persister.MaxValueBytes)
+	require.Equal(t, cou, sha.Len(), "no claim within the retention is dropped")
+	t.Log("claims a shard: " + strconv.Itoa(cou))
+
+	one := &messenger.ClaimCommit{Key: "team/0193a000-0000-7000-8000-000000000000", BodyDigest: make([]byte, 16), Nonce: "other", KeyTimeMs: epoch.UnixMilli()}
+	_, ress, cha := sha.Apply([]*messenger.ClaimCommit{one}, epoch)
+	require.False(t, cha)
+	require.Equal(t, messenger.ClaimResult_STATE_FINISHED, ress[0].GetState())
+	require.True(t, ress[0].GetOutcome().GetTruncated())
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -74,13 +74,13 @@
 	ser.persister = &persister.Persister{BaseURL: set.Platform}
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
-	ser.journal = &journaler.Journal{Store: ser.persister}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
 	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
 	ser.gossiper = &gossiper.Gossiper{
 		Self:        &messenger.Member{Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Incarnation: ser.Incarnation},
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
 	}
+	ser.journal = ser.newJournal()
 	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
@@ -127,6 +127,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), ser.Settings.DrainTimeout)
 	defer stop()
 	err := cal.Shutdown(ctx)
+	ser.awaitClaims(ctx)
 	ser.Log.Info().Err(err).Msg("host stopped")
 	return eris.Wrap(err, "Server.drain: requests in progress at the drain time-out")
 }
@@ -182,7 +183,7 @@
 		}
 		return &messenger.Envelope{Body: &messenger.Envelope_TablesAck{TablesAck: &messenger.TablesAck{Revision: ser.publisher.Current().Revision()}}}
 	case *messenger.Envelope_ClaimCommit:
-		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, time.Now())}}
+		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Write(ctx, bod.ClaimCommit)}}
 	default:
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"net/http"
 	"time"
@@ -15,13 +14,12 @@
 	"hemlockpin/request/responder"
 	"hemlockpin/version/matcher"
 	"hemlockpin/version/parser"
-
-	"github.com/google/uuid"
 )
 
 const (
-	claimBudget  = 3 * time.Second
-	recordBudget = 5 * time.Second
+	// maxClaimBudget bounds the claim; a claim gets at most half of the time.
+	maxClaimBudget = 5 * time.Second
+	claimShare     = 2
 	// maxOutcomeBytes bounds the recorded body of an answer.
 	maxOutcomeBytes = 4 << 10
 )
@@ -31,7 +29,6 @@
 	request
 	service invoker.ServiceCall
 	state   claimer.State
-	commit  *messenger.ClaimCommit
 }
 
 // Call passes a call on to a plain service.
@@ -41,12 +38,12 @@
 		err = exe.route(&req, mat, matcher.Query{Kind: parser.PoolService, Team: req.team.Name, Path: htr.URL.Path}, htr.Header)
 	}
 	if err != nil {
-		responder.WriteProblem(wri, problemOf(err))
+		responder.WriteProblem(wri, unclaimed(problemOf(err), htr.Header))
 		return
 	}
 	bod, err := receiver.ReadBody(htr.Body, exe.MaxBodyBytes)
 	if err != nil {
-		responder.WriteProblem(wri, problemOf(err))
+		responder.WriteProblem(wri, unclaimed(problemOf(err), htr.Header))
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
@@ -57,18 +54,24 @@
 	}}
 	done, ref := exe.Admitter.Admit(cal.placement(), cal.team, cal.pool, exe.Clock())
 	if ref != nil {
-		responder.WriteProblem(wri, refusal(*ref))
+		responder.WriteProblem(wri, unclaimed(refusal(*ref), htr.Header))
 		return
 	}
-	defer done()
 	if req.route.Repeatable {
+		defer done()
 		exe.repeatable(ctx, cal)
 		return
 	}
-	// A claimed call goes on when its caller leaves, so that its outcome is recorded.
-	ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), req.deadline)
-	defer cancel()
-	exe.once(ctx, cal)
+	exe.once(ctx, cal, htr.Header.Get(receiver.KeyTimeHeader), done)
+}
+
+// unclaimed is a refusal before the claim of a call was looked at. An earlier
+// call may have used a key that the caller supplied, and may have run.
+func unclaimed(pro responder.Problem, hea http.Header) responder.Problem {
+	if hea.Get(receiver.KeyHeader) != "" {
+		pro.Ran = invoker.Unknown
+	}
+	return pro
 }
 
 // forwarded copies the headers that belong to the call itself.
@@ -92,6 +95,11 @@
 		return claimer.NoEndpoint{Message: err.Error()}, err
 	}
 	defer lea.Release()
+	return exe.send(ctx, cal, lea)
+}
+
+// send dispatches a call to the endpoint of a lease.
+func (exe *Executor) send(ctx context.Context, cal *call, lea Lease) (claimer.Event, error) {
 	ctx, spa := exe.Tracer.Start(ctx, "service")
 	defer spa.End()
 	rep, err := exe.Invoker.Call(ctx, lea.Address, cal.service)
@@ -135,82 +143,6 @@
 	responder.WriteProblem(cal.writer, responder.Problem{Status: http.StatusBadGateway, Code: "endpoint_failed", Message: "the endpoints that were tried failed", Ran: ran})
 }
 
-// once runs a call under a claim.
-func (exe *Executor) once(ctx context.Context, cal *call) {
-	cal.state.OwnKey = cal.service.Key != ""
-	if !cal.state.OwnKey {
-		cal.service.Key = uuid.Must(uuid.NewV7()).String()
-	}
-	cal.writer.Header().Set(receiver.KeyHeader, cal.service.Key)
-	cal.commit = exe.claimOf(cal)
-	res := exe.Claims.Commit(ctx, cal.commit, exe.Clock())
-	var eve claimer.Event = claimer.Claimed{State: res.GetState(), Outcome: res.GetOutcome(), Message: res.GetMessage()}
-	for {
-		sta, act := cal.state.Next(eve)
-		cal.state = sta
-		switch act := act.(type) {
-		case claimer.Dispatch:
-			eve, _ = exe.dispatchCall(ctx, cal)
-		case claimer.Record:
-			exe.record(ctx, cal, act.Reply)
-			cal.write(act.Reply)
-			return
-		case claimer.Replay:
-			cal.replay(act.Outcome)
-			return
-		case claimer.Release:
-			exe.release(ctx, cal)
-			cal.fail(act.Fail)
-			return
-		case claimer.Fail:
-			cal.fail(act)
-			return
-		}
-	}
-}
-
-func (exe *Executor) claimOf(cal *call) *messenger.ClaimCommit {
-	sum := sha256.New()
-	sum.Write([]byte(cal.service.Method + " " + cal.service.Path + "\n"))
-	sum.Write(cal.service.Body)
-	return &messenger.ClaimCommit{
-		Step: messenger.ClaimCommit_STEP_CLAIM, Key: cal.team.Name + "/" + cal.service.Key, BodyDigest: sum.Sum(nil),
-		Host: exe.Owner.Host, Incarnation: exe.Owner.Incarnation, Nonce: cal.id,
-		KeyTimeMs: cal.arrived.UnixMilli(), BudgetMs: claimBudget.Milliseconds(),
-	}
-}
-
-func (exe *Executor) record(ctx context.Context, cal *call, rep invoker.ServiceReply) {
-	out := &messenger.Outcome{Status: int32(rep.Status), ContentType: rep.Header.Get("Content-Type"), Body: rep.Body}
-	if len(out.Body) > maxOutcomeBytes {
-		out.Body = nil
-		out.Truncated = true
-	}
-	com := cal.step(messenger.ClaimCommit_STEP_FINISH)
-	com.Outcome = out
-	exe.commitAfter(ctx, com)
-}
-
-func (exe *Executor) release(ctx context.Context, cal *call) {
-	exe.commitAfter(ctx, cal.step(messenger.ClaimCommit_STEP_RELEASE))
-}
-
-func (cal *call) step(ste messenger.ClaimCommit_Step) *messenger.ClaimCommit {
-	return &messenger.ClaimCommit{
-		Step: ste, Key: cal.commit.GetKey(), BodyDigest: cal.commit.GetBodyDigest(), Host: cal.commit.GetHost(),
-		Incarnation: cal.commit.GetIncarnation(), Nonce: cal.commit.GetNonce(), KeyTimeMs: cal.commit.GetKeyTimeMs(),
-	}
-}
-
-// commitAfter commits what follows a dispatch, also past the request's deadline.
-func (exe *Executor) commitAfter(ctx context.Context, com *messenger.ClaimCommit) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), recordBudget)
-	defer stop()
-	if res := exe.Claims.Commit(ctx, com, exe.Clock()); res.GetState() == messenger.ClaimResult_STATE_UNKNOWN {
-		exe.Scope.Counter("claims_unrecorded").Inc(1)
-	}
-}
-
 func (cal *call) write(rep invoker.ServiceReply) {
 	hea := cal.writer.Header()
 	hea.Set("Content-Type", rep.Header.Get("Content-Type"))
@@ -224,7 +156,7 @@
 func (cal *call) replay(out *messenger.Outcome) {
 	cal.writer.Header().Set("Hemlockpin-Replayed", "true")
 	if out.GetTruncated() {
-		cal.fail(claimer.Fail{Status: http.StatusConflict, Code: "outcome_not_kept", Message: "the call ran; its answer was too large to keep", Ran: invoker.Ran})
+		cal.fail(claimer.Fail{Status: http.StatusConflict, Code: "outcome_not_kept", Message: "the call ran; its answer was not kept", Ran: invoker.Ran})
 		return
 	}
 	cal.write(invoker.ServiceReply{Status: int(out.GetStatus()), Header: http.Header{"Content-Type": {out.GetContentType()}}, Body: out.GetBody()})
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"hemlockpin/connection/invoker"
@@ -50,7 +51,11 @@
 
 // Claims commits changes of claims.
 type Claims interface {
-	Commit(ctx context.Context, com *messenger.ClaimCommit, now time.Time) *messenger.ClaimResult
+	// Commit commits a change and ends with ctx.
+	Commit(ctx context.Context, com *messenger.ClaimCommit) *messenger.ClaimResult
+	// Settle retries a change in the background and closes the channel when
+	// it is done.
+	Settle(com *messenger.ClaimCommit) <-chan struct{}
 }
 
 // Admitter decides whether a request may enter at all.
@@ -70,6 +75,8 @@
 	Tracer    trace.Tracer
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+
+	claimed atomic.Int64
 }
 
 // request is the part that prompts and calls share.
--- /dev/null
+++ b/request/executor/once.go
@@ -0,0 +1,221 @@
+package executor
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/connection/messenger"
+	"hemlockpin/request/claimer"
+	"hemlockpin/request/receiver"
+)
+
+const (
+	// lateBudget is how long past the time limit the answer of a dispatched
+	// call is awaited, so that it can be recorded.
+	lateBudget = 30 * time.Second
+	// recordWait bounds how long an answer waits for its outcome to be
+	// recorded, or a refusal for its claim to be given back.
+	recordWait = 500 * time.Millisecond
+	// The answer at the time limit leaves this part of the limit, within
+	// bounds, for its way to the caller.
+	answerMarginShare = 10
+	maxAnswerMargin   = 50 * time.Millisecond
+	keySkew           = time.Minute
+	digestBytes       = 16
+)
+
+// claimedCall is a call that runs under a claim. It goes on when its caller
+// leaves or the time limit passes, so that its outcome is recorded.
+type claimedCall struct {
+	*call
+	executor *Executor
+	commit   *messenger.ClaimCommit
+	// end receives how the call ended, at most once.
+	end chan claimer.Action
+
+	mu    sync.Mutex
+	state claimer.State
+}
+
+// CallsInProgress returns the number of claimed calls without an end, including
+// those whose callers have left.
+func (exe *Executor) CallsInProgress() int { return int(exe.claimed.Load()) }
+
+// once runs a call under a claim and answers within the time limit.
+func (exe *Executor) once(ctx context.Context, cal *call, stamp string, done func()) {
+	key := claimer.NewKey(cal.arrived)
+	if cal.service.Key != "" {
+		own, fai := claimer.ParseKey(cal.service.Key, stamp, cal.arrived, keySkew)
+		if fai != nil {
+			done()
+			cal.fail(*fai)
+			return
+		}
+		key = own
+	}
+	cal.service.Key = key.Text
+	cal.writer.Header().Set(receiver.KeyHeader, key.Text)
+	cla := &claimedCall{
+		call: cal, executor: exe, commit: exe.claimOf(cal, key), end: make(chan claimer.Action, 1),
+		state: claimer.State{OwnKey: key.Own},
+	}
+	exe.claimed.Add(1)
+	go func() {
+		defer exe.claimed.Add(-1)
+		defer done()
+		cla.run(context.WithoutCancel(ctx))
+	}()
+	cal.answer(cla.await())
+}
+
+// await returns how the call ended, or at the time limit how it stands.
+func (cla *claimedCall) await() claimer.Action {
+	now := cla.executor.Clock()
+	lef := cla.deadline.Sub(now)
+	tim := time.NewTimer(lef - min(lef/answerMarginShare, maxAnswerMargin))
+	defer tim.Stop()
+	select {
+	case act := <-cla.end:
+		return act
+	case <-tim.C:
+	}
+	act := cla.next(claimer.Expired{})
+	switch act := act.(type) {
+	case claimer.Release:
+		cla.executor.Claims.Settle(cla.step(messenger.ClaimCommit_STEP_RELEASE))
+		return act.Fail
+	case claimer.Stop:
+		// The call ended in the meantime.
+		return <-cla.end
+	default:
+		return act
+	}
+}
+
+func (cla *claimedCall) next(eve claimer.Event) claimer.Action {
+	cla.mu.Lock()
+	defer cla.mu.Unlock()
+	sta, act := cla.state.Next(eve)
+	cla.state = sta
+	return act
+}
+
+func (cla *claimedCall) excluded() []string {
+	cla.mu.Lock()
+	defer cla.mu.Unlock()
+	return cla.state.Excluded
+}
+
+// run carries out the decisions.
+func (cla *claimedCall) run(ctx context.Context) {
+	var lea Lease
+	eve := cla.claim(ctx)
+	for {
+		switch act := cla.next(eve).(type) {
+		case claimer.Place:
+			lea, eve = cla.place(ctx)
+		case claimer.Dispatch:
+			eve = cla.dispatch(ctx, lea)
+			lea.Release()
+		case claimer.Record:
+			cla.settle(cla.finish(act.Reply))
+			cla.end <- act
+			return
+		case claimer.Release:
+			cla.settle(cla.step(messenger.ClaimCommit_STEP_RELEASE))
+			cla.end <- act.Fail
+			return
+		case claimer.Stop:
+			if lea.Release != nil {
+				lea.Release()
+			}
+			return
+		default:
+			cla.end <- act
+			return
+		}
+	}
+}
+
+func (cla *claimedCall) place(ctx context.Context) (Lease, claimer.Event) {
+	ctx, stop := context.WithDeadline(ctx, cla.deadline)
+	defer stop()
+	req := cla.placement()
+	req.Excluded = cla.excluded()
+	lea, err := cla.executor.Allocator.Acquire(ctx, req, cla.pool)
+	if err != nil {
+		return lea, claimer.NoEndpoint{Message: err.Error()}
+	}
+	return lea, claimer.Placed{}
+}
+
+// dispatch sends the call to an endpoint. The answer of an endpoint that has
+// the call is awaited beyond the time limit.
+func (cla *claimedCall) dispatch(ctx context.Context, lea Lease) claimer.Event {
+	ctx, stop := context.WithDeadline(ctx, cla.deadline.Add(lateBudget))
+	defer stop()
+	eve, _ := cla.executor.send(ctx, cla.call, lea)
+	return eve
+}
+
+func (cla *claimedCall) claim(ctx context.Context) claimer.Event {
+	lef := cla.deadline.Sub(cla.executor.Clock())
+	ctx, stop := context.WithTimeout(ctx, min(lef/claimShare, maxClaimBudget))
+	defer stop()
+	res := cla.executor.Claims.Commit(ctx, cla.commit)
+	return claimer.Claimed{State: res.GetState(), Outcome: res.GetOutcome(), Message: res.GetMessage()}
+}
+
+// settle commits what follows a dispatch and waits a while for it, but not past
+// the time limit.
+func (cla *claimedCall) settle(com *messenger.ClaimCommit) {
+	lef := cla.deadline.Sub(cla.executor.Clock())
+	don := cla.executor.Claims.Settle(com)
+	select {
+	case <-don:
+	case <-time.After(min(lef/claimShare, recordWait)):
+	}
+}
+
+func (exe *Executor) claimOf(cal *call, key claimer.Key) *messenger.ClaimCommit {
+	sum := sha256.New()
+	sum.Write([]byte(cal.service.Method + " " + cal.service.Path + "\n"))
+	sum.Write(cal.service.Body)
+	return &messenger.ClaimCommit{
+		Step: messenger.ClaimCommit_STEP_CLAIM, Key: cal.team.Name + "/" + key.Text, BodyDigest: sum.Sum(nil)[:digestBytes],
+		Host: exe.Owner.Host, Incarnation: exe.Owner.Incarnation, Nonce: cal.id, KeyTimeMs: key.Time.UnixMilli(),
+	}
+}
+
+func (cla *claimedCall) finish(rep invoker.ServiceReply) *messenger.ClaimCommit {
+	out := &messenger.Outcome{Status: int32(rep.Status), ContentType: rep.Header.Get("Content-Type"), Body: rep.Body}
+	if len(out.GetBody()) > maxOutcomeBytes {
+		out.Body = nil
+		out.Truncated = true
+	}
+	com := cla.step(messenger.ClaimCommit_STEP_FINISH)
+	com.Outcome = out
+	return com
+}
+
+func (cla *claimedCall) step(ste messenger.ClaimCommit_Step) *messenger.ClaimCommit {
+	return &messenger.ClaimCommit{
+		Step: ste, Key: cla.commit.GetKey(), BodyDigest: cla.commit.GetBodyDigest(), Host: cla.commit.GetHost(),
+		Incarnation: cla.commit.GetIncarnation(), Nonce: cla.commit.GetNonce(), KeyTimeMs: cla.commit.GetKeyTimeMs(),
+	}
+}
+
+// answer writes the end of a claimed call.
+func (cal *call) answer(act claimer.Action) {
+	switch act := act.(type) {
+	case claimer.Record:
+		cal.write(act.Reply)
+	case claimer.Replay:
+		cal.replay(act.Outcome)
+	case claimer.Fail:
+		cal.fail(act)
+	}
+}
