--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,7 +79,8 @@
 	// Client places the calls. A zero client gets a transport of its own.
 	Client http.Client
 
-	once sync.Once
+	once  sync.Once
+	calls atomic.Int64
 }
 
 func (per *Persister) client() *http.Client {
@@ -94,6 +96,9 @@
 	return &per.Client
 }
 
+// Calls returns the number of calls sent so far.
+func (per *Persister) Calls() int64 { return per.calls.Load() }
+
 // Get reads one object.
 func (per *Persister) Get(ctx context.Context, path string) (Object, error) {
 	res, err := per.do(ctx, http.MethodGet, "/v1/objects/"+path, nil, nil)
@@ -163,6 +168,7 @@
 	for nam, val := range head {
 		req.Header[nam] = val
 	}
+	per.calls.Add(1)
 	res, err := per.client().Do(req)
 	if err != nil {
 		per.condemn(err)
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -56,9 +56,12 @@
 	watcher     *watcher.Watcher
 	journal     *journaler.Journal
 	admitter    *admitter.Admitter
+	allocator   *allocator.Allocator
 	executor    *executor.Executor
 	draining    atomic.Bool
 	started     time.Time
+	// requestDrain has the effect of SIGTERM. It is set by Run.
+	requestDrain context.CancelFunc
 }
 
 // New joins the parts of a host.
@@ -82,16 +85,19 @@
 	}
 	ser.journal = ser.newJournal()
 	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
+	ser.allocator = &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own}
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own},
+		Allocator: ser.allocator,
 	}
 	return ser
 }
 
 // Run serves until ctx ends, then drains.
 func (ser *Server) Run(ctx context.Context) error {
+	ctx, ser.requestDrain = context.WithCancel(ctx)
+	defer ser.requestDrain()
 	liss, err := ser.listen()
 	if err != nil {
 		return err
@@ -127,6 +133,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), ser.Settings.DrainTimeout)
 	defer stop()
 	err := cal.Shutdown(ctx)
+	ser.executor.Settle()
 	ser.awaitClaims(ctx)
 	ser.Log.Info().Err(err).Msg("host stopped")
 	return eris.Wrap(err, "Server.drain: requests in progress at the drain time-out")
@@ -184,6 +191,10 @@
 		return &messenger.Envelope{Body: &messenger.Envelope_TablesAck{TablesAck: &messenger.TablesAck{Revision: ser.publisher.Current().Revision()}}}
 	case *messenger.Envelope_ClaimCommit:
 		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Write(ctx, bod.ClaimCommit)}}
+	case *messenger.Envelope_StatusQuery:
+		return &messenger.Envelope{Body: &messenger.Envelope_StatusReport{StatusReport: ser.report()}}
+	case *messenger.Envelope_DrainOrder:
+		return ser.handleDrain(bod.DrainOrder)
 	default:
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
