--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockpin/connection/invoker"
@@ -52,7 +53,11 @@
 
 // Claims commits changes of claims.
 type Claims interface {
-	Commit(ctx context.Context, com *messenger.ClaimCommit, now time.Time) *messenger.ClaimResult
+	// Commit commits a change and ends with ctx.
+	Commit(ctx context.Context, com *messenger.ClaimCommit) *messenger.ClaimResult
+	// Settle retries a change in the background and closes the channel when
+	// it is done.
+	Settle(com *messenger.ClaimCommit) <-chan struct{}
 }
 
 // Admitter decides whether a request may enter at all.
@@ -80,6 +85,7 @@
 	pending sync.WaitGroup
 	mu      sync.Mutex
 	running map[string]int
+	claimed atomic.Int64
 }
 
 // track notes a request as in progress until the returned function is called.
