Schedule prompts in cells and place by choosable policies

Cause: hosts placed each prompt by the lowest estimate of one shared old view, so hosts deciding at once herded, and short prompts queued behind long ones. Conclusion: a cell's scheduler queues, orders by virtual time of teams and by a key that ages, bounds long prompts, reserves groups whole, and falls back to two choices.

--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -61,6 +61,7 @@
 	Service    string
 	Address    string
 	DataCenter string
+	Region     string `json:",omitempty"`
 	Models     []string
 	Leaving    bool
 }
--- a/process/allocator/allocator.go
+++ b/process/allocator/allocator.go
@@ -1,5 +1,6 @@
-// Package allocator places requests from this host's own view and keeps count
-// of what the host has on each endpoint.
+// Package allocator places requests: it asks the scheduler of a cell, or places
+// from this host's own view, and keeps count of what the host has on each
+// endpoint.
 package allocator
 
 import (
@@ -25,27 +26,38 @@
 	Watcher *watcher.Watcher
 	Invoker *invoker.Invoker
 	Owner   invoker.Owner
+	// Cells reaches the schedulers; nil places from the own view only.
+	Cells *Cells
 
-	mu   sync.Mutex
-	work map[string]tally
+	mu    sync.Mutex
+	work  map[string]*usage
+	views map[string]*view
+	mix   placer.Mix
 }
 
-// tally counts this host's requests on one endpoint.
-type tally struct {
-	requests int
-	tokens   int64
+// Acquire places a request. With a scheduler it waits until it is granted or
+// refused; else waiting is left to the engines' queues.
+func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+	if all.Cells != nil && all.Policy == placer.PolicyCell && poo.Kind == parser.PoolEngine {
+		lea, err := all.fromCell(ctx, req, poo)
+		if !eris.Is(err, errNoScheduler) {
+			return lea, err
+		}
+		all.Cells.Scope.Counter("cell_fallbacks").Inc(1)
+	}
+	return all.fromView(ctx, req, poo)
 }
 
-// Acquire places a request once. Waiting is left to the engines' queues.
-func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+func (all *Allocator) fromView(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
 	now := time.Now()
 	all.mu.Lock()
-	vie := all.view(poo)
-	dec := placer.Decide(all.Policy, req, vie, now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	vie := all.view(poo, now)
+	all.mix = all.mix.WithRequest(req.PromptTokens, now)
+	dec := placer.Decide(all.Policy, req, vie.view(all.mix, poo), now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	switch dec := dec.(type) {
 	case placer.Place:
 		defer all.mu.Unlock()
-		return all.lease(dec.Endpoint, dec.Address, req.PromptTokens), nil
+		return all.lease(dec.Endpoint, dec.Address, req.PromptTokens, now), nil
 	case placer.PlaceGroup:
 		all.mu.Unlock()
 		return all.group(ctx, req, dec)
@@ -58,19 +70,9 @@
 	}
 }
 
-func (all *Allocator) view(poo parser.Pool) placer.View {
-	vie := all.Watcher.Pool(poo)
-	for ind := range vie.Endpoints {
-		end := &vie.Endpoints[ind]
-		end.Outstanding = all.work[end.ID].requests
-		end.OutstandingTokens = all.work[end.ID].tokens
-	}
-	return vie
-}
-
 // lease counts the request. The caller holds the lock.
-func (all *Allocator) lease(id, address string, tokens int64) executor.Lease {
-	all.add(id, 1, tokens)
+func (all *Allocator) lease(id, address string, tokens int64, now time.Time) executor.Lease {
+	all.add(id, 1, tokens, now)
 	var pre, rel sync.Once
 	prefilled := func() { pre.Do(func() { all.change(id, 0, -tokens) }) }
 	return executor.Lease{
@@ -82,22 +84,6 @@
 	}
 }
 
-func (all *Allocator) change(id string, requests int, tokens int64) {
-	all.mu.Lock()
-	defer all.mu.Unlock()
-	all.add(id, requests, tokens)
-}
-
-func (all *Allocator) add(id string, requests int, tokens int64) {
-	if all.work == nil {
-		all.work = map[string]tally{}
-	}
-	wor := all.work[id]
-	wor.requests += requests
-	wor.tokens += tokens
-	all.work[id] = wor
-}
-
 // group reserves memory on every engine of a group, or on none.
 func (all *Allocator) group(ctx context.Context, req placer.Request, dec placer.PlaceGroup) (executor.Lease, error) {
 	resID := req.ID
@@ -108,13 +94,13 @@
 		if err := all.Invoker.Reserve(ctx, par.Address, resID, req.ID, all.Owner, par.Tokens); err != nil {
 			free()
 			return executor.Lease{}, &executor.RefusedError{Refuse: placer.Refuse{
-				Code: "group_unavailable", Message: "the engines cannot hold the prompt together now: " + err.Error(), RetryAfter: time.Second,
+				Code: codeGroupUnavailable, Message: "the engines cannot hold the prompt together now: " + err.Error(), RetryAfter: time.Second,
 			}}
 		}
 	}
 	all.mu.Lock()
 	defer all.mu.Unlock()
-	lea := all.lease(pars[0].Endpoint, pars[0].Address, req.PromptTokens)
+	lea := all.lease(pars[0].Endpoint, pars[0].Address, req.PromptTokens, time.Now())
 	lea.ReservationID = resID
 	lea.Group = pars
 	rel := lea.Release
--- /dev/null
+++ b/process/allocator/cells.go
@@ -0,0 +1,244 @@
+package allocator
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+	"hemlockpin/process/scheduler"
+	"hemlockpin/request/executor"
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// firstHold is how long a scheduler may hold the first call of an ask. A
+	// host that has no reply within callGrace more turns to the next one.
+	firstHold = 100 * time.Millisecond
+	laterHold = time.Second
+	callGrace = 50 * time.Millisecond
+	// laterGrace is the same for an ask that the scheduler has confirmed.
+	laterGrace = 250 * time.Millisecond
+	// suspectPeriod is how long a scheduler that did not answer is not asked.
+	suspectPeriod = 3 * time.Second
+	// maxSchedulers bounds the schedulers that one request tries.
+	maxSchedulers = 2
+	// groupTries bounds the grants of a group whose memory could not be reserved.
+	groupTries           = 5
+	groupPause           = 200 * time.Millisecond
+	codeGroupUnavailable = "group_unavailable"
+	// digestLife is the age at which a cell's digest says nothing any more.
+	digestLife = 2 * time.Second
+)
+
+// errNoScheduler says that no scheduler of the cell answered.
+var errNoScheduler = eris.New("allocator: no scheduler answers")
+
+// Caller sends a message to another host and returns its reply.
+type Caller interface {
+	Call(ctx context.Context, address string, env *messenger.Envelope) (*messenger.Envelope, error)
+}
+
+// Cells reaches the schedulers of cells, on this host and on others. All its
+// exported fields are needed.
+type Cells struct {
+	Self        string
+	Incarnation uint64
+	Region      string
+	// Entries returns the platform's list.
+	Entries   func() []persister.Entry
+	Caller    Caller
+	Scheduler *scheduler.Scheduler
+	Scope     tally.Scope
+
+	sequence atomic.Uint64
+
+	mu       sync.Mutex
+	suspects map[string]time.Time
+	digests  map[string]digest
+	notices  map[string][]*messenger.GrantNotice
+}
+
+type digest struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// fromCell asks the scheduler of a cell. errNoScheduler tells the caller to
+// place by itself.
+func (all *Allocator) fromCell(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+	for try := 1; ; try++ {
+		lea, err := all.fromCellOnce(ctx, req, poo)
+		var ref *executor.RefusedError
+		if err == nil || try == groupTries || !eris.As(err, &ref) || ref.Refuse.Code != codeGroupUnavailable {
+			return lea, err
+		}
+		select {
+		case <-time.After(groupPause/2 + rand.N(groupPause)):
+		case <-ctx.Done():
+			return lea, err
+		}
+	}
+}
+
+func (all *Allocator) fromCellOnce(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+	now := time.Now()
+	all.mu.Lock()
+	ends := all.view(poo, now).endpoints
+	all.mu.Unlock()
+	cells := all.Cells
+	nam := cells.choose(scheduler.Partition(cells.Region+"/"+poo.Name, ends), req, now)
+	ask := scheduler.Ask{
+		ID:   req.ID + "-" + strconv.FormatUint(cells.sequence.Add(1), 10),
+		Host: cells.Self, Incarnation: cells.Incarnation, Request: req,
+	}
+	act, hos, err := cells.ask(ctx, nam, poo.Name, ask)
+	if err != nil {
+		return executor.Lease{}, err
+	}
+	notify := func(kin messenger.GrantNotice_Kind) { cells.notify(hos, nam, ask.ID, kin) }
+	switch act := act.(type) {
+	case scheduler.Grant:
+		all.mu.Lock()
+		defer all.mu.Unlock()
+		return withNotices(all.lease(act.Endpoint, act.Address, req.PromptTokens, time.Now()), notify), nil
+	case scheduler.GrantGroup:
+		lea, err := all.group(ctx, req, placer.PlaceGroup{Parts: act.Parts})
+		if err != nil {
+			notify(messenger.GrantNotice_KIND_RELEASED)
+			return lea, err
+		}
+		return withNotices(lea, notify), nil
+	case scheduler.Refuse:
+		if act.Code == scheduler.CodeUnavailable {
+			return executor.Lease{}, errNoScheduler
+		}
+		return executor.Lease{}, &executor.RefusedError{Refuse: act.Refuse}
+	default:
+		return executor.Lease{}, eris.Errorf("Allocator.fromCell: unexpected action %T", act)
+	}
+}
+
+// withNotices also tells the scheduler of the first token and of the end.
+func withNotices(lea executor.Lease, notify func(messenger.GrantNotice_Kind)) executor.Lease {
+	pre, rel := lea.Prefilled, lea.Release
+	prefilled := sync.OnceFunc(func() { notify(messenger.GrantNotice_KIND_PREFILLED) })
+	released := sync.OnceFunc(func() { notify(messenger.GrantNotice_KIND_RELEASED) })
+	lea.Prefilled = func() {
+		pre()
+		prefilled()
+	}
+	lea.Release = func() {
+		rel()
+		released()
+	}
+	return lea
+}
+
+// choose takes the cell that the prompt's first block leads to, so that equal
+// prefixes meet, unless another one drawn at random waits clearly less.
+func (cel *Cells) choose(gros []scheduler.Group, req placer.Request, now time.Time) string {
+	if len(gros) == 1 {
+		return gros[0].Name
+	}
+	one := gros[rand.IntN(len(gros))].Name
+	if len(req.Prefix) > 0 {
+		one = gros[req.Prefix[0]%uint64(len(gros))].Name
+	}
+	two := gros[rand.IntN(len(gros))].Name
+	cel.mu.Lock()
+	defer cel.mu.Unlock()
+	if cel.wait(two, now)+prefixGain < cel.wait(one, now) {
+		return two
+	}
+	return one
+}
+
+// prefixGain is the wait that a cell may have more than another and still be
+// preferred.
+const prefixGain = 20 * time.Millisecond
+
+// wait is the last known wait of a cell. It fades as it grows old. The caller
+// holds the lock.
+func (cel *Cells) wait(nam string, now time.Time) time.Duration {
+	dig := cel.digests[nam]
+	age := now.Sub(dig.at)
+	if age >= digestLife {
+		return 0
+	}
+	return time.Duration(float64(dig.wait) * (1 - age.Seconds()/digestLife.Seconds()))
+}
+
+func (cel *Cells) learn(nam string, wait time.Duration, now time.Time) {
+	cel.mu.Lock()
+	defer cel.mu.Unlock()
+	if cel.digests == nil {
+		cel.digests = map[string]digest{}
+	}
+	cel.digests[nam] = digest{wait, now}
+}
+
+// ask tries the hosts in the order of the cell's candidates.
+func (cel *Cells) ask(ctx context.Context, nam, pool string, ask scheduler.Ask) (scheduler.Action, host, error) {
+	for _, hos := range cel.candidates(nam, time.Now()) {
+		act, err := cel.askHost(ctx, hos, nam, pool, ask)
+		if err == nil {
+			return act, hos, nil
+		}
+		if ctx.Err() != nil {
+			cel.notify(hos, nam, ask.ID, messenger.GrantNotice_KIND_RELEASED)
+			return nil, hos, eris.Wrapf(ctx.Err(), "Cells.ask: scheduler %s", hos.id)
+		}
+		cel.suspect(hos.id, time.Now())
+	}
+	return nil, host{}, errNoScheduler
+}
+
+type host struct {
+	id      string
+	address string
+}
+
+// candidates returns the hosts that may schedule a cell, the first choice first.
+func (cel *Cells) candidates(nam string, now time.Time) []host {
+	adds := map[string]string{cel.Self: ""}
+	ids := []string{cel.Self}
+	cel.mu.Lock()
+	for _, ent := range cel.Entries() {
+		if ent.Kind != persister.KindEntry || ent.Leaving || ent.ID == cel.Self || ent.Region != cel.Region && ent.Region != "" {
+			continue
+		}
+		if now.Before(cel.suspects[ent.ID]) {
+			continue
+		}
+		adds[ent.ID] = ent.Address
+		ids = append(ids, ent.ID)
+	}
+	cel.mu.Unlock()
+	var out []host
+	for _, id := range scheduler.Candidates(nam, ids) {
+		out = append(out, host{id, adds[id]})
+		if len(out) == maxSchedulers {
+			break
+		}
+	}
+	return out
+}
+
+func (cel *Cells) suspect(id string, now time.Time) {
+	cel.Scope.Counter("schedulers_suspected").Inc(1)
+	cel.mu.Lock()
+	defer cel.mu.Unlock()
+	if cel.suspects == nil {
+		cel.suspects = map[string]time.Time{}
+	}
+	cel.suspects[id] = now.Add(suspectPeriod)
+}
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -22,7 +22,7 @@
 	Operator   string `long:"operator-listen" env:"HEMLOCKPIN_OPERATOR_LISTEN" default:"127.0.0.1:8082" description:"address for operators and metrics, as IP:port"`
 	Platform   string `long:"platform" env:"HEMLOCKPIN_PLATFORM" description:"base URL of the platform, as http://IP:port"`
 
-	Placement    string        `long:"placement" env:"HEMLOCKPIN_PLACEMENT" default:"work" description:"placement policy"`
+	Placement    string        `long:"placement" env:"HEMLOCKPIN_PLACEMENT" default:"cell" description:"placement policy: cell, two-choices, work, classes, reservation, random or least-outstanding"`
 	MaxBodyBytes int64         `long:"max-body-bytes" env:"HEMLOCKPIN_MAX_BODY_BYTES" default:"33554432" description:"limit of a request body"`
 	MaxHeader    int           `long:"max-header-bytes" env:"HEMLOCKPIN_MAX_HEADER_BYTES" default:"65536" description:"limit of the request headers"`
 	MaxConns     int           `long:"max-connections" env:"HEMLOCKPIN_MAX_CONNECTIONS" default:"10000" description:"limit of callers' connections"`
@@ -82,9 +82,7 @@
 
 func (set Settings) validateLimits() []string {
 	var fas []string
-	switch placer.Policy(set.Placement) {
-	case placer.PolicyDefault, placer.PolicyRandom, placer.PolicyLeastOutstanding:
-	default:
+	if !placer.Policy(set.Placement).Valid() {
 		fas = append(fas, fmt.Sprintf("--placement %q is not a placement policy", set.Placement))
 	}
 	nums := []struct {
--- /dev/null
+++ b/process/scheduler/engine.go
@@ -0,0 +1,204 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/request/hasher"
+)
+
+const (
+	// chunkTokens is what an engine may prefill of a prompt of lower priority
+	// before it turns to one of higher priority.
+	chunkTokens = 4096
+	// backlogWindow is the prefill work that a cell keeps on an engine. More
+	// would wait in the engine's queue, where it can't be put in order anew.
+	backlogWindow = 40 * time.Millisecond
+	// reportTimeout is the age at which an engine without a new load report
+	// gets no more grants.
+	reportTimeout = 3 * time.Second
+	// releasedGrace is the time for which load reports may still list a
+	// request that has ended.
+	releasedGrace = time.Second
+	// missingGrace is the time after a grant from which a report that does not
+	// list its request shows that it has ended.
+	missingGrace = 5 * time.Second
+	// runningPenalty makes an engine with fewer sequences preferred.
+	runningPenalty = time.Millisecond
+	// assumedPrefillRate stands in for a report without one, in tokens a second.
+	assumedPrefillRate = 100_000
+)
+
+// engine is the account of one engine of the cell.
+type engine struct {
+	id      string
+	address string
+	slot    int
+	models  []string
+	// listedLeaving and leaving come from the list and from the engine itself.
+	listedLeaving bool
+	leaving       bool
+
+	memory     int64
+	rate       float64
+	step       time.Duration
+	reportedAt time.Time
+	// foreign is memory that other schedulers and hosts use.
+	foreign       int64
+	foreignQueued int64
+
+	// used, running and prefills account for the cell's own grants. The
+	// prefills are in the order in which the engine takes them.
+	used int64
+	// shortUsed is the part of used that short prompts have.
+	shortUsed int64
+	running   int
+	prefills  []*part
+	advanced  time.Time
+}
+
+// part is the share of one engine in a grant.
+type part struct {
+	gra    *grant
+	eng    *engine
+	memory int64
+	// left counts the prompt tokens that the engine still has to prefill. It
+	// is estimated from the rate and stays at 1 until the first token arrives.
+	left int64
+}
+
+// grant is an ask that has been granted.
+type grant struct {
+	ask       *ask
+	parts     []*part
+	grantedAt time.Time
+	expires   time.Time
+	prefilled bool
+	// missing is when a report first did not list the request.
+	missing time.Time
+}
+
+func (eng *engine) prefillRate() float64 {
+	if eng.rate <= 0 {
+		return assumedPrefillRate
+	}
+	return eng.rate
+}
+
+func (eng *engine) prefillTime(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / eng.prefillRate() * float64(time.Second))
+}
+
+// advance estimates the progress of the prefills since the last look.
+func (eng *engine) advance(now time.Time) {
+	gap := now.Sub(eng.advanced)
+	if gap <= 0 {
+		return
+	}
+	eng.advanced = now
+	bud := int64(gap.Seconds() * eng.prefillRate())
+	eng.foreignQueued = max(0, eng.foreignQueued-bud)
+	for _, par := range eng.prefills {
+		tak := min(bud, par.left-1)
+		par.left -= tak
+		bud -= tak
+	}
+}
+
+// ahead returns the prompt tokens that the engine prefills before a new prompt
+// of the priority.
+func (eng *engine) ahead(priority int) int64 {
+	var same, lower int64
+	for _, par := range eng.prefills {
+		if par.gra.ask.req.Priority >= priority {
+			same += par.left
+		} else {
+			lower += par.left
+		}
+	}
+	return same + min(lower, chunkTokens) + eng.foreignQueued
+}
+
+// longBusy reports whether the engine prefills a long prompt.
+func (eng *engine) longBusy() bool {
+	for _, par := range eng.prefills {
+		if par.left > chunkTokens && par.gra.ask.long {
+			return true
+		}
+	}
+	return false
+}
+
+func (eng *engine) gone() bool { return eng.leaving || eng.listedLeaving }
+
+func (eng *engine) free() int64 { return eng.memory - eng.used - eng.foreign }
+
+func (eng *engine) live(now time.Time) bool {
+	return !eng.gone() && eng.memory > 0 && now.Sub(eng.reportedAt) <= reportTimeout
+}
+
+// add accounts for a part of a grant.
+func (eng *engine) add(par *part) {
+	eng.account(par, par.memory)
+	eng.running++
+	if par.left <= 0 {
+		return
+	}
+	pos := len(eng.prefills)
+	for pos > 0 && eng.prefills[pos-1].gra.ask.req.Priority < par.gra.ask.req.Priority {
+		pos--
+	}
+	eng.prefills = slices.Insert(eng.prefills, pos, par)
+}
+
+func (eng *engine) remove(par *part) {
+	eng.account(par, -par.memory)
+	eng.running--
+	eng.prefilled(par)
+}
+
+func (eng *engine) account(par *part, tokens int64) {
+	eng.used += tokens
+	if !par.gra.ask.long {
+		eng.shortUsed += tokens
+	}
+}
+
+func (eng *engine) prefilled(par *part) {
+	par.left = 0
+	eng.prefills = slices.DeleteFunc(eng.prefills, func(oth *part) bool { return oth == par })
+}
+
+// accept takes the engine's own figures from a report. known tells whether a
+// request is the cell's own or has just ended.
+func (eng *engine) accept(loa invoker.Load, known func(requestID string) bool, now time.Time) {
+	eng.advance(now)
+	eng.reportedAt = now
+	eng.memory = loa.MemoryTokens
+	eng.rate = loa.PrefillRate
+	eng.step = time.Duration(loa.StepMs * float64(time.Millisecond))
+	eng.leaving = loa.Leaving
+	if len(loa.Models) > 0 {
+		eng.models = loa.Models
+	}
+	var oth, all int64
+	for _, seq := range loa.Sequences {
+		all += seq.Tokens
+		if !known(seq.RequestID) {
+			oth += seq.Tokens
+		}
+	}
+	eng.foreign = oth
+	eng.foreignQueued = 0
+	if all > 0 {
+		eng.foreignQueued = int64(float64(loa.QueuedPromptTokens) * float64(oth) / float64(all))
+	}
+}
+
+// estimate returns the expected time to the first token of an ask, with a
+// small penalty for the sequences that share the engine.
+func (eng *engine) estimate(ask *ask, cachedBlocks int) time.Duration {
+	own := max(1, ask.req.PromptTokens-int64(cachedBlocks)*hasher.BlockTokens)
+	return eng.prefillTime(eng.ahead(ask.req.Priority)+own) + time.Duration(eng.running)*runningPenalty
+}
--- /dev/null
+++ b/process/server/schedule.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/connection/messenger"
+	"hemlockpin/process/allocator"
+	"hemlockpin/process/scheduler"
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+)
+
+// cellPollLimit bounds the engines whose load a host reads at each interval
+// when schedulers of cells place. It keeps the view for placing without them.
+const cellPollLimit = 2
+
+// newAllocator joins placement with the scheduling of cells.
+func (ser *Server) newAllocator(own invoker.Owner) *allocator.Allocator {
+	all := &allocator.Allocator{Policy: placer.Policy(ser.Settings.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own}
+	ser.scheduler = &scheduler.Scheduler{
+		Loader:   ser.invoker,
+		Engines:  func(poo parser.Pool) []placer.Endpoint { return ser.watcher.Pool(poo).Endpoints },
+		Pool:     func(nam string) (parser.Pool, bool) { return ser.publisher.Current().Pool(nam) },
+		Interval: ser.Settings.LoadInterval, Clock: time.Now, Scope: ser.scope,
+	}
+	ser.cells = &allocator.Cells{
+		Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Region: ser.Settings.Region,
+		Entries: ser.watcher.Entries, Caller: ser.multiplexer, Scheduler: ser.scheduler, Scope: ser.scope,
+	}
+	if all.Policy == placer.PolicyCell {
+		ser.watcher.PollLimit = cellPollLimit
+		all.Cells = ser.cells
+	}
+	return all
+}
+
+// handleSchedule answers the calls of other hosts to the scheduler, or returns
+// nil for any other call.
+func (ser *Server) handleSchedule(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
+	switch bod := env.GetBody().(type) {
+	case *messenger.Envelope_GrantRequest:
+		return ser.cells.HandleRequest(ctx, bod.GrantRequest, time.Now())
+	case *messenger.Envelope_GrantNotices:
+		return ser.cells.HandleNotices(bod.GrantNotices)
+	default:
+		return nil
+	}
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -19,10 +19,10 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
 	"hemlockpin/request/executor"
-	"hemlockpin/request/placer"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -57,6 +57,8 @@
 	journal     *journaler.Journal
 	admitter    *admitter.Admitter
 	executor    *executor.Executor
+	scheduler   *scheduler.Scheduler
+	cells       *allocator.Cells
 	draining    atomic.Bool
 	started     time.Time
 }
@@ -85,7 +87,7 @@
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own},
+		Allocator: ser.newAllocator(own),
 	}
 	return ser
 }
@@ -102,6 +104,8 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
+	gro.Go(func() { ser.scheduler.Run(work) })
+	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresh(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := &http.Server{Handler: ser.callerRoutes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: ser.Settings.ReadTimeout, MaxHeaderBytes: ser.Settings.MaxHeader}
@@ -184,6 +188,9 @@
 	case *messenger.Envelope_ClaimCommit:
 		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, time.Now())}}
 	default:
+		if rep := ser.handleSchedule(ctx, env); rep != nil {
+			return rep
+		}
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
 }
--- a/process/watcher/watcher.go
+++ b/process/watcher/watcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -30,11 +31,15 @@
 type Watcher struct {
 	Lister Lister
 	Loader Loader
+	// PollLimit bounds the engines that one round of load reports reads, so
+	// that the cost does not grow with the fleet; 0 reads all.
+	PollLimit int
 
 	mu      sync.Mutex
 	entries []persister.Entry
 	listed  time.Time
 	loads   map[string]report
+	version uint64
 }
 
 type report struct {
@@ -77,19 +82,36 @@
 	defer wat.mu.Unlock()
 	wat.entries = ents
 	wat.listed = now
+	wat.version++
 }
 
 func (wat *Watcher) poll(ctx context.Context, now time.Time) {
 	var gro sync.WaitGroup
-	for _, ent := range wat.Entries() {
-		if ent.Kind != persister.KindEngine {
-			continue
-		}
+	for _, ent := range wat.batch() {
 		gro.Go(func() { wat.pollOne(ctx, ent, now) })
 	}
 	gro.Wait()
 }
 
+// batch returns the engines to read in this round: all, or PollLimit drawn at
+// random.
+func (wat *Watcher) batch() []persister.Entry {
+	var ents []persister.Entry
+	for _, ent := range wat.Entries() {
+		if ent.Kind == persister.KindEngine {
+			ents = append(ents, ent)
+		}
+	}
+	if wat.PollLimit <= 0 || len(ents) <= wat.PollLimit {
+		return ents
+	}
+	out := make([]persister.Entry, wat.PollLimit)
+	for ind := range out {
+		out[ind] = ents[rand.IntN(len(ents))]
+	}
+	return out
+}
+
 func (wat *Watcher) pollOne(ctx context.Context, ent persister.Entry, now time.Time) {
 	ctx, stop := context.WithTimeout(ctx, pollTimeout)
 	defer stop()
@@ -103,6 +125,14 @@
 		wat.loads = map[string]report{}
 	}
 	wat.loads[ent.ID] = report{load: loa, at: now}
+	wat.version++
+}
+
+// Version counts the changes of the view.
+func (wat *Watcher) Version() uint64 {
+	wat.mu.Lock()
+	defer wat.mu.Unlock()
+	return wat.version
 }
 
 // Entries returns the last list that was read.
@@ -136,6 +166,7 @@
 		Leaving: ent.Leaving || rep.load.Leaving, ReportedAt: rep.at,
 		MemoryTokens: rep.load.MemoryTokens, UsedTokens: rep.load.UsedTokens,
 		QueuedTokens: rep.load.QueuedPromptTokens, PrefillRate: rep.load.PrefillRate,
+		Running: rep.load.Running, Step: time.Duration(rep.load.StepMs * float64(time.Millisecond)),
 	}
 	if len(rep.load.Models) > 0 {
 		end.Models = rep.load.Models
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -97,7 +97,7 @@
 func (gen *generation) placement() placer.Request {
 	return placer.Request{
 		ID: gen.id, Team: gen.team.Name, Model: gen.prompt.Model, Pool: gen.pool.Name,
-		PromptTokens: gen.prompt.Tokens, MaxTokens: gen.prompt.MaxTokens, Priority: gen.route.Priority,
+		PromptTokens: gen.prompt.Tokens, MaxTokens: gen.prompt.MaxTokens, Priority: gen.route.Priority, Share: gen.team.Share,
 		Deadline: gen.deadline, Prefix: gen.blocks, Excluded: gen.state.Excluded,
 	}
 }
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -12,13 +12,29 @@
 // Policy names a way of placement.
 type Policy string
 
-// Policies. Those other than PolicyDefault stay for comparison.
+// Policies. PolicyCell asks the scheduler of a cell and places by two choices
+// when no scheduler answers. The others stay for comparison.
 const (
-	PolicyDefault          Policy = "work"
+	PolicyCell             Policy = "cell"
+	PolicyTwoChoices       Policy = "two-choices"
+	PolicyWork             Policy = "work"
+	PolicyClasses          Policy = "classes"
+	PolicyReservation      Policy = "reservation"
 	PolicyRandom           Policy = "random"
 	PolicyLeastOutstanding Policy = "least-outstanding"
+
+	// PolicyDefault is the policy of a host without a setting.
+	PolicyDefault = PolicyCell
 )
 
+// Policies lists every policy, the default first.
+func Policies() []Policy {
+	return []Policy{PolicyCell, PolicyTwoChoices, PolicyWork, PolicyClasses, PolicyReservation, PolicyRandom, PolicyLeastOutstanding}
+}
+
+// Valid reports whether the policy is known.
+func (pol Policy) Valid() bool { return slices.Contains(Policies(), pol) }
+
 // Request is what placement knows of a request.
 type Request struct {
 	ID           string
@@ -29,6 +45,8 @@
 	MaxTokens    int64
 	Priority     int
 	Deadline     time.Time
+	// Share weighs the team against others when the fleet is full.
+	Share float64
 	// Prefix holds the chained block hashes of the prompt.
 	Prefix   []uint64
 	Excluded []string
@@ -47,18 +65,39 @@
 	MemoryTokens int64
 	UsedTokens   int64
 	QueuedTokens int64
+	// Running counts the sequences that the engine reports.
+	Running int
+	// Step is the time of one decoding step.
+	Step time.Duration
 	// Outstanding counts the requests that this host has on the endpoint.
 	Outstanding int
 	// OutstandingTokens counts their prompt tokens not yet prefilled.
 	OutstandingTokens int64
+	// RecentTokens is the part of OutstandingTokens that is too new for the
+	// load report.
+	RecentTokens int64
 	// PrefillRate is in tokens a second.
 	PrefillRate float64
-	// CachedBlocks counts the leading blocks of the request believed cached.
-	CachedBlocks int
 }
 
-// View is the set of endpoints of a pool.
-type View struct{ Endpoints []Endpoint }
+// Cached says how many leading blocks of a request an endpoint holds.
+type Cached struct {
+	Endpoint string
+	Blocks   int
+}
+
+// View is the set of endpoints of a pool. A decision only reads it.
+type View struct {
+	Endpoints []Endpoint
+	// Cached lists the few endpoints believed to hold a prefix of the request.
+	Cached []Cached
+	// Mix describes the lengths of recent requests, for PolicyClasses and
+	// PolicyReservation.
+	Mix Mix
+	// LongShare is the pool's share of engines for long prompts; 0 stands for
+	// the share of the work that long prompts bring.
+	LongShare float64
+}
 
 // Part is a share of a group of engines.
 type Part struct {
@@ -96,91 +135,65 @@
 
 // Decide places a request.
 func Decide(pol Policy, req Request, vie View, now time.Time, ran *rand.Rand) Decision {
-	can := candidates(req, vie)
-	if len(can) == 0 {
+	fit := largest(req, vie)
+	if !fit.any {
 		return Refuse{Code: "no_endpoint", Message: "no endpoint of the pool can take the request", RetryAfter: time.Second}
 	}
-	if mem := need(req); groupNeeded(mem, can) {
-		return group(mem, can)
+	if need := req.Need(); !fit.unbounded && need > fit.memory {
+		return group(need, req, vie)
 	}
+	var ind int
 	switch pol {
 	case PolicyRandom:
-		return place(can[ran.IntN(len(can))])
+		ind = sample(req, vie, span{0, len(vie.Endpoints)}, ran)
 	case PolicyLeastOutstanding:
-		return place(slices.MinFunc(can, func(one, two Endpoint) int { return one.Outstanding - two.Outstanding }))
+		ind = leastOutstanding(req, vie, ran)
+	case PolicyWork:
+		ind = leastWork(req, vie, now, ran)
+	case PolicyClasses:
+		ind = byClass(req, vie, now, ran)
+	case PolicyReservation:
+		ind = byReservation(req, vie, now, ran)
 	default:
-		return place(leastWork(req, can, ran))
+		ind = twoChoices(req, vie, span{0, len(vie.Endpoints)}, now, ran)
 	}
+	end := &vie.Endpoints[ind]
+	return Place{Endpoint: end.ID, Address: end.Address}
 }
 
-func place(end Endpoint) Place { return Place{Endpoint: end.ID, Address: end.Address} }
-
-func need(req Request) int64 { return req.PromptTokens + req.MaxTokens }
-
-func candidates(req Request, vie View) []Endpoint {
-	var can []Endpoint
-	for _, end := range vie.Endpoints {
-		if end.Leaving || slices.Contains(req.Excluded, end.ID) {
-			continue
-		}
-		if req.Model != "" && !slices.Contains(end.Models, req.Model) {
-			continue
-		}
-		can = append(can, end)
-	}
-	return can
-}
+// Need is the memory in tokens that the request takes on an engine.
+func (req Request) Need() int64 { return req.PromptTokens + req.MaxTokens }
 
-// leastWork takes the endpoint that would reach the first token soonest, with
-// a random start so that equal ones share the load.
-func leastWork(req Request, can []Endpoint, ran *rand.Rand) Endpoint {
-	sta := ran.IntN(len(can))
-	bes := can[sta]
-	for off := 1; off < len(can); off++ {
-		end := can[(sta+off)%len(can)]
-		if work(req, end) < work(req, bes) {
-			bes = end
-		}
+// takes reports whether an endpoint can serve the request at all.
+func (req Request) takes(end *Endpoint) bool {
+	if end.Leaving || (len(req.Excluded) > 0 && slices.Contains(req.Excluded, end.ID)) {
+		return false
 	}
-	return bes
+	return req.Model == "" || slices.Contains(end.Models, req.Model)
 }
 
-func work(req Request, end Endpoint) float64 {
-	tok := req.PromptTokens + end.QueuedTokens + end.OutstandingTokens
-	if end.PrefillRate == 0 {
-		return float64(tok) + float64(end.Outstanding)
-	}
-	return float64(tok) / end.PrefillRate
+// capacity is the memory of the largest endpoint that takes a request.
+type capacity struct {
+	any       bool
+	unbounded bool
+	memory    int64
 }
 
-func groupNeeded(mem int64, can []Endpoint) bool {
-	for _, end := range can {
-		if end.MemoryTokens == 0 || end.MemoryTokens >= mem {
-			return false
+// largest stops at the first endpoint that holds the request, so that it reads
+// all of them only for a prompt that needs a group.
+func largest(req Request, vie View) capacity {
+	var fit capacity
+	for ind := range vie.Endpoints {
+		end := &vie.Endpoints[ind]
+		if !req.takes(end) {
+			continue
 		}
-	}
-	return true
-}
-
-// group takes the engines with the most free memory until they hold the prompt.
-func group(mem int64, can []Endpoint) Decision {
-	var all int64
-	for _, end := range can {
-		all += end.MemoryTokens
-	}
-	if all < mem {
-		return Refuse{Code: "prompt_too_large", Message: "the prompt exceeds the memory of all engines of the pool"}
-	}
-	slices.SortFunc(can, func(one, two Endpoint) int {
-		return int((two.MemoryTokens - two.UsedTokens) - (one.MemoryTokens - one.UsedTokens))
-	})
-	var pla PlaceGroup
-	for _, end := range can {
-		tok := min(mem, end.MemoryTokens)
-		pla.Parts = append(pla.Parts, Part{Endpoint: end.ID, Address: end.Address, Tokens: tok})
-		if mem -= tok; mem == 0 {
-			break
+		fit.any = true
+		fit.memory = max(fit.memory, end.MemoryTokens)
+		fit.unbounded = end.MemoryTokens == 0
+		if fit.unbounded || fit.memory >= req.Need() {
+			return fit
 		}
 	}
-	return pla
+	return fit
 }
