--- a/process/server/server.go
+++ b/process/server/server.go
@@ -19,10 +19,10 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
 	"hemlockpin/request/executor"
-	"hemlockpin/request/placer"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -58,6 +58,8 @@
 	admitter    *admitter.Admitter
 	allocator   *allocator.Allocator
 	executor    *executor.Executor
+	scheduler   *scheduler.Scheduler
+	cells       *allocator.Cells
 	draining    atomic.Bool
 	started     time.Time
 	// requestDrain has the effect of SIGTERM. It is set by Run.
@@ -85,7 +87,7 @@
 	}
 	ser.journal = ser.newJournal()
 	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
-	ser.allocator = &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own}
+	ser.allocator = ser.newAllocator(own)
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
@@ -108,6 +110,8 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
+	gro.Go(func() { ser.scheduler.Run(work) })
+	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresh(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := &http.Server{Handler: ser.callerRoutes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: ser.Settings.ReadTimeout, MaxHeaderBytes: ser.Settings.MaxHeader}
@@ -196,6 +200,9 @@
 	case *messenger.Envelope_DrainOrder:
 		return ser.handleDrain(bod.DrainOrder)
 	default:
+		if rep := ser.handleSchedule(ctx, env); rep != nil {
+			return rep
+		}
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
 }
