Close no stream after a failed dispatch and refuse before tables are known

Ruled out: the load tool's own time-out, which was too short for calls (4 s against a limit of 15 s) and is raised; the fault proxy, since the panic is in the host's log. Conclusion: both are mended.

--- a/load/driver/driver.go
+++ b/load/driver/driver.go
@@ -22,6 +22,9 @@
 const (
 	progressInterval = 2 * time.Second
 	faultTimeout     = 5 * time.Second
+	// callerTimeout is the least time that a caller waits for an end; it is
+	// above the time limits of the tables used with the mixes for calls.
+	callerTimeout = 60 * time.Second
 	// maxInFlight bounds the requests in progress; more are counted as not sent.
 	maxInFlight = 20_000
 )
@@ -157,7 +160,7 @@
 		run.flying.Add(1)
 		gro.Go(func() {
 			defer run.flying.Add(-1)
-			ctx, stop := context.WithTimeout(ctx, 2*req.Patience)
+			ctx, stop := context.WithTimeout(ctx, max(2*req.Patience, callerTimeout))
 			defer stop()
 			text := ""
 			if req.Kind == mixer.KindPrompt {
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -14,6 +14,7 @@
 
 func (ser *Server) callerRoutes() http.Handler {
 	rou := mux.NewRouter().SkipClean(true)
+	rou.Use(ser.requireTables)
 	rou.HandleFunc("/healthz", func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusOK) })
 	rou.HandleFunc("/readyz", ser.ready)
 	rou.HandleFunc("/v1/chat/completions", ser.prompt(true)).Methods(http.MethodPost)
--- /dev/null
+++ b/process/server/starting.go
@@ -0,0 +1,26 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/request/responder"
+)
+
+const startRetryAfter = time.Second
+
+// requireTables refuses requests while the host has no tables, since it can't
+// tell then which keys are valid.
+func (ser *Server) requireTables(nex http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if ser.publisher.Current().Revision() > 0 || req.URL.Path == "/healthz" || req.URL.Path == "/readyz" {
+			nex.ServeHTTP(wri, req)
+			return
+		}
+		responder.WriteProblem(wri, responder.Problem{
+			Status: http.StatusServiceUnavailable, Code: "host_starting", Message: "the host has no tables yet",
+			Ran: invoker.NotRun, RetryAfter: startRetryAfter,
+		})
+	})
+}
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -115,8 +115,7 @@
 		gen.progress.at = exe.Clock()
 		return false
 	case attempter.Resume:
-		gen.stream.Close()
-		gen.stream = nil
+		gen.closeStream()
 		return false
 	case attempter.Dispatch:
 		exe.drop(ctx, gen)
@@ -191,15 +190,20 @@
 	}
 }
 
-// drop ends the current dispatch and gives the endpoint back. It does not wait
-// for the engine, so that a failure reaches the caller in time.
-func (exe *Executor) drop(ctx context.Context, gen *generation) {
+// closeStream gives the stream up; a failed dispatch has none.
+func (gen *generation) closeStream() {
 	if gen.stream != nil {
 		gen.stream.Close()
 	}
+	gen.stream = nil
+}
+
+// drop ends the current dispatch and gives the endpoint back. It does not wait
+// for the engine, so that a failure reaches the caller in time.
+func (exe *Executor) drop(ctx context.Context, gen *generation) {
+	gen.closeStream()
 	lea := gen.lease
 	att := gen.state.Attempt
-	gen.stream = nil
 	gen.lease = nil
 	if lea == nil {
 		return
