--- a/process/journaler/shard.go
+++ b/process/journaler/shard.go
@@ -33,8 +33,8 @@
 // ClaimState says how far the call of a claim has come.
 type ClaimState int32
 
-// States of a claim. A released claim is kept so that a delayed commit of the
-// same nonce can't bring it back.
+// States of a claim. A released claim is kept beside the claims that follow it,
+// so that a delayed commit of its nonce can't bring it back.
 const (
 	ClaimHeld ClaimState = iota
 	ClaimFinished
@@ -58,6 +58,17 @@
 		len(cla.Outcome.GetContentType()) + len(cla.Outcome.GetBody())
 }
 
+// slot is the place of the claim in the shard.
+func (cla *Claim) slot() string {
+	if cla.State == ClaimReleased {
+		return releasedSlot(cla.Key, cla.Nonce)
+	}
+	return cla.Key
+}
+
+// releasedSlot joins key and nonce by a character that no key contains.
+func releasedSlot(key, nonce string) string { return key + "\n" + nonce }
+
 func (cla *Claim) withoutBody() *Claim {
 	out := *cla
 	out.Outcome = &messenger.Outcome{Status: cla.Outcome.GetStatus(), Truncated: true}
@@ -115,23 +126,32 @@
 // forget drops the claims past the retention.
 func (sha *Shard) forget(now time.Time) {
 	lim := now.Add(-Retention - MaxClockSkew).UnixMilli()
-	for key, cla := range sha.claims {
+	for _, cla := range sha.claims {
 		if cla.KeyTimeMs < lim {
-			delete(sha.claims, key)
-			sha.bytes -= cla.size()
+			sha.remove(cla)
 			sha.forgottenMs = max(sha.forgottenMs, cla.KeyTimeMs)
 		}
 	}
 }
 
 func (sha *Shard) put(cla *Claim) {
-	if old, ok := sha.claims[cla.Key]; ok {
+	if old, ok := sha.claims[cla.slot()]; ok {
 		sha.bytes -= old.size()
 	}
-	sha.claims[cla.Key] = cla
+	sha.claims[cla.slot()] = cla
 	sha.bytes += cla.size()
 }
 
+func (sha *Shard) remove(cla *Claim) {
+	delete(sha.claims, cla.slot())
+	sha.bytes -= cla.size()
+}
+
+func (sha *Shard) isReleased(com *messenger.ClaimCommit) bool {
+	_, ok := sha.claims[releasedSlot(com.GetKey(), com.GetNonce())]
+	return ok
+}
+
 func (sha *Shard) apply(com *messenger.ClaimCommit, now time.Time) (*messenger.ClaimResult, bool) {
 	switch com.GetStep() {
 	case messenger.ClaimCommit_STEP_FINISH:
@@ -151,9 +171,12 @@
 }
 
 func (sha *Shard) claim(com *messenger.ClaimCommit, now time.Time) (*messenger.ClaimResult, bool) {
+	if sha.isReleased(com) {
+		return result(messenger.ClaimResult_STATE_RELEASED), false
+	}
 	old, fou := sha.claims[com.GetKey()]
-	if !fou || old.State == ClaimReleased {
-		return sha.claimFree(com, old, now)
+	if !fou {
+		return sha.claimFree(com, now)
 	}
 	switch {
 	case !bytes.Equal(old.BodyDigest, com.GetBodyDigest()):
@@ -172,10 +195,7 @@
 }
 
 // claimFree commits a claim on a key that nobody holds.
-func (sha *Shard) claimFree(com *messenger.ClaimCommit, old *Claim, now time.Time) (*messenger.ClaimResult, bool) {
-	if old != nil && old.Nonce == com.GetNonce() {
-		return result(messenger.ClaimResult_STATE_RELEASED), false
-	}
+func (sha *Shard) claimFree(com *messenger.ClaimCommit, now time.Time) (*messenger.ClaimResult, bool) {
 	if com.GetKeyTimeMs() <= sha.forgottenMs || com.GetKeyTimeMs() < now.Add(-Retention).UnixMilli() {
 		return result(messenger.ClaimResult_STATE_EXPIRED), false
 	}
@@ -192,7 +212,7 @@
 	switch {
 	case !fou:
 		return result(messenger.ClaimResult_STATE_EXPIRED), false
-	case old.Nonce != com.GetNonce() || old.State == ClaimReleased:
+	case old.Nonce != com.GetNonce():
 		return result(messenger.ClaimResult_STATE_CONFLICT), false
 	case old.State == ClaimFinished:
 		return result(messenger.ClaimResult_STATE_FINISHED), false
@@ -214,19 +234,24 @@
 	return result(messenger.ClaimResult_STATE_FINISHED), true
 }
 
-// release gives a claim back. An absent claim is noted as released, so that a
-// delayed commit of it has no effect.
+// release gives a claim back. An absent claim is noted as released too, so that
+// a delayed commit of it has no effect.
 func (sha *Shard) release(com *messenger.ClaimCommit) (*messenger.ClaimResult, bool) {
+	res := result(messenger.ClaimResult_STATE_RELEASED)
 	old, fou := sha.claims[com.GetKey()]
-	if fou && (old.Nonce != com.GetNonce() || old.State != ClaimHeld) {
-		return result(messenger.ClaimResult_STATE_RELEASED), false
+	own := fou && old.Nonce == com.GetNonce()
+	if sha.isReleased(com) || own && old.State == ClaimFinished {
+		return res, false
+	}
+	if own {
+		sha.remove(old)
 	}
 	cla := newClaim(com, ClaimReleased)
-	if !fou && (com.GetKeyTimeMs() <= sha.forgottenMs || !sha.makeRoom(cla.size())) {
-		return result(messenger.ClaimResult_STATE_RELEASED), false
+	if com.GetKeyTimeMs() <= sha.forgottenMs || !sha.makeRoom(cla.size()) {
+		return res, own
 	}
 	sha.put(cla)
-	return result(messenger.ClaimResult_STATE_RELEASED), true
+	return res, true
 }
 
 // makeRoom drops recorded bodies if that is needed to fit more bytes in, and
