Guard the callers' edge and count every outcome

Cause: bodies were unbounded in sum, connections had no limit, a slow reader held its request for ever, unsupported fields of the OpenAI API were ignored, known paths by another method fell through to the routes of services, and /metrics had no outcomes. Two hosts in one program panicked on the shared metrics registry. Ruled out: blocking accepts at the connection limit, which leaves callers in the queue until their own time-outs; reserving body memory on accept, which a caller without a key could exhaust; replacing the body in net/http's own request, which lost the answer of a refused Expect: 100-continue (found by TestUnauthorizedBody); failing on a metric that clashes. Before / After: `go test -race -count=3 ./process/server ./request/receiver` passes; on a scratch copy, each mechanism off: no write deadline: TestSlowReader "the host still waits for the reader"; no connection limit: TestConnectionLimit "actual: 200"; no budget: TestBodyMemory "actual: 503 ... no_endpoint"; body replaced in place: TestUnauthorizedBody "closed without an answer"; no header or UTF-8 check: TestEdge, TestPrompts fail. Conclusion: each limit is a setting. Sampling settings are checked and have no effect, because engines take none; stop, tools and the like are refused.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -22,13 +22,16 @@
 	Operator   string `long:"operator-listen" env:"HEMLOCKPIN_OPERATOR_LISTEN" default:"127.0.0.1:8082" description:"address for operators and metrics, as IP:port"`
 	Platform   string `long:"platform" env:"HEMLOCKPIN_PLATFORM" description:"base URL of the platform, as http://IP:port"`
 
-	Placement    string        `long:"placement" env:"HEMLOCKPIN_PLACEMENT" default:"work" description:"placement policy"`
-	MaxBodyBytes int64         `long:"max-body-bytes" env:"HEMLOCKPIN_MAX_BODY_BYTES" default:"33554432" description:"limit of a request body"`
-	MaxHeader    int           `long:"max-header-bytes" env:"HEMLOCKPIN_MAX_HEADER_BYTES" default:"65536" description:"limit of the request headers"`
-	MaxConns     int           `long:"max-connections" env:"HEMLOCKPIN_MAX_CONNECTIONS" default:"10000" description:"limit of callers' connections"`
-	MaxRequests  int           `long:"max-requests" env:"HEMLOCKPIN_MAX_REQUESTS" default:"2000" description:"limit of requests in progress or waiting"`
-	ReadTimeout  time.Duration `long:"read-timeout" env:"HEMLOCKPIN_READ_TIMEOUT" default:"30s" description:"limit for receiving a request"`
-	DrainTimeout time.Duration `long:"drain-timeout" env:"HEMLOCKPIN_DRAIN_TIMEOUT" default:"10m" description:"limit for requests in progress at shutdown"`
+	Placement     string        `long:"placement" env:"HEMLOCKPIN_PLACEMENT" default:"work" description:"placement policy"`
+	MaxBodyBytes  int64         `long:"max-body-bytes" env:"HEMLOCKPIN_MAX_BODY_BYTES" default:"33554432" description:"limit of a request body"`
+	MaxHeader     int           `long:"max-header-bytes" env:"HEMLOCKPIN_MAX_HEADER_BYTES" default:"65536" description:"limit of the request headers"`
+	MaxConns      int           `long:"max-connections" env:"HEMLOCKPIN_MAX_CONNECTIONS" default:"10000" description:"limit of callers' connections"`
+	MaxRequests   int           `long:"max-requests" env:"HEMLOCKPIN_MAX_REQUESTS" default:"2000" description:"limit of requests in progress or waiting"`
+	ReadTimeout   time.Duration `long:"read-timeout" env:"HEMLOCKPIN_READ_TIMEOUT" default:"30s" description:"limit for receiving a request"`
+	WriteTimeout  time.Duration `long:"write-timeout" env:"HEMLOCKPIN_WRITE_TIMEOUT" default:"30s" description:"limit of one write to a slow reader"`
+	IdleTimeout   time.Duration `long:"idle-timeout" env:"HEMLOCKPIN_IDLE_TIMEOUT" default:"2m" description:"limit of a caller's connection without a request"`
+	MaxBodyMemory int64         `long:"max-body-memory" env:"HEMLOCKPIN_MAX_BODY_MEMORY" default:"536870912" description:"limit of the memory for bodies of requests in progress, in bytes, counting three copies of each"`
+	DrainTimeout  time.Duration `long:"drain-timeout" env:"HEMLOCKPIN_DRAIN_TIMEOUT" default:"10m" description:"limit for requests in progress at shutdown"`
 
 	LoadInterval time.Duration `long:"load-interval" env:"HEMLOCKPIN_LOAD_INTERVAL" default:"250ms" description:"interval of engine load reports"`
 	ListInterval time.Duration `long:"list-interval" env:"HEMLOCKPIN_LIST_INTERVAL" default:"1s" description:"interval of reading the platform's list"`
@@ -96,6 +99,9 @@
 		{"--max-connections", int64(set.MaxConns)},
 		{"--max-requests", int64(set.MaxRequests)},
 		{"--read-timeout", int64(set.ReadTimeout)},
+		{"--write-timeout", int64(set.WriteTimeout)},
+		{"--idle-timeout", int64(set.IdleTimeout)},
+		{"--max-body-memory", set.MaxBodyMemory},
 		{"--drain-timeout", int64(set.DrainTimeout)},
 		{"--load-interval", int64(set.LoadInterval)},
 		{"--list-interval", int64(set.ListInterval)},
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -19,6 +19,9 @@
 	rou.HandleFunc("/v1/chat/completions", ser.prompt(true)).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/completions", ser.prompt(false)).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/models", ser.models).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/chat/completions", wrongMethod(http.MethodPost))
+	rou.HandleFunc("/v1/completions", wrongMethod(http.MethodPost))
+	rou.HandleFunc("/v1/models", wrongMethod(http.MethodGet))
 	rou.PathPrefix("/").HandlerFunc(ser.call)
 	return rou
 }
--- /dev/null
+++ b/process/server/edge_test.go
@@ -0,0 +1,236 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"hemlockpin/process/configurer"
+	"hemlockpin/request/responder"
+	"hemlockpin/version/parser"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	edgeTimeout = 5 * time.Second
+	edgeKey     = "key-tailors"
+	edgeModel   = "pedal-model"
+)
+
+func edgeTables() parser.Tables {
+	return parser.Tables{
+		Revision: 1,
+		Routes: []parser.Route{
+			{Name: "questions", Match: parser.Match{Model: edgeModel}, Pool: "pedal", TimeLimit: parser.Duration(time.Second)},
+			{Name: "bookings", Match: parser.Match{PathPrefix: "/bookings"}, Pool: "counter", TimeLimit: parser.Duration(time.Second), Repeatable: true},
+		},
+		Pools: []parser.Pool{
+			{Name: "pedal", Kind: parser.PoolEngine, Selector: parser.Selector{Service: edgeModel}},
+			{Name: "counter", Kind: parser.PoolService, Selector: parser.Selector{Service: "counter"}},
+		},
+		Teams: []parser.Team{{Name: "tailors", KeyDigests: []string{parser.DigestKey(edgeKey)}}},
+	}
+}
+
+func edgeSettings() configurer.Settings {
+	return configurer.Settings{
+		HostID: "host-0", MaxBodyBytes: 4000, MaxHeader: 8192, MaxConns: 100, MaxRequests: 100, MaxBodyMemory: 1 << 20,
+		ReadTimeout: 300 * time.Millisecond, WriteTimeout: 300 * time.Millisecond, IdleTimeout: time.Second, Placement: "random",
+	}
+}
+
+// startEdge serves the callers' routes of a host without endpoints; han
+// replaces the routes unless it is nil.
+func startEdge(t *testing.T, set configurer.Settings, han http.Handler) (ser *Server, address string) {
+	t.Helper()
+	ser = New(set, zerolog.Nop(), time.Now())
+	ser.publisher.Accept(edgeTables())
+	if han == nil {
+		han = ser.callerRoutes()
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	htt := ser.callerServer(ser.edge(han))
+	go htt.Serve(&limitedListener{Listener: lis, max: int64(set.MaxConns), refused: tally.NoopScope.Counter("")})
+	t.Cleanup(func() { htt.Close() })
+	return ser, lis.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	con, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { con.Close() })
+	require.NoError(t, con.SetDeadline(time.Now().Add(edgeTimeout)))
+	return con
+}
+
+// answer reads one answer and tells its status, code and run.
+func answer(t *testing.T, rea *bufio.Reader) string {
+	t.Helper()
+	res, err := http.ReadResponse(rea, nil)
+	if err != nil {
+		return "closed without an answer\n"
+	}
+	defer res.Body.Close()
+	var bod struct {
+		Error struct{ Type, Code string }
+	}
+	// A connection may be reset after an answer to a header that is too long.
+	txt, _ := io.ReadAll(res.Body)
+	_ = json.Unmarshal(txt, &bod)
+	return strings.Join(strings.Fields(fmt.Sprintln(res.StatusCode, bod.Error.Type, bod.Error.Code, res.Header.Get(responder.RunHeader))), " ") + "\n"
+}
+
+// TestEdge sends the raw requests of testdata/edge. BODY(n) stands for a prompt
+// of n bytes, LENGTH for the length of what follows the header, KEY for a key
+// of a team, LONG for 13,000 bytes, \r and \x00 for themselves.
+func TestEdge(t *testing.T) {
+	_, add := startEdge(t, edgeSettings(), nil)
+	datadriven.RunTest(t, "testdata/edge", func(t *testing.T, dat *datadriven.TestData) string {
+		con := dial(t, add)
+		_, err := con.Write(rawRequest(dat.Input))
+		require.NoError(t, err)
+		if dat.HasArg("half-close") {
+			require.NoError(t, con.(*net.TCPConn).CloseWrite())
+		}
+		return answer(t, bufio.NewReader(con))
+	})
+}
+
+func rawRequest(txt string) []byte {
+	hea, bod, _ := strings.Cut(txt, "\n\n")
+	var siz int
+	if _, err := fmt.Sscanf(bod, "BODY(%d)", &siz); err == nil {
+		bod = promptBody(siz)
+	}
+	if strings.Contains(hea, "chunked") {
+		bod = strings.ReplaceAll(bod, "\n", "\r\n") + "\r\n\r\n"
+	}
+	hea = strings.NewReplacer("\n", "\r\n", "LENGTH", fmt.Sprint(len(bod)), "KEY", "Bearer "+edgeKey, `\r`, "\r", `\x00`, "\x00", "LONG", strings.Repeat("y", 13_000)).Replace(hea)
+	return []byte(hea + "\r\n\r\n" + bod)
+}
+
+// promptBody is a prompt of exactly siz bytes.
+func promptBody(siz int) string {
+	hea, end := `{"model":"`+edgeModel+`","max_tokens":1,"prompt":"`, `"}`
+	return hea + strings.Repeat("x", max(siz-len(hea)-len(end), 1)) + end
+}
+
+// TestSlowSender stops in the middle of a body, and then of a header.
+func TestSlowSender(t *testing.T) {
+	_, add := startEdge(t, edgeSettings(), nil)
+	con := dial(t, add)
+	fmt.Fprintf(con, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", edgeKey)
+	require.Equal(t, "408 invalid_request_error body_too_slow NotRun\n", answer(t, bufio.NewReader(con)))
+	con = dial(t, add)
+	fmt.Fprint(con, "POST /v1/completions HTTP/1.1\r\nHost")
+	require.Equal(t, "400\n", answer(t, bufio.NewReader(con)))
+}
+
+// TestSlowReader leaves a long answer unread: the host gives it up.
+func TestSlowReader(t *testing.T) {
+	end := make(chan error, 1)
+	_, add := startEdge(t, edgeSettings(), http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+		buf := bytes.Repeat([]byte("x"), 1<<20)
+		for {
+			if _, err := wri.Write(buf); err != nil {
+				end <- err
+				return
+			}
+		}
+	}))
+	con := dial(t, add)
+	fmt.Fprint(con, "GET /slots HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case err := <-end:
+		require.ErrorContains(t, err, "timeout")
+	case <-time.After(edgeTimeout):
+		require.Fail(t, "the host still waits for the reader")
+	}
+}
+
+// TestLongStream goes on past the read time-out: it bounds the request only.
+func TestLongStream(t *testing.T) {
+	set := edgeSettings()
+	_, add := startEdge(t, set, http.HandlerFunc(func(wri http.ResponseWriter, htr *http.Request) {
+		for range 5 {
+			fmt.Fprintln(wri, "token")
+			_ = http.NewResponseController(wri).Flush()
+			select {
+			case <-time.After(set.ReadTimeout / 2):
+			case <-htr.Context().Done():
+				return
+			}
+		}
+	}))
+	res, err := http.Post("http://"+add+"/", "text/plain", strings.NewReader("hum"))
+	require.NoError(t, err)
+	defer res.Body.Close()
+	txt, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Equal(t, strings.Repeat("token\n", 5), string(txt))
+}
+
+// TestConnectionLimit opens more connections than allowed.
+func TestConnectionLimit(t *testing.T) {
+	set := edgeSettings()
+	set.MaxConns = 2
+	set.IdleTimeout = time.Minute
+	set.ReadTimeout = time.Minute
+	_, add := startEdge(t, set, nil)
+	var cons []net.Conn
+	for range set.MaxConns {
+		con := dial(t, add)
+		fmt.Fprint(con, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.Equal(t, "200\n", answer(t, bufio.NewReader(con)))
+		cons = append(cons, con)
+	}
+	con := dial(t, add)
+	fmt.Fprint(con, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.Equal(t, "503 server_error host_full NotRun\n", answer(t, bufio.NewReader(con)))
+	cons[0].Close()
+	require.Eventually(t, func() bool {
+		con := dial(t, add)
+		fmt.Fprint(con, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		return answer(t, bufio.NewReader(con)) == "200\n"
+	}, edgeTimeout, 10*time.Millisecond)
+}
+
+// TestBodyMemory lets callers announce more than the host may hold.
+func TestBodyMemory(t *testing.T) {
+	set := edgeSettings()
+	set.MaxBodyMemory = 10_000
+	set.ReadTimeout = time.Minute
+	ser, add := startEdge(t, set, nil)
+	hold := dial(t, add)
+	fmt.Fprintf(hold, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 3000\r\n\r\n{", edgeKey)
+	require.Eventually(t, func() bool { return ser.bodies.Used() == 9000 }, edgeTimeout, time.Millisecond)
+	con := dial(t, add)
+	con.Write(rawRequest("POST /v1/completions HTTP/1.1\nHost: x\nAuthorization: KEY\nContent-Length: LENGTH\n\nBODY(1000)"))
+	require.Equal(t, "503 server_error host_memory_full NotRun\n", answer(t, bufio.NewReader(con)))
+	hold.Close()
+	require.Eventually(t, func() bool { return ser.bodies.Used() == 0 }, edgeTimeout, time.Millisecond)
+}
+
+// TestUnauthorizedBody announces a large body without a key: nothing of it is
+// asked for or reserved.
+func TestUnauthorizedBody(t *testing.T) {
+	ser, add := startEdge(t, edgeSettings(), nil)
+	con := dial(t, add)
+	fmt.Fprint(con, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\nExpect: 100-continue\r\n\r\n")
+	rea := bufio.NewReader(con)
+	require.Equal(t, "401 authentication_error invalid_api_key NotRun\n", answer(t, rea))
+	require.Zero(t, ser.bodies.Used())
+}
--- /dev/null
+++ b/process/server/listener.go
@@ -0,0 +1,85 @@
+package server
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	refusalTimeout = time.Second
+	// maxRefusals bounds the surplus connections that are told why; those
+	// beyond are closed at once.
+	maxRefusals      = 64
+	refusalReadBytes = 64 << 10
+)
+
+const (
+	refusalBody = `{"error":{"message":"the host has too many connections","type":"server_error","param":null,"code":"host_full"}}`
+	refusalHead = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\n" +
+		"Retry-After: 1\r\nHemlockpin-Run: NotRun\r\nContent-Length: %d\r\n\r\n%s"
+)
+
+// limitedListener bounds the open connections. A surplus one is told so and
+// closed, so that the accept queue does not hold callers until their time-outs.
+type limitedListener struct {
+	net.Listener
+	max     int64
+	refused tally.Counter
+
+	open     atomic.Int64
+	refusing atomic.Int64
+}
+
+// Accept returns the next connection within the limit.
+func (lis *limitedListener) Accept() (net.Conn, error) {
+	for {
+		con, err := lis.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if lis.open.Add(1) <= lis.max {
+			return &limitedConn{Conn: con, open: &lis.open}, nil
+		}
+		lis.open.Add(-1)
+		lis.refused.Inc(1)
+		go lis.refuse(con)
+	}
+}
+
+// refuse answers and then reads what the caller still sends, because closing
+// with unread data would discard the answer.
+func (lis *limitedListener) refuse(con net.Conn) {
+	defer con.Close()
+	defer lis.refusing.Add(-1)
+	if lis.refusing.Add(1) > maxRefusals {
+		return
+	}
+	_ = con.SetDeadline(time.Now().Add(refusalTimeout))
+	if _, err := fmt.Fprintf(con, refusalHead, len(refusalBody), refusalBody); err != nil {
+		return
+	}
+	if tcp, ok := con.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_, _ = io.CopyN(io.Discard, con, refusalReadBytes)
+}
+
+// limitedConn leaves its place when it is closed.
+type limitedConn struct {
+	net.Conn
+	open   *atomic.Int64
+	closed atomic.Bool
+}
+
+// Close closes the connection.
+func (con *limitedConn) Close() error {
+	if !con.closed.Swap(true) {
+		con.open.Add(-1)
+	}
+	return con.Conn.Close()
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -23,11 +23,11 @@
 	"hemlockpin/request/admitter"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/placer"
+	"hemlockpin/request/receiver"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"go.opentelemetry.io/otel"
 )
 
@@ -58,6 +58,8 @@
 	admitter    *admitter.Admitter
 	allocator   *allocator.Allocator
 	executor    *executor.Executor
+	meter       *meter
+	bodies      receiver.Budget
 	draining    atomic.Bool
 	started     time.Time
 	// requestDrain has the effect of SIGTERM. It is set by Run.
@@ -67,12 +69,10 @@
 // New joins the parts of a host.
 func New(set configurer.Settings, log zerolog.Logger, now time.Time) *Server {
 	ser := &Server{Settings: set, Log: log, Incarnation: uint64(now.UnixNano()), started: now}
-	rep := prometheus.NewReporter(prometheus.Options{})
-	ser.metrics = rep.HTTPHandler()
-	ser.scope, _ = tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "hemlockpin", CachedReporter: rep, Separator: prometheus.DefaultSeparator, SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, time.Second)
+	ser.scope, ser.metrics = newScope(log)
 	own := invoker.Owner{Host: set.HostID, Incarnation: ser.Incarnation}
+	ser.meter = newMeter(ser.scope)
+	ser.bodies.MaxBytes = set.MaxBodyMemory
 	ser.invoker = &invoker.Invoker{}
 	ser.persister = &persister.Persister{BaseURL: set.Platform}
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
@@ -109,10 +109,13 @@
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
 	gro.Go(func() { ser.refresh(work) })
+	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
-	cal := &http.Server{Handler: ser.callerRoutes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: ser.Settings.ReadTimeout, MaxHeaderBytes: ser.Settings.MaxHeader}
+	cal := ser.callerServer(ser.edge(ser.callerRoutes()))
 	ope := &http.Server{Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
-	gro.Go(func() { _ = cal.Serve(liss.caller) })
+	gro.Go(func() {
+		_ = cal.Serve(&limitedListener{Listener: liss.caller, max: int64(ser.Settings.MaxConns), refused: ser.scope.Counter("connections_refused")})
+	})
 	gro.Go(func() { _ = ope.Serve(liss.operator) })
 	ser.Log.Info().Str("Host", ser.Settings.HostID).Str("Listen", ser.Settings.Listen).Msg("host started")
 	<-ctx.Done()
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -110,6 +110,7 @@
 	if err != nil {
 		return err
 	}
+	responder.Describe(req.writer, responder.Labels{Route: rou.Name, Pool: poo.Name, Team: req.team.Name, PromptTokens: que.PromptTokens})
 	req.route = rou
 	req.pool = poo
 	req.deadline = ded
@@ -120,7 +121,7 @@
 func problemOf(err error) responder.Problem {
 	var bad *receiver.BadRequestError
 	if eris.As(err, &bad) {
-		return responder.Problem{Status: bad.Status, Code: bad.Code, Param: bad.Param, Message: bad.Message, Ran: invoker.NotRun}
+		return responder.Problem{Status: bad.Status, Code: bad.Code, Param: bad.Param, Message: bad.Message, Ran: invoker.NotRun, RetryAfter: bad.RetryAfter}
 	}
 	var ref *RefusedError
 	if eris.As(err, &ref) {
--- a/request/responder/answer.go
+++ b/request/responder/answer.go
@@ -78,6 +78,7 @@
 		WriteProblem(ans.Writer, pro)
 		return
 	}
+	note(ans.Writer, pro)
 	buf, _ := json.Marshal(pro.body())
 	_ = ans.send(buf)
 }
--- a/request/responder/responder.go
+++ b/request/responder/responder.go
@@ -66,6 +66,7 @@
 
 // WriteProblem writes a refusal before any other part of the answer.
 func WriteProblem(wri http.ResponseWriter, pro Problem) {
+	note(wri, pro)
 	if pro.RetryAfter > 0 {
 		sec := int64((pro.RetryAfter + time.Second - 1) / time.Second)
 		wri.Header().Set("Retry-After", strconv.FormatInt(sec, 10))
