--- a/process/allocator/outstanding.go
+++ b/process/allocator/outstanding.go
@@ -4,5 +4,9 @@
 func (all *Allocator) Outstanding(id string) int {
 	all.mu.Lock()
 	defer all.mu.Unlock()
-	return all.work[id].requests
+	use := all.work[id]
+	if use == nil {
+		return 0
+	}
+	return use.requests
 }
--- a/process/server/explain.go
+++ b/process/server/explain.go
@@ -29,7 +29,12 @@
 type Explanation struct {
 	Host string
 	explainer.Explanation
-	// Decision is what placement on this host would do now.
+	// Cell and Scheduler name the queue that a prompt would wait in and the host
+	// that grants endpoints from it; empty if this host places by itself.
+	Cell      string `json:",omitempty"`
+	Scheduler string `json:",omitempty"`
+	// Decision is what this host would do now by itself. A scheduler that knows
+	// more of its cell may choose another endpoint.
 	Decision  string
 	Endpoint  string `json:",omitempty"`
 	Endpoints []EndpointView
@@ -82,6 +87,7 @@
 	for _, end := range vie.Endpoints {
 		exp.Endpoints = append(exp.Endpoints, endpointView(end, pla, now))
 	}
+	exp.Cell, exp.Scheduler = ser.allocator.Scheduler(pla, *exp.Pool, now)
 	seed := uint64(now.UnixNano())
 	exp.Decision, exp.Endpoint = describe(placer.Decide(placer.Policy(ser.Settings.Placement), pla, vie, now, rand.New(rand.NewPCG(seed, seed))))
 	return exp
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -19,10 +19,10 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
 	"hemlockpin/request/executor"
-	"hemlockpin/request/placer"
 	"hemlockpin/request/receiver"
 
 	"github.com/rotisserie/eris"
@@ -60,6 +60,8 @@
 	executor    *executor.Executor
 	meter       *meter
 	bodies      receiver.Budget
+	scheduler   *scheduler.Scheduler
+	cells       *allocator.Cells
 	draining    atomic.Bool
 	started     time.Time
 	// requestDrain has the effect of SIGTERM. It is set by Run.
@@ -77,15 +79,15 @@
 	ser.persister = &persister.Persister{BaseURL: set.Platform}
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
-	ser.journal = &journaler.Journal{Store: ser.persister}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
 	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
 	ser.gossiper = &gossiper.Gossiper{
 		Self:        &messenger.Member{Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Incarnation: ser.Incarnation},
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
 	}
+	ser.journal = ser.newJournal()
 	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
-	ser.allocator = &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own}
+	ser.allocator = ser.newAllocator(own)
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
@@ -108,6 +110,8 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
+	gro.Go(func() { ser.scheduler.Run(work) })
+	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresh(work) })
 	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
@@ -136,6 +140,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), ser.Settings.DrainTimeout)
 	defer stop()
 	err := cal.Shutdown(ctx)
+	ser.executor.Settle()
+	ser.awaitClaims(ctx)
 	ser.Log.Info().Err(err).Msg("host stopped")
 	return eris.Wrap(err, "Server.drain: requests in progress at the drain time-out")
 }
@@ -191,12 +197,15 @@
 		}
 		return &messenger.Envelope{Body: &messenger.Envelope_TablesAck{TablesAck: &messenger.TablesAck{Revision: ser.publisher.Current().Revision()}}}
 	case *messenger.Envelope_ClaimCommit:
-		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, time.Now())}}
+		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Write(ctx, bod.ClaimCommit)}}
 	case *messenger.Envelope_StatusQuery:
 		return &messenger.Envelope{Body: &messenger.Envelope_StatusReport{StatusReport: ser.report()}}
 	case *messenger.Envelope_DrainOrder:
 		return ser.handleDrain(bod.DrainOrder)
 	default:
+		if rep := ser.handleSchedule(ctx, env); rep != nil {
+			return rep
+		}
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
 }
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
+	"hemlockpin/request/budgeter"
 	"hemlockpin/request/placer"
 	"hemlockpin/request/receiver"
 	"hemlockpin/request/responder"
@@ -50,7 +53,11 @@
 
 // Claims commits changes of claims.
 type Claims interface {
-	Commit(ctx context.Context, com *messenger.ClaimCommit, now time.Time) *messenger.ClaimResult
+	// Commit commits a change and ends with ctx.
+	Commit(ctx context.Context, com *messenger.ClaimCommit) *messenger.ClaimResult
+	// Settle retries a change in the background and closes the channel when
+	// it is done.
+	Settle(com *messenger.ClaimCommit) <-chan struct{}
 }
 
 // Admitter decides whether a request may enter at all.
@@ -70,8 +77,44 @@
 	Tracer    trace.Tracer
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// Retries bounds the dispatches after the first of all requests.
+	Retries budgeter.Budget
+
+	counted sync.Once
+	count   counters
+	pending sync.WaitGroup
+	mu      sync.Mutex
+	running map[string]int
+	claimed atomic.Int64
 }
 
+// track notes a request as in progress until the returned function is called.
+func (exe *Executor) track(id string) func() {
+	exe.mu.Lock()
+	defer exe.mu.Unlock()
+	if exe.running == nil {
+		exe.running = map[string]int{}
+	}
+	exe.running[id]++
+	return func() {
+		exe.mu.Lock()
+		defer exe.mu.Unlock()
+		if exe.running[id]--; exe.running[id] == 0 {
+			delete(exe.running, id)
+		}
+	}
+}
+
+// InProgress reports whether this host works on a request.
+func (exe *Executor) InProgress(id string) bool {
+	exe.mu.Lock()
+	defer exe.mu.Unlock()
+	return exe.running[id] > 0
+}
+
+// Settle waits until what ended requests left to do on endpoints is done.
+func (exe *Executor) Settle() { exe.pending.Wait() }
+
 // request is the part that prompts and calls share.
 type request struct {
 	id       string
