--- a/cmd/hemlockpin/explain.go
+++ b/cmd/hemlockpin/explain.go
@@ -71,6 +71,9 @@
 	if exp.Route != nil {
 		fmt.Fprintf(com.out, "route %s, pool %s, %s %s\n", exp.Route.Name, exp.Pool.Name, exp.Decision, exp.Endpoint)
 	}
+	if exp.Scheduler != "" {
+		fmt.Fprintf(com.out, "cell %s, scheduled by host %s; the endpoint is what host %s would take without it\n", exp.Cell, exp.Scheduler, exp.Host)
+	}
 	rows := make([][]string, 0, len(exp.Candidates))
 	for _, can := range exp.Candidates {
 		why := strings.Join(can.Reasons, "; ")
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -30,6 +30,10 @@
 	ReadTimeout  time.Duration `long:"read-timeout" env:"HEMLOCKPIN_READ_TIMEOUT" default:"30s" description:"limit for receiving a request"`
 	DrainTimeout time.Duration `long:"drain-timeout" env:"HEMLOCKPIN_DRAIN_TIMEOUT" default:"10m" description:"limit for requests in progress at shutdown"`
 
+	WriteTimeout  time.Duration `long:"write-timeout" env:"HEMLOCKPIN_WRITE_TIMEOUT" default:"30s" description:"limit of one write to a slow reader"`
+	IdleTimeout   time.Duration `long:"idle-timeout" env:"HEMLOCKPIN_IDLE_TIMEOUT" default:"2m" description:"limit of a caller's connection without a request"`
+	MaxBodyMemory int64         `long:"max-body-memory" env:"HEMLOCKPIN_MAX_BODY_MEMORY" default:"536870912" description:"limit of the memory for bodies of requests in progress, in bytes, counting three copies of each"`
+
 	LoadInterval time.Duration `long:"load-interval" env:"HEMLOCKPIN_LOAD_INTERVAL" default:"250ms" description:"interval of engine load reports"`
 	ListInterval time.Duration `long:"list-interval" env:"HEMLOCKPIN_LIST_INTERVAL" default:"1s" description:"interval of reading the platform's list"`
 	Heartbeat    time.Duration `long:"heartbeat-interval" env:"HEMLOCKPIN_HEARTBEAT_INTERVAL" default:"1s" description:"interval of probes between hosts"`
@@ -94,6 +98,9 @@
 		{"--max-connections", int64(set.MaxConns)},
 		{"--max-requests", int64(set.MaxRequests)},
 		{"--read-timeout", int64(set.ReadTimeout)},
+		{"--write-timeout", int64(set.WriteTimeout)},
+		{"--idle-timeout", int64(set.IdleTimeout)},
+		{"--max-body-memory", set.MaxBodyMemory},
 		{"--drain-timeout", int64(set.DrainTimeout)},
 		{"--load-interval", int64(set.LoadInterval)},
 		{"--list-interval", int64(set.ListInterval)},
--- a/request/responder/answer.go
+++ b/request/responder/answer.go
@@ -180,6 +180,7 @@
 		WriteProblem(ans.Writer, pro)
 		return
 	}
+	note(ans.Writer, pro)
 	buf, _ := json.Marshal(pro.body())
 	ans.event(buf)
 	_ = ans.Flush(now)
