--- /dev/null
+++ b/connection/multiplexer/heartbeat.go
@@ -0,0 +1,45 @@
+package multiplexer
+
+import (
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	// heartbeatTimeout bounds the reply of a heartbeat; a session that misses
+	// one is closed.
+	heartbeatTimeout = time.Second
+	// idleTimeout is how long a session is kept without calls.
+	idleTimeout = 15 * time.Second
+)
+
+// guard sends heartbeats on a session as long as it carries calls, and closes
+// it when one is not answered. A session without calls costs nothing; idle, if
+// not nil, reports whether it may be closed after idleTimeout.
+func guard(ses *yamux.Session, idle func() bool) {
+	tic := time.NewTicker(heartbeatInterval)
+	defer tic.Stop()
+	var quiet time.Duration
+	for {
+		select {
+		case <-tic.C:
+		case <-ses.CloseChan():
+			return
+		}
+		if ses.NumStreams() > 0 {
+			quiet = 0
+			if _, err := ses.Ping(); err != nil {
+				ses.Close()
+				return
+			}
+			continue
+		}
+		quiet += heartbeatInterval
+		if idle != nil && quiet >= idleTimeout && idle() {
+			ses.Close()
+			return
+		}
+	}
+}
--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -19,9 +19,8 @@
 
 const (
 	dialTimeout       = 500 * time.Millisecond
-	keepAliveInterval = time.Second
-	writeTimeout      = 2 * time.Second
 	streamOpenTimeout = 2 * time.Second
+	streamCloseDelay  = 2 * time.Second
 )
 
 // Handler answers one call of a peer. The context ends when the peer gives the
@@ -34,43 +33,52 @@
 	Handler Handler
 
 	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	sessions map[string]*session
 	accepted map[*yamux.Session]struct{}
+	closed   bool
+}
+
+// session is a dialed session and the number of calls that use it.
+type session struct {
+	*yamux.Session
+	calls int
 }
 
 func sessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
-	cfg.KeepAliveInterval = keepAliveInterval
-	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = heartbeatTimeout
 	cfg.StreamOpenTimeout = streamOpenTimeout
-	cfg.StreamCloseTimeout = writeTimeout
+	cfg.StreamCloseTimeout = streamCloseDelay
 	cfg.LogOutput = io.Discard
 	return cfg
 }
 
-// Call sends env to the host at address and waits for its reply.
-// A session on which a call timed out is closed, so that the next call dials.
+// Call sends env to the host at address and waits for its reply. After a
+// timeout the next call dials anew, while calls in progress keep the session
+// for as long as it answers heartbeats.
 func (mul *Multiplexer) Call(ctx context.Context, address string, env *messenger.Envelope) (*messenger.Envelope, error) {
-	ses, err := mul.session(ctx, address)
+	ses, err := mul.acquire(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	defer mul.release(ses)
 	str, err := ses.OpenStream()
 	if err != nil {
-		mul.drop(address, ses)
+		mul.retire(address, ses)
 		return nil, eris.Wrapf(err, "Multiplexer.Call: open stream to peer %s", address)
 	}
 	defer str.Close()
 	stop := context.AfterFunc(ctx, func() { str.Close(); _ = str.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := messenger.Write(str, env); err != nil {
-		mul.drop(address, ses)
+		mul.retire(address, ses)
 		return nil, eris.Wrapf(err, "Multiplexer.Call: send to peer %s", address)
 	}
 	rep, err := messenger.Read(str)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			mul.drop(address, ses)
+			mul.retire(address, ses)
 		}
 		return nil, eris.Wrapf(err, "Multiplexer.Call: reply of peer %s", address)
 	}
@@ -80,50 +88,97 @@
 	return rep, nil
 }
 
-func (mul *Multiplexer) session(ctx context.Context, address string) (*yamux.Session, error) {
-	mul.mu.Lock()
-	ses := mul.sessions[address]
-	mul.mu.Unlock()
-	if ses != nil && !ses.IsClosed() {
+// acquire returns a session that stays open until it is released.
+func (mul *Multiplexer) acquire(ctx context.Context, address string) (*session, error) {
+	if ses := mul.reuse(address); ses != nil {
 		return ses, nil
 	}
 	dia := net.Dialer{Timeout: dialTimeout}
 	con, err := dia.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "Multiplexer.session: dial peer %s", address)
+		return nil, eris.Wrapf(err, "Multiplexer.acquire: dial peer %s", address)
 	}
-	ses, err = yamux.Client(con, sessionConfig())
+	yam, err := yamux.Client(con, sessionConfig())
 	if err != nil {
 		con.Close()
-		return nil, eris.Wrapf(err, "Multiplexer.session: open session to peer %s", address)
+		return nil, eris.Wrapf(err, "Multiplexer.acquire: open session to peer %s", address)
+	}
+	return mul.keep(address, &session{Session: yam})
+}
+
+func (mul *Multiplexer) reuse(address string) *session {
+	mul.mu.Lock()
+	defer mul.mu.Unlock()
+	ses := mul.sessions[address]
+	if ses == nil || ses.IsClosed() {
+		return nil
 	}
-	return mul.keep(address, ses), nil
+	ses.calls++
+	return ses
 }
 
 // keep stores ses unless another call stored a live session first.
-func (mul *Multiplexer) keep(address string, ses *yamux.Session) *yamux.Session {
+func (mul *Multiplexer) keep(address string, ses *session) (*session, error) {
 	mul.mu.Lock()
 	defer mul.mu.Unlock()
+	if mul.closed {
+		ses.Close()
+		return nil, eris.Errorf("Multiplexer.keep: closed while dialing peer %s", address)
+	}
 	if old := mul.sessions[address]; old != nil && !old.IsClosed() {
 		ses.Close()
-		return old
+		old.calls++
+		return old, nil
 	}
 	if mul.sessions == nil {
-		mul.sessions = map[string]*yamux.Session{}
+		mul.sessions = map[string]*session{}
 	}
+	ses.calls++
 	mul.sessions[address] = ses
-	return ses
+	go func() {
+		guard(ses.Session, func() bool { return mul.expire(address, ses) })
+		mul.retire(address, ses)
+	}()
+	return ses, nil
 }
 
-func (mul *Multiplexer) drop(address string, ses *yamux.Session) {
-	ses.Close()
+func (mul *Multiplexer) release(ses *session) {
 	mul.mu.Lock()
 	defer mul.mu.Unlock()
+	ses.calls--
+}
+
+// expire takes a session out of use unless a call holds it.
+func (mul *Multiplexer) expire(address string, ses *session) bool {
+	mul.mu.Lock()
+	defer mul.mu.Unlock()
+	if ses.calls > 0 {
+		return false
+	}
+	mul.forget(address, ses)
+	return true
+}
+
+// retire keeps later calls off a session. Its own calls end by heartbeat.
+func (mul *Multiplexer) retire(address string, ses *session) {
+	mul.mu.Lock()
+	defer mul.mu.Unlock()
+	mul.forget(address, ses)
+}
+
+func (mul *Multiplexer) forget(address string, ses *session) {
 	if mul.sessions[address] == ses {
 		delete(mul.sessions, address)
 	}
 }
 
+// Sessions returns the number of sessions that this host has dialed and keeps.
+func (mul *Multiplexer) Sessions() int {
+	mul.mu.Lock()
+	defer mul.mu.Unlock()
+	return len(mul.sessions)
+}
+
 // Serve answers the calls of peers that connect to lis until it is closed.
 func (mul *Multiplexer) Serve(lis net.Listener) error {
 	for {
@@ -144,6 +199,7 @@
 	mul.track(ses, true)
 	defer mul.track(ses, false)
 	defer ses.Close()
+	go guard(ses, nil)
 	for {
 		str, err := ses.AcceptStream()
 		if err != nil {
@@ -192,6 +248,7 @@
 func (mul *Multiplexer) Close() {
 	mul.mu.Lock()
 	defer mul.mu.Unlock()
+	mul.closed = true
 	for _, ses := range mul.sessions {
 		ses.Close()
 	}
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -30,6 +30,9 @@
 	ReadTimeout  time.Duration `long:"read-timeout" env:"HEMLOCKPIN_READ_TIMEOUT" default:"30s" description:"limit for receiving a request"`
 	DrainTimeout time.Duration `long:"drain-timeout" env:"HEMLOCKPIN_DRAIN_TIMEOUT" default:"10m" description:"limit for requests in progress at shutdown"`
 
+	DrainNotice time.Duration `long:"drain-notice" env:"HEMLOCKPIN_DRAIN_NOTICE" default:"2s" description:"how long a draining host still takes requests, for the balancer to turn away"`
+	SeedPeers   []string      `long:"seed-peer" env:"HEMLOCKPIN_SEED_PEERS" env-delim:"," description:"address of another host, as IP:port, to ask when the platform is out"`
+
 	LoadInterval time.Duration `long:"load-interval" env:"HEMLOCKPIN_LOAD_INTERVAL" default:"250ms" description:"interval of engine load reports"`
 	ListInterval time.Duration `long:"list-interval" env:"HEMLOCKPIN_LIST_INTERVAL" default:"1s" description:"interval of reading the platform's list"`
 	Heartbeat    time.Duration `long:"heartbeat-interval" env:"HEMLOCKPIN_HEARTBEAT_INTERVAL" default:"1s" description:"interval of probes between hosts"`
@@ -74,6 +77,11 @@
 			fas = append(fas, fmt.Sprintf("%s %q must be IP:port", add.flag, add.val))
 		}
 	}
+	for _, add := range set.SeedPeers {
+		if !validAddress(add) {
+			fas = append(fas, fmt.Sprintf("--seed-peer %q must be IP:port", add))
+		}
+	}
 	if ure, err := url.Parse(set.Platform); err != nil || ure.Scheme != "http" && ure.Scheme != "https" || ure.Host == "" {
 		fas = append(fas, fmt.Sprintf("--platform %q must be a URL such as http://127.0.0.1:7000", set.Platform))
 	}
@@ -97,6 +105,7 @@
 		{"--max-requests", int64(set.MaxRequests)},
 		{"--read-timeout", int64(set.ReadTimeout)},
 		{"--drain-timeout", int64(set.DrainTimeout)},
+		{"--drain-notice", int64(set.DrainNotice)},
 		{"--load-interval", int64(set.LoadInterval)},
 		{"--list-interval", int64(set.ListInterval)},
 		{"--heartbeat-interval", int64(set.Heartbeat)},
--- /dev/null
+++ b/process/gossiper/exchange.go
@@ -0,0 +1,132 @@
+package gossiper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hemlockpin/connection/messenger"
+)
+
+// ping builds the probe of a peer.
+func (gos *Gossiper) ping(target string) *messenger.Envelope {
+	now := time.Now()
+	upds, self := gos.updates(target)
+	rev, age := gos.Publisher.Freshness(now)
+	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
+		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
+		Digests: gos.digests(now), Notices: gos.notices(now),
+	}}}
+}
+
+func (gos *Gossiper) pong(target string) *messenger.Envelope {
+	now := time.Now()
+	upds, self := gos.updates(target)
+	rev, age := gos.Publisher.Freshness(now)
+	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
+		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
+		Digests: gos.digests(now), Notices: gos.notices(now),
+	}}}
+}
+
+func (gos *Gossiper) updates(target string) ([]*messenger.Member, *messenger.Member) {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	upds := gos.state().Updates(target)
+	return membersOf(upds), gos.state().Self.Member()
+}
+
+func (gos *Gossiper) digests(now time.Time) []*messenger.LoadDigest {
+	if gos.Cargo.Digests == nil {
+		return nil
+	}
+	return gos.Cargo.Digests(now)
+}
+
+func (gos *Gossiper) notices(now time.Time) []*messenger.EndpointNotice {
+	if gos.Cargo.Notices == nil {
+		return nil
+	}
+	return gos.Cargo.Notices(now)
+}
+
+// HandlePing answers a probe.
+func (gos *Gossiper) HandlePing(ctx context.Context, pin *messenger.Ping, now time.Time) *messenger.Envelope {
+	fro, ok := PeerOf(pin.GetFrom())
+	if !ok || pin.GetTarget() != gos.Self.GetId() {
+		return messenger.NewFailure("wrong_target", "the probe is not for this host")
+	}
+	fro.TablesRevision = pin.GetTablesRevision()
+	gos.step(ctx, Heard{From: fro, Updates: peersOf(pin.GetUpdates())}, now)
+	gos.takeCargo(ctx, pin.GetDigests(), pin.GetNotices(), now)
+	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), now.Add(-time.Duration(pin.GetTablesAgeMs())*time.Millisecond))
+	if pin.GetTablesRevision() > gos.Publisher.Current().Revision() {
+		go gos.Pull(context.WithoutCancel(ctx), gos.address(fro))
+	}
+	return gos.pong(fro.ID)
+}
+
+// HandleIndirect probes a peer on behalf of another host.
+func (gos *Gossiper) HandleIndirect(ctx context.Context, ind *messenger.PingIndirect) *messenger.Envelope {
+	rep, err := gos.call(ctx, indirectTimeout, ind.GetAddress(), &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: ind.GetPing()}})
+	if err != nil {
+		return messenger.NewFailure("unreached", err.Error())
+	}
+	return rep
+}
+
+// HandleMembersPull lists the members.
+func (gos *Gossiper) HandleMembersPull(ctx context.Context, pul *messenger.MembersPull, now time.Time) *messenger.Envelope {
+	if fro, ok := PeerOf(pul.GetFrom()); ok {
+		gos.step(ctx, Heard{From: fro}, now)
+	}
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	return &messenger.Envelope{Body: &messenger.Envelope_MembersPush{MembersPush: &messenger.MembersPush{Members: membersOf(gos.state().Known())}}}
+}
+
+// HandleNotices takes notices that a peer pushes.
+func (gos *Gossiper) HandleNotices(ctx context.Context, pus *messenger.NoticesPush, now time.Time) *messenger.Envelope {
+	gos.takeCargo(ctx, nil, pus.GetNotices(), now)
+	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
+}
+
+func (gos *Gossiper) takePong(ctx context.Context, pon *messenger.Pong, reached string) {
+	now := time.Now()
+	fro, ok := PeerOf(pon.GetFrom())
+	if !ok {
+		return
+	}
+	fro.TablesRevision = pon.GetTablesRevision()
+	gos.step(ctx, Heard{From: fro, Reached: reached, Updates: peersOf(pon.GetUpdates())}, now)
+	gos.takeCargo(ctx, pon.GetDigests(), pon.GetNotices(), now)
+	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), now.Add(-time.Duration(pon.GetTablesAgeMs())*time.Millisecond))
+	if reached != "" && pon.GetTablesRevision() > gos.Publisher.Current().Revision() {
+		gos.Pull(ctx, reached)
+	}
+}
+
+func (gos *Gossiper) takeCargo(ctx context.Context, digs []*messenger.LoadDigest, nots []*messenger.EndpointNotice, now time.Time) {
+	if len(digs) > 0 && gos.Cargo.TakeDigests != nil {
+		gos.Cargo.TakeDigests(digs, now)
+	}
+	if len(nots) == 0 || gos.Cargo.TakeNotices == nil {
+		return
+	}
+	if news := gos.Cargo.TakeNotices(nots, now); len(news) > 0 {
+		go gos.SpreadNotices(context.WithoutCancel(ctx), news, false)
+	}
+}
+
+// SpreadNotices pushes notices that are news to this host. cross adds peers of
+// other regions.
+func (gos *Gossiper) SpreadNotices(ctx context.Context, nots []*messenger.EndpointNotice, cross bool) {
+	env := func() *messenger.Envelope {
+		return &messenger.Envelope{Body: &messenger.Envelope_NoticesPush{NoticesPush: &messenger.NoticesPush{Notices: nots}}}
+	}
+	var gro sync.WaitGroup
+	for _, per := range gos.fan(cross) {
+		gro.Go(func() { _, _ = gos.call(ctx, probeTimeout, per.Address, env()) })
+	}
+	gro.Wait()
+}
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -1,4 +1,10 @@
-// Package gossiper exchanges heartbeats between hosts and spreads tables.
+// Package gossiper keeps the membership of the entry hosts and spreads news
+// between them at a cost that does not grow with their number.
+//
+// Each interval a host probes one random peer. Probes and their replies carry
+// the last changes of membership, notices of endpoints, load digests and the
+// revision of the tables. A peer that answers neither directly nor through
+// others is suspected, and declared dead unless it refutes in time.
 package gossiper
 
 import (
@@ -11,37 +17,59 @@
 	"hemlockpin/connection/multiplexer"
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/publisher"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 )
 
-const callTimeout = time.Second
+const (
+	probeTimeout    = 500 * time.Millisecond
+	indirectTimeout = 3 * probeTimeout
+	syncTimeout     = 2 * time.Second
+	syncInterval    = 2 * time.Minute
+	// fanOut is the number of peers of the own region to which a host forwards
+	// news at once; one of each other region is added.
+	fanOut = 4
+)
 
-// Gossiper probes the peers that the platform lists.
+// Cargo is what probes carry for other parts of a host. Nil fields carry nothing.
+type Cargo struct {
+	Digests     func(now time.Time) []*messenger.LoadDigest
+	TakeDigests func(digs []*messenger.LoadDigest, now time.Time)
+	Notices     func(now time.Time) []*messenger.EndpointNotice
+	// TakeNotices merges notices and returns those that were news.
+	TakeNotices func(nots []*messenger.EndpointNotice, now time.Time) []*messenger.EndpointNotice
+}
+
+// Gossiper carries out the decisions of a Roster.
 type Gossiper struct {
 	Self        *messenger.Member
 	Multiplexer *multiplexer.Multiplexer
 	Publisher   *publisher.Publisher
 	// Entries returns the platform's list.
 	Entries func() []persister.Entry
+	// Seeds are the peers to ask when the platform's list can't be read.
+	Seeds []string
+	Cargo Cargo
+	// Scope counts probes and changes; nil counts nothing.
+	Scope tally.Scope
+	Log   zerolog.Logger
 
-	mu    sync.Mutex
-	peers map[string]Peer
-}
-
-// Peer is one other host as this one knows it.
-type Peer struct {
-	ID             string
-	Address        string
-	Incarnation    uint64
-	TablesRevision uint64
-	Heard          time.Time
+	mu     sync.Mutex
+	roster *Roster
 }
 
 // Run probes until ctx ends.
 func (gos *Gossiper) Run(ctx context.Context, every time.Duration) {
+	var gro sync.WaitGroup
+	defer gro.Wait()
+	gro.Go(func() { gos.runSync(ctx, every) })
 	tic := time.NewTicker(every)
 	defer tic.Stop()
 	for {
-		gos.probe(ctx)
+		now := time.Now()
+		gos.step(ctx, Listed{gos.listed()}, now)
+		gos.step(ctx, Tick{}, now)
 		select {
 		case <-tic.C:
 		case <-ctx.Done():
@@ -50,81 +78,222 @@
 	}
 }
 
-// Peers returns the hosts heard of.
-func (gos *Gossiper) Peers() []Peer {
+// step takes one decision and carries out its actions.
+func (gos *Gossiper) step(ctx context.Context, eve Event, now time.Time) {
 	gos.mu.Lock()
-	defer gos.mu.Unlock()
-	out := make([]Peer, 0, len(gos.peers))
-	for _, pee := range gos.peers {
-		out = append(out, pee)
+	acts := gos.state().Step(eve, now)
+	gos.mu.Unlock()
+	for _, act := range acts {
+		switch act := act.(type) {
+		case Probe:
+			go gos.probe(ctx, act.Peer)
+		case ProbeVia:
+			go gos.probeVia(ctx, act)
+		case Note:
+			gos.note(act)
+		}
 	}
-	return out
 }
 
-func (gos *Gossiper) targets() []persister.Entry {
-	var out []persister.Entry
+// state returns the roster; the caller holds the lock.
+func (gos *Gossiper) state() *Roster {
+	if gos.roster == nil {
+		self, _ := PeerOf(gos.Self)
+		gos.roster = &Roster{Self: self, Random: rand.New(rand.NewPCG(self.Incarnation, rand.Uint64()))}
+	}
+	return gos.roster
+}
+
+func (gos *Gossiper) note(not Note) {
+	gos.count("membership_changes", map[string]string{"state": string(not.Is)})
+	gos.Log.Info().Str("Peer", not.ID).Str("Was", string(not.Was)).Str("Is", string(not.Is)).Msg("peer changed")
+}
+
+func (gos *Gossiper) count(name string, tags map[string]string) {
+	if gos.Scope != nil {
+		gos.Scope.Tagged(tags).Counter(name).Inc(1)
+	}
+}
+
+// listed returns the entry hosts of the platform's list.
+func (gos *Gossiper) listed() []Peer {
+	var out []Peer
 	for _, ent := range gos.Entries() {
-		if ent.Kind == persister.KindEntry && ent.ID != gos.Self.GetId() {
-			out = append(out, ent)
+		if ent.Kind != persister.KindEntry {
+			continue
+		}
+		per := Peer{ID: ent.ID, Address: ent.Address, DataCenter: ent.DataCenter}
+		if ent.Leaving {
+			per.State = StateLeaving
 		}
+		out = append(out, per)
 	}
 	return out
 }
 
-func (gos *Gossiper) probe(ctx context.Context) {
-	ents := gos.targets()
-	if len(ents) == 0 {
-		return
+func (gos *Gossiper) probe(ctx context.Context, per Peer) {
+	// A second try dials anew, in case the session has gone silent.
+	for range 2 {
+		rep, err := gos.call(ctx, probeTimeout, per.Address, gos.ping(per.ID))
+		if pon := rep.GetPong(); err == nil && pon.GetFrom().GetId() == per.ID {
+			gos.takePong(ctx, pon, per.Address)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	gos.count("probes_missed", nil)
+	gos.step(ctx, Missed{per.ID}, time.Now())
+}
+
+func (gos *Gossiper) probeVia(ctx context.Context, act ProbeVia) {
+	pin := gos.ping(act.Peer.ID).GetPing()
+	pons := make(chan *messenger.Pong, len(act.Vias))
+	for _, via := range act.Vias {
+		env := &messenger.Envelope{Body: &messenger.Envelope_PingIndirect{PingIndirect: &messenger.PingIndirect{Ping: pin, Address: act.Peer.Address}}}
+		go func() {
+			rep, _ := gos.call(ctx, indirectTimeout, via.Address, env)
+			pons <- rep.GetPong()
+		}()
+	}
+	for range act.Vias {
+		if pon := <-pons; pon.GetFrom().GetId() == act.Peer.ID {
+			gos.takePong(ctx, pon, "")
+			return
+		}
 	}
-	ent := ents[rand.IntN(len(ents))]
-	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	if ctx.Err() == nil {
+		gos.step(ctx, Unreached{act.Peer.ID}, time.Now())
+	}
+}
+
+// call sends a message, or fails after the timeout.
+func (gos *Gossiper) call(ctx context.Context, timeout time.Duration, address string, env *messenger.Envelope) (*messenger.Envelope, error) {
+	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
-	rep, err := gos.Multiplexer.Call(ctx, ent.Address, &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
-		From: gos.Self, Target: ent.ID, TablesRevision: gos.Publisher.Current().Revision(),
-	}}})
-	if err != nil {
-		return
+	return gos.Multiplexer.Call(ctx, address, env)
+}
+
+// runSync learns all members from a peer at the start, and again rarely, to
+// make up for changes that were not heard of.
+func (gos *Gossiper) runSync(ctx context.Context, every time.Duration) {
+	for {
+		wait := every
+		if gos.sync(ctx) {
+			wait = syncInterval/2 + rand.N(syncInterval)
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (gos *Gossiper) sync(ctx context.Context) bool {
+	env := &messenger.Envelope{Body: &messenger.Envelope_MembersPull{MembersPull: &messenger.MembersPull{From: gos.self()}}}
+	for _, add := range gos.contacts() {
+		rep, err := gos.call(ctx, syncTimeout, add, env)
+		if err != nil {
+			continue
+		}
+		gos.step(ctx, Heard{Updates: peersOf(rep.GetMembersPush().GetMembers())}, time.Now())
+		gos.Pull(ctx, add)
+		return true
 	}
-	pon := rep.GetPong()
-	gos.heard(pon.GetFrom(), pon.GetTablesRevision(), time.Now())
-	if pon.GetTablesRevision() > gos.Publisher.Current().Revision() {
-		gos.pull(ctx, ent.Address)
+	return false
+}
+
+// contacts returns addresses to learn the members from: a live peer, else the
+// listed ones, else the seeds.
+func (gos *Gossiper) contacts() []string {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	var out []string
+	pers := gos.state().Pick(1, func(Peer) bool { return true })
+	if len(pers) == 0 {
+		pers = gos.state().All()
 	}
+	for _, per := range pers {
+		out = append(out, per.Address)
+	}
+	for _, add := range gos.Seeds {
+		if add != gos.Self.GetAddress() {
+			out = append(out, add)
+		}
+	}
+	return out
+}
+
+func (gos *Gossiper) self() *messenger.Member {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	return gos.state().Self.Member()
+}
+
+// Live returns the peers that can be given work: alive, reachable, not leaving.
+func (gos *Gossiper) Live(time.Time) []Peer {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	return gos.state().Live()
+}
+
+// Peers returns every other host that is known.
+func (gos *Gossiper) Peers() []Peer {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	return gos.state().All()
 }
 
-func (gos *Gossiper) pull(ctx context.Context, address string) {
-	rep, err := gos.Multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_TablesPull{TablesPull: &messenger.TablesPull{
-		HaveRevision: gos.Publisher.Current().Revision(),
-	}}})
-	if err == nil {
-		_ = gos.Publisher.Receive(rep.GetTablesPush())
+// Incarnation returns the newest known process of a host, and whether it is not
+// known to have ended.
+func (gos *Gossiper) Incarnation(host string) (uint64, bool) {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	return gos.state().Incarnation(host)
+}
+
+// address returns where this host reaches a peer.
+func (gos *Gossiper) address(per Peer) string {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	if mem := gos.state().members[per.ID]; mem != nil {
+		return mem.peer().Address
 	}
+	return per.Address
 }
 
-// Push offers a revision to every listed peer.
-func (gos *Gossiper) Push(ctx context.Context, pus *messenger.TablesPush) {
+// Leave tells peers that this host gives up its duties.
+func (gos *Gossiper) Leave(ctx context.Context) {
+	gos.step(ctx, Leave{}, time.Now())
 	var gro sync.WaitGroup
-	for _, ent := range gos.targets() {
+	for _, per := range gos.fan(true) {
 		gro.Go(func() {
-			ctx, stop := context.WithTimeout(ctx, callTimeout)
-			defer stop()
-			_, _ = gos.Multiplexer.Call(ctx, ent.Address, &messenger.Envelope{Body: &messenger.Envelope_TablesPush{TablesPush: pus}})
+			if rep, err := gos.call(ctx, probeTimeout, per.Address, gos.ping(per.ID)); err == nil {
+				gos.takePong(ctx, rep.GetPong(), per.Address)
+			}
 		})
 	}
 	gro.Wait()
 }
 
-func (gos *Gossiper) heard(mem *messenger.Member, rev uint64, now time.Time) {
+// fan picks the peers to which news goes at once: some of the own region and,
+// if cross is set, one of each other.
+func (gos *Gossiper) fan(cross bool) []Peer {
 	gos.mu.Lock()
 	defer gos.mu.Unlock()
-	if gos.peers == nil {
-		gos.peers = map[string]Peer{}
+	ros := gos.state()
+	out := ros.Pick(fanOut, func(per Peer) bool { return per.Region == ros.Self.Region })
+	if !cross {
+		return out
 	}
-	gos.peers[mem.GetId()] = Peer{ID: mem.GetId(), Address: mem.GetAddress(), Incarnation: mem.GetIncarnation(), TablesRevision: rev, Heard: now}
-}
-
-// HandlePing answers a probe.
-func (gos *Gossiper) HandlePing(pin *messenger.Ping, now time.Time) *messenger.Envelope {
-	gos.heard(pin.GetFrom(), pin.GetTablesRevision(), now)
-	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{From: gos.Self, TablesRevision: gos.Publisher.Current().Revision()}}}
+	regs := map[string]bool{ros.Self.Region: true}
+	for _, per := range ros.Pick(len(ros.members), func(per Peer) bool { return per.Region != ros.Self.Region }) {
+		if !regs[per.Region] {
+			regs[per.Region] = true
+			out = append(out, per)
+		}
+	}
+	return out
 }
--- /dev/null
+++ b/process/gossiper/merge.go
@@ -0,0 +1,203 @@
+package gossiper
+
+import (
+	"slices"
+	"time"
+)
+
+func (ros *Roster) heard(eve Heard, now time.Time) []Action {
+	var acts []Action
+	for _, upd := range eve.Updates {
+		acts = append(acts, ros.merge(upd, now)...)
+	}
+	if eve.From.ID == "" || eve.From.ID == ros.Self.ID {
+		return acts
+	}
+	acts = append(acts, ros.merge(eve.From, now)...)
+	mem := ros.members[eve.From.ID]
+	if mem == nil || mem.Incarnation != eve.From.Incarnation {
+		return acts
+	}
+	mem.Heard = now
+	mem.TablesRevision = max(mem.TablesRevision, eve.From.TablesRevision)
+	if eve.Reached != "" {
+		ros.reached(mem, eve.Reached)
+	}
+	return acts
+}
+
+// reached notes that this host's own call to a peer was answered.
+func (ros *Roster) reached(mem *member, address string) {
+	mem.dial = address
+	mem.unreachable = false
+	ros.misses = 0
+	if ros.cut(mem.Region) {
+		for _, oth := range ros.members {
+			oth.unreachable = oth.unreachable && oth.Region != mem.Region
+		}
+	}
+	delete(ros.regions, mem.Region)
+}
+
+// cut reports whether no host of another region can be reached.
+func (ros *Roster) cut(region string) bool { return ros.regions[region] >= cutAfter }
+
+// merge takes what another host holds of a process.
+func (ros *Roster) merge(upd Peer, now time.Time) []Action {
+	if upd.ID == ros.Self.ID {
+		ros.refute(upd)
+		return nil
+	}
+	mem := ros.members[upd.ID]
+	if mem == nil {
+		if upd.State == StateDead {
+			return nil
+		}
+		mem = &member{Peer: Peer{ID: upd.ID, State: StateListed}}
+		ros.members[upd.ID] = mem
+	}
+	if mem.State != StateListed && !upd.newer(mem.Peer) {
+		return nil
+	}
+	was := mem.State
+	if upd.Incarnation != mem.Incarnation {
+		mem.TablesRevision = 0
+		mem.unreachable = false
+	}
+	if was != StateListed && upd.Address != mem.Address {
+		mem.dial = ""
+	}
+	upd.Heard = mem.Heard
+	upd.TablesRevision = mem.TablesRevision
+	mem.Peer = upd
+	mem.since = now
+	ros.broadcast(upd.ID)
+	if was == upd.State {
+		return nil
+	}
+	return []Action{Note{upd.ID, was, upd.State}}
+}
+
+// refute answers a false report about this process.
+func (ros *Roster) refute(upd Peer) {
+	if upd.Incarnation != ros.Self.Incarnation || upd.Refutation < ros.Self.Refutation {
+		return
+	}
+	if upd.State.rank() <= ros.Self.State.rank() {
+		return
+	}
+	ros.Self.Refutation = upd.Refutation + 1
+}
+
+func (ros *Roster) missed(id string, now time.Time) []Action {
+	mem := ros.members[id]
+	if mem == nil || mem.State == StateListed || mem.State == StateDead {
+		return nil
+	}
+	ros.misses++
+	if mem.Region != ros.Self.Region {
+		ros.regions[mem.Region]++
+	}
+	mem.unreachable = !ros.cut(mem.Region)
+	vias := ros.Pick(indirectProbes, func(per Peer) bool { return per.ID != id && per.Region == mem.Region })
+	if len(vias) == 0 {
+		return ros.unreached(id, now)
+	}
+	return []Action{ProbeVia{mem.peer(), vias}}
+}
+
+func (ros *Roster) unreached(id string, now time.Time) []Action {
+	mem := ros.members[id]
+	if mem == nil || !probed(mem) {
+		return nil
+	}
+	switch {
+	case !ros.judges(mem):
+		return nil
+	case mem.State == StateLeaving:
+		return ros.set(mem, StateDead, now)
+	case mem.State == StateAlive:
+		return ros.set(mem, StateSuspect, now)
+	default:
+		return nil
+	}
+}
+
+// judges reports whether this host may declare a peer suspect. Only hosts of
+// its own region may, unless too few are left there: so a cut between regions
+// does not make each side declare the other dead. A host that reaches nobody
+// has reason to doubt itself.
+func (ros *Roster) judges(mem *member) bool {
+	if ros.misses >= doubtAfter || ros.cut(mem.Region) {
+		return false
+	}
+	if mem.Region == ros.Self.Region {
+		return true
+	}
+	own := ros.sorted(func(oth *member) bool {
+		return oth.ID != mem.ID && oth.Region == mem.Region && oth.State == StateAlive
+	})
+	return len(own) < judges
+}
+
+func (ros *Roster) set(mem *member, sta State, now time.Time) []Action {
+	was := mem.State
+	mem.State = sta
+	mem.since = now
+	ros.broadcast(mem.ID)
+	return []Action{Note{mem.ID, was, sta}}
+}
+
+// live reports whether a peer may be given work.
+func (ros *Roster) live(mem *member) bool {
+	return mem.State == StateAlive && !mem.listLeaving && !mem.unreachable && !ros.cut(mem.Region)
+}
+
+// Live returns the peers that are alive, reachable and not leaving, by ID.
+func (ros *Roster) Live() []Peer {
+	ids := ros.sorted(ros.live)
+	out := make([]Peer, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, ros.members[id].peer())
+	}
+	return out
+}
+
+// All returns every peer, by ID.
+func (ros *Roster) All() []Peer {
+	ids := ros.sorted(func(*member) bool { return true })
+	out := make([]Peer, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, ros.members[id].peer())
+	}
+	return out
+}
+
+// Known returns this host and its peers with the addresses that they gave.
+func (ros *Roster) Known() []Peer {
+	out := []Peer{ros.Self}
+	for _, id := range ros.sorted(func(mem *member) bool { return mem.State != StateListed }) {
+		out = append(out, ros.members[id].Peer)
+	}
+	return out
+}
+
+// Pick draws up to num live peers that fit.
+func (ros *Roster) Pick(num int, fit func(Peer) bool) []Peer {
+	pers := slices.DeleteFunc(ros.Live(), func(per Peer) bool { return !fit(per) })
+	ros.Random.Shuffle(len(pers), func(one, two int) { pers[one], pers[two] = pers[two], pers[one] })
+	return pers[:min(num, len(pers))]
+}
+
+// Incarnation returns the newest known process of a host, and whether it is
+// not known to have ended. A host that is only out of reach counts as alive.
+func (ros *Roster) Incarnation(host string) (uint64, bool) {
+	if host == ros.Self.ID {
+		return ros.Self.Incarnation, true
+	}
+	mem := ros.members[host]
+	if mem == nil || mem.State == StateListed {
+		return 0, false
+	}
+	return mem.Incarnation, mem.State != StateDead
+}
--- a/process/publisher/publisher.go
+++ b/process/publisher/publisher.go
@@ -1,184 +1,180 @@
 // Package publisher holds the tables in force on a host, accepts edits through
-// the platform's store and spreads accepted revisions between hosts.
+// the platform's store and keeps the tables the same on all hosts.
+//
+// A few hosts of each region watch the store. The others learn of a revision
+// from peers, as a change against the revision before it where that is
+// possible. A host only ever adopts a higher revision.
 package publisher
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
+	"hemlockpin/version/differ"
 	"hemlockpin/version/matcher"
 	"hemlockpin/version/parser"
 
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 )
 
-// TablesPath is the object that holds the tables.
-const TablesPath = "tables/current"
-
 const (
-	readBackTimeout = 2 * time.Second
-	readBackPause   = 100 * time.Millisecond
-)
-
-// Errors of an edit.
-var (
-	// ErrRaced means that another edit was accepted first.
-	ErrRaced = eris.New("publisher: the tables have another revision")
-	// ErrUnknown means that it could not be found out whether the edit was accepted.
-	ErrUnknown = eris.New("publisher: it is unknown whether the edit was accepted")
+	// TablesPath is the object that holds the tables.
+	TablesPath = "tables/current"
+	// historyPath is the prefix of the objects that hold past revisions.
+	historyPath = "tables/history/"
+	// HistoryKept is the number of past revisions that are kept.
+	HistoryKept = 1000
 )
 
 // Store is the part of the platform that the publisher needs.
 type Store interface {
 	Get(ctx context.Context, path string) (persister.Object, error)
 	Put(ctx context.Context, obj persister.Object) (uint64, error)
+	Delete(ctx context.Context, path string, version uint64) error
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]persister.Object, error)
 }
 
 // Publisher holds the tables in force. It needs a Store.
 type Publisher struct {
 	Store Store
-	// Push spreads an accepted revision to the peers; nil for none.
-	Push func(*messenger.TablesPush)
-
-	current   atomic.Pointer[matcher.Matcher]
+	// Spread offers the tables in force to peers and returns how many were
+	// asked and how many have that revision in force now; nil for no peers.
+	Spread func(ctx context.Context) (asked, confirmed int)
+	// OnAccept is called after a revision came into force that this host read
+	// from the store, or that a peer offered; nil for nobody.
+	OnAccept func(fromStore bool)
+
+	current   atomic.Pointer[version]
 	confirmed atomic.Int64
+
+	mu   sync.Mutex
+	seen stored
+}
+
+// stored is the newest version of the object that was read or written, and the
+// revision that it holds.
+type stored struct{ version, revision uint64 }
+
+// version is one revision in force with the forms in which peers take it.
+type version struct {
+	mat      *matcher.Matcher
+	document []byte
+	checksum uint64
+	// deltas lead to this revision step by step, the oldest first.
+	deltas []differ.Delta
+
+	once       sync.Once
+	compressed []byte
 }
 
 // Current returns the tables in force. It is never nil.
 func (pub *Publisher) Current() *matcher.Matcher {
-	if mat := pub.current.Load(); mat != nil {
-		return mat
+	if ver := pub.current.Load(); ver != nil {
+		return ver.mat
 	}
 	return matcher.New(parser.Tables{})
 }
 
-// Confirmed returns when the store or a peer last confirmed the tables.
+// Confirmed returns the last time at which the store, as far as this host knows
+// directly or through peers, held no newer revision.
 func (pub *Publisher) Confirmed() time.Time { return time.UnixMilli(pub.confirmed.Load()) }
 
-// Confirm notes that a source confirmed that no newer revision is known to it.
-func (pub *Publisher) Confirm(now time.Time) { pub.confirmed.Store(now.UnixMilli()) }
+// Freshness returns the revision in force and how long ago it was confirmed.
+func (pub *Publisher) Freshness(now time.Time) (revision uint64, age time.Duration) {
+	return pub.Current().Revision(), max(0, now.Sub(pub.Confirmed()))
+}
+
+// Confirm notes that the store was seen to hold no newer revision.
+func (pub *Publisher) Confirm(now time.Time) {
+	for {
+		old := pub.confirmed.Load()
+		if now.UnixMilli() <= old || pub.confirmed.CompareAndSwap(old, now.UnixMilli()) {
+			return
+		}
+	}
+}
+
+// ConfirmAt notes that the store held a revision at a time. It counts only if
+// that revision is in force here.
+func (pub *Publisher) ConfirmAt(revision uint64, at time.Time) {
+	if revision == pub.Current().Revision() {
+		pub.Confirm(at)
+	}
+}
+
+// Adopts reports whether a host with one revision in force takes another.
+func Adopts(have, offered uint64) bool { return offered > have }
 
 // Accept puts tables in force if their revision is newer. It never goes back.
-func (pub *Publisher) Accept(tab parser.Tables) bool {
-	mat := matcher.New(tab)
+func (pub *Publisher) Accept(tab parser.Tables) (bool, error) {
+	doc, err := tab.Encode()
+	if err != nil {
+		return false, err
+	}
+	return pub.accept(tab, doc), nil
+}
+
+func (pub *Publisher) accept(tab parser.Tables, doc []byte) bool {
+	ver := &version{mat: matcher.New(tab), document: doc, checksum: differ.Checksum(doc)}
 	for {
 		old := pub.current.Load()
-		if old != nil && old.Revision() >= tab.Revision {
+		if old != nil && !Adopts(old.mat.Revision(), tab.Revision) {
 			return false
 		}
-		if pub.current.CompareAndSwap(old, mat) {
+		ver.deltas = deltasTo(old, ver)
+		if pub.current.CompareAndSwap(old, ver) {
 			return true
 		}
 	}
 }
 
+func (pub *Publisher) announce(fromStore bool) {
+	if pub.OnAccept != nil {
+		pub.OnAccept(fromStore)
+	}
+}
+
 // Refresh reads the store.
 func (pub *Publisher) Refresh(ctx context.Context, now time.Time) error {
 	obj, err := pub.Store.Get(ctx, TablesPath)
 	if eris.Is(err, persister.ErrNotFound) {
-		pub.Confirm(now)
+		pub.ConfirmAt(0, now)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	tab, err := parser.Parse(obj.Value)
-	if err != nil {
-		return eris.Wrapf(err, "Publisher.Refresh: object %s version %d", TablesPath, obj.Version)
-	}
-	pub.Accept(tab)
-	pub.Confirm(now)
-	return nil
+	return pub.take(obj, now)
 }
 
-// Edit replaces the tables if their revision is still base.
-func (pub *Publisher) Edit(ctx context.Context, tab parser.Tables, base uint64) (parser.Tables, error) {
-	obj, cur, err := pub.read(ctx)
-	if err != nil {
-		return parser.Tables{}, err
-	}
-	if cur.Revision != base {
-		return cur, eris.Wrapf(ErrRaced, "Publisher.Edit: base %d, current %d", base, cur.Revision)
-	}
-	tab = tab.WithRevision(base+1, uuid.Must(uuid.NewV7()).String())
-	obj.Value, err = tab.Encode()
-	if err != nil {
-		return cur, err
-	}
-	_, err = pub.Store.Put(ctx, obj)
-	if err == nil {
-		return tab, pub.publish(tab)
-	}
-	if eris.Is(err, persister.ErrTooLarge) || eris.Is(err, persister.ErrRateLimited) {
-		return cur, err
-	}
-	return pub.readBack(ctx, tab)
-}
-
-func (pub *Publisher) read(ctx context.Context) (persister.Object, parser.Tables, error) {
-	obj, err := pub.Store.Get(ctx, TablesPath)
-	if eris.Is(err, persister.ErrNotFound) {
-		return persister.Object{Path: TablesPath}, parser.Tables{}, nil
-	}
-	if err != nil {
-		return obj, parser.Tables{}, err
-	}
+// take adopts the tables of a stored object. An object older than what is in
+// force is a lagging answer and confirms nothing.
+func (pub *Publisher) take(obj persister.Object, now time.Time) error {
 	tab, err := parser.Parse(obj.Value)
-	return obj, tab, err
-}
-
-func (pub *Publisher) publish(tab parser.Tables) error {
-	pub.Accept(tab)
-	doc, err := tab.Encode()
 	if err != nil {
-		return err
+		return eris.Wrapf(err, "Publisher.take: object %s version %d", obj.Path, obj.Version)
 	}
-	if pub.Push != nil {
-		pub.Push(&messenger.TablesPush{Revision: tab.Revision, Document: doc})
+	pub.see(stored{obj.Version, tab.Revision})
+	if pub.accept(tab, obj.Value) {
+		defer pub.announce(true)
 	}
+	pub.ConfirmAt(tab.Revision, now)
 	return nil
 }
 
-// readBack finds out whether a write with a lost answer took effect.
-func (pub *Publisher) readBack(ctx context.Context, tab parser.Tables) (parser.Tables, error) {
-	ctx, stop := context.WithTimeout(ctx, readBackTimeout)
-	defer stop()
-	for {
-		_, cur, err := pub.read(ctx)
-		switch {
-		case err == nil && cur.Nonce == tab.Nonce:
-			return tab, pub.publish(tab)
-		case err == nil && cur.Revision >= tab.Revision:
-			return cur, eris.Wrapf(ErrRaced, "Publisher.Edit: base %d, current %d", tab.Revision-1, cur.Revision)
-		}
-		select {
-		case <-ctx.Done():
-			return cur, ErrUnknown
-		case <-time.After(readBackPause):
-		}
+func (pub *Publisher) see(sto stored) {
+	pub.mu.Lock()
+	defer pub.mu.Unlock()
+	if sto.version > pub.seen.version {
+		pub.seen = sto
 	}
 }
 
-// Receive takes a revision that a peer offers.
-func (pub *Publisher) Receive(pus *messenger.TablesPush) error {
-	if pus.GetRevision() <= pub.Current().Revision() {
-		return nil
-	}
-	tab, err := parser.Parse(pus.GetDocument())
-	if err != nil {
-		return eris.Wrap(err, "Publisher.Receive")
-	}
-	pub.Accept(tab)
-	return nil
-}
-
-// Offer builds the message that brings a peer to the tables in force.
-func (pub *Publisher) Offer() (*messenger.TablesPush, error) {
-	tab := pub.Current().Tables()
-	doc, err := tab.Encode()
-	return &messenger.TablesPush{Revision: tab.Revision, Document: doc}, err
+func (pub *Publisher) lastSeen() stored {
+	pub.mu.Lock()
+	defer pub.mu.Unlock()
+	return pub.seen
 }
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/request/receiver"
@@ -35,6 +36,7 @@
 func (ser *Server) tables(wri http.ResponseWriter) *matcher.Matcher {
 	mat := ser.publisher.Current()
 	wri.Header().Set(responder.RevisionHeader, strconv.FormatUint(mat.Revision(), 10))
+	ser.markStale(wri.Header(), time.Now())
 	return mat
 }
 
--- /dev/null
+++ b/process/server/peers.go
@@ -0,0 +1,31 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hemlockpin/connection/messenger"
+)
+
+// handlePeer answers one call of another host.
+func (ser *Server) handlePeer(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
+	now := time.Now()
+	switch bod := env.GetBody().(type) {
+	case *messenger.Envelope_Ping:
+		return ser.gossiper.HandlePing(ctx, bod.Ping, now)
+	case *messenger.Envelope_PingIndirect:
+		return ser.gossiper.HandleIndirect(ctx, bod.PingIndirect)
+	case *messenger.Envelope_MembersPull:
+		return ser.gossiper.HandleMembersPull(ctx, bod.MembersPull, now)
+	case *messenger.Envelope_NoticesPush:
+		return ser.gossiper.HandleNotices(ctx, bod.NoticesPush, now)
+	case *messenger.Envelope_TablesPull:
+		return ser.gossiper.HandlePull(bod.TablesPull)
+	case *messenger.Envelope_TablesPush:
+		return ser.gossiper.HandlePush(bod.TablesPush)
+	case *messenger.Envelope_ClaimCommit:
+		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, now)}}
+	default:
+		return messenger.NewFailure("unknown_message", "this host does not know the message")
+	}
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"hemlockpin/connection/invoker"
-	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/multiplexer"
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/allocator"
@@ -31,14 +30,7 @@
 	"go.opentelemetry.io/otel"
 )
 
-const (
-	headerTimeout   = 10 * time.Second
-	refreshInterval = time.Second
-	refreshTimeout  = 2 * time.Second
-	// balancerNotice is how long a draining host still takes requests, so that
-	// the balancer can see that it is not ready.
-	balancerNotice = 500 * time.Millisecond
-)
+const headerTimeout = 10 * time.Second
 
 // Server is one entry host.
 type Server struct {
@@ -53,11 +45,13 @@
 	multiplexer *multiplexer.Multiplexer
 	publisher   *publisher.Publisher
 	gossiper    *gossiper.Gossiper
+	refresher   *publisher.Refresher
 	watcher     *watcher.Watcher
 	journal     *journaler.Journal
 	admitter    *admitter.Admitter
 	executor    *executor.Executor
 	draining    atomic.Bool
+	inFlight    atomic.Int64
 	started     time.Time
 }
 
@@ -77,11 +71,7 @@
 	ser.journal = &journaler.Journal{Store: ser.persister}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
 	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
-	ser.gossiper = &gossiper.Gossiper{
-		Self:        &messenger.Member{Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Incarnation: ser.Incarnation},
-		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
-	}
-	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
+	ser.joinTables()
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
@@ -102,9 +92,10 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
-	gro.Go(func() { ser.refresh(work) })
+	gro.Go(func() { ser.refresher.Run(work) })
+	gro.Go(func() { ser.gaugeTables(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
-	cal := &http.Server{Handler: ser.callerRoutes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: ser.Settings.ReadTimeout, MaxHeaderBytes: ser.Settings.MaxHeader}
+	cal := &http.Server{Handler: ser.countRequests(ser.callerRoutes()), ReadHeaderTimeout: headerTimeout, ReadTimeout: ser.Settings.ReadTimeout, MaxHeaderBytes: ser.Settings.MaxHeader}
 	ope := &http.Server{Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
 	gro.Go(func() { _ = cal.Serve(liss.caller) })
 	gro.Go(func() { _ = ope.Serve(liss.operator) })
@@ -119,18 +110,6 @@
 	return err
 }
 
-// drain ends readiness, waits for the requests in progress and stops.
-func (ser *Server) drain(cal *http.Server) error {
-	ser.draining.Store(true)
-	ser.Log.Info().Int("Requests", ser.admitter.Current()).Msg("host drains")
-	time.Sleep(balancerNotice)
-	ctx, stop := context.WithTimeout(context.Background(), ser.Settings.DrainTimeout)
-	defer stop()
-	err := cal.Shutdown(ctx)
-	ser.Log.Info().Err(err).Msg("host stopped")
-	return eris.Wrap(err, "Server.drain: requests in progress at the drain time-out")
-}
-
 type listeners struct{ caller, peer, operator net.Listener }
 
 func (ser *Server) listen() (listeners, error) {
@@ -148,42 +127,3 @@
 	}
 	return liss, nil
 }
-
-func (ser *Server) refresh(ctx context.Context) {
-	tic := time.NewTicker(refreshInterval)
-	defer tic.Stop()
-	for {
-		one, stop := context.WithTimeout(ctx, refreshTimeout)
-		if err := ser.publisher.Refresh(one, time.Now()); err != nil {
-			ser.scope.Counter("tables_refresh_failed").Inc(1)
-		}
-		stop()
-		select {
-		case <-tic.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (ser *Server) handlePeer(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
-	switch bod := env.GetBody().(type) {
-	case *messenger.Envelope_Ping:
-		return ser.gossiper.HandlePing(bod.Ping, time.Now())
-	case *messenger.Envelope_TablesPull:
-		pus, err := ser.publisher.Offer()
-		if err != nil {
-			return messenger.NewFailure("internal", err.Error())
-		}
-		return &messenger.Envelope{Body: &messenger.Envelope_TablesPush{TablesPush: pus}}
-	case *messenger.Envelope_TablesPush:
-		if err := ser.publisher.Receive(bod.TablesPush); err != nil {
-			return messenger.NewFailure("bad_tables", err.Error())
-		}
-		return &messenger.Envelope{Body: &messenger.Envelope_TablesAck{TablesAck: &messenger.TablesAck{Revision: ser.publisher.Current().Revision()}}}
-	case *messenger.Envelope_ClaimCommit:
-		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, time.Now())}}
-	default:
-		return messenger.NewFailure("unknown_message", "this host does not know the message")
-	}
-}
--- /dev/null
+++ b/process/server/tables.go
@@ -0,0 +1,88 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/process/gossiper"
+	"hemlockpin/process/publisher"
+	"hemlockpin/request/responder"
+)
+
+const (
+	// staleAfter is the age from which answers tell that the tables may be old.
+	staleAfter    = 30 * time.Second
+	gaugeInterval = time.Second
+	// forwardTimeout bounds the forwarding of news to peers.
+	forwardTimeout = 5 * time.Second
+)
+
+// joinTables joins membership, the tables and the notices of endpoints.
+func (ser *Server) joinTables() {
+	set := ser.Settings
+	ser.gossiper = &gossiper.Gossiper{
+		Self: &messenger.Member{
+			Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Region: set.Region, Incarnation: ser.Incarnation,
+		},
+		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
+		Seeds: set.SeedPeers, Scope: ser.scope, Log: ser.Log,
+		Cargo: gossiper.Cargo{Notices: ser.watcher.Notices.Outgoing, TakeNotices: ser.watcher.Notices.Take},
+	}
+	ser.watcher.Noticed = func(nots []*messenger.EndpointNotice) {
+		go ser.forward(func(ctx context.Context) { ser.gossiper.SpreadNotices(ctx, nots, true) })
+	}
+	ser.publisher.Spread = func(ctx context.Context) (int, int) { return ser.gossiper.PushTables(ctx, true) }
+	ser.publisher.OnAccept = func(fromStore bool) {
+		ser.Log.Info().Uint64("Revision", ser.publisher.Current().Revision()).Bool("FromStore", fromStore).Msg("tables in force")
+		go ser.forward(func(ctx context.Context) { ser.gossiper.PushTables(ctx, fromStore) })
+	}
+	ser.refresher = &publisher.Refresher{
+		Publisher: ser.publisher, Self: set.HostID, Region: ser.regionHosts,
+		Failed: func(error) { ser.scope.Counter("tables_refresh_failed").Inc(1) },
+	}
+}
+
+func (ser *Server) forward(fun func(context.Context)) {
+	ctx, stop := context.WithTimeout(context.Background(), forwardTimeout)
+	defer stop()
+	fun(ctx)
+}
+
+// regionHosts returns the live peers of the own region.
+func (ser *Server) regionHosts() []string {
+	var out []string
+	for _, per := range ser.gossiper.Live(time.Now()) {
+		if per.Region == ser.Settings.Region {
+			out = append(out, per.ID)
+		}
+	}
+	return out
+}
+
+// gaugeTables reports the revision and the age of the tables until ctx ends.
+func (ser *Server) gaugeTables(ctx context.Context) {
+	tic := time.NewTicker(gaugeInterval)
+	defer tic.Stop()
+	for {
+		rev, age := ser.publisher.Freshness(time.Now())
+		ser.scope.Gauge("tables_revision").Update(float64(rev))
+		ser.scope.Gauge("tables_age_seconds").Update(age.Seconds())
+		ser.scope.Gauge("peers_live").Update(float64(len(ser.gossiper.Live(time.Now()))))
+		ser.scope.Gauge("peer_sessions").Update(float64(ser.multiplexer.Sessions()))
+		select {
+		case <-tic.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// markStale tells a caller how old the tables are, once they may be outdated.
+func (ser *Server) markStale(hea http.Header, now time.Time) {
+	if _, age := ser.publisher.Freshness(now); age >= staleAfter {
+		hea.Set(responder.AgeHeader, strconv.FormatInt(int64(age/time.Second), 10))
+	}
+}
--- a/process/watcher/watcher.go
+++ b/process/watcher/watcher.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlockpin/connection/invoker"
+	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
 	"hemlockpin/request/placer"
 	"hemlockpin/version/parser"
@@ -30,6 +31,10 @@
 type Watcher struct {
 	Lister Lister
 	Loader Loader
+	// Notices holds what hosts tell each other of endpoints.
+	Notices Notices
+	// Noticed is told of notices that this host found itself; nil for nobody.
+	Noticed func(nots []*messenger.EndpointNotice)
 
 	mu      sync.Mutex
 	entries []persister.Entry
@@ -97,6 +102,7 @@
 	if err != nil {
 		return
 	}
+	wat.notice(Notice{Endpoint: ent.ID, Incarnation: loa.Incarnation, Leaving: loa.Leaving, At: now}, now)
 	wat.mu.Lock()
 	defer wat.mu.Unlock()
 	if wat.loads == nil {
@@ -133,7 +139,7 @@
 	rep := wat.loads[ent.ID]
 	end := placer.Endpoint{
 		ID: ent.ID, Address: ent.Address, DataCenter: ent.DataCenter, Models: ent.Models,
-		Leaving: ent.Leaving || rep.load.Leaving, ReportedAt: rep.at,
+		Leaving: ent.Leaving || rep.load.Leaving || wat.Notices.Leaving(ent.ID, time.Now()), ReportedAt: rep.at,
 		MemoryTokens: rep.load.MemoryTokens, UsedTokens: rep.load.UsedTokens,
 		QueuedTokens: rep.load.QueuedPromptTokens, PrefillRate: rep.load.PrefillRate,
 	}
--- a/request/responder/responder.go
+++ b/request/responder/responder.go
@@ -18,6 +18,11 @@
 	RequestIDHeader = "Hemlockpin-Request-Id"
 	// RevisionHeader names the revision of the tables that applied.
 	RevisionHeader = "Hemlockpin-Tables-Revision"
+	// AgeHeader gives the age of the tables in seconds, when a host has been cut
+	// off from the store and from peers that see it.
+	AgeHeader = "Hemlockpin-Tables-Age"
+	// InForceHeader counts the hosts known to have an accepted edit in force.
+	InForceHeader = "Hemlockpin-Tables-In-Force"
 )
 
 // Problem is a refusal or failure to tell the caller.
--- a/version/matcher/matcher.go
+++ b/version/matcher/matcher.go
@@ -7,11 +7,16 @@
 // Matcher indexes one version of the tables. It is immutable; its zero value
 // matches nothing.
 type Matcher struct {
-	tab   parser.Tables
-	pools map[string]parser.Pool
-	teams map[string]parser.Team
-	// byModel holds the routes of each model; the empty model holds the rest.
-	byModel map[string][]parser.Route
+	tab    parser.Tables
+	pools  map[string]parser.Pool
+	teams  map[string]parser.Team
+	routes map[group][]*parser.Route
+}
+
+// group holds the routes of one kind that name a model and a team, or neither.
+type group struct {
+	kind        parser.PoolKind
+	model, team string
 }
 
 // Query describes a request to match. Model is empty for calls to services.
@@ -27,10 +32,10 @@
 // New indexes the tables.
 func New(tab parser.Tables) *Matcher {
 	mat := &Matcher{
-		tab:     tab,
-		pools:   map[string]parser.Pool{},
-		teams:   map[string]parser.Team{},
-		byModel: map[string][]parser.Route{},
+		tab:    tab,
+		pools:  make(map[string]parser.Pool, len(tab.Pools)),
+		teams:  make(map[string]parser.Team, len(tab.Teams)),
+		routes: map[group][]*parser.Route{},
 	}
 	for _, poo := range tab.Pools {
 		mat.pools[poo.Name] = poo
@@ -40,8 +45,10 @@
 			mat.teams[dig] = tea
 		}
 	}
-	for _, rou := range tab.Routes {
-		mat.byModel[rou.Match.Model] = append(mat.byModel[rou.Match.Model], rou)
+	for ind := range tab.Routes {
+		rou := &tab.Routes[ind]
+		gro := group{mat.pools[rou.Pool].Kind, rou.Match.Model, rou.Match.Team}
+		mat.routes[gro] = append(mat.routes[gro], rou)
 	}
 	return mat
 }
@@ -66,29 +73,35 @@
 
 // Route finds the innermost route that takes the query, with its pool.
 func (mat *Matcher) Route(que Query) (parser.Route, parser.Pool, bool) {
-	var bes parser.Route
-	fou := false
-	for _, mod := range []string{que.Model, ""} {
-		for _, rou := range mat.byModel[mod] {
-			if mat.pools[rou.Pool].Kind != que.Kind {
-				continue
-			}
-			if !rou.Match.Takes(que.Model, que.Team, que.Path, que.PromptTokens) {
-				continue
-			}
-			if !fou || bes.Match.Contains(rou.Match) {
-				bes = rou
-				fou = true
-			}
-		}
-		if que.Model == "" {
-			break
+	gros := [...]group{
+		{que.Kind, que.Model, que.Team},
+		{que.Kind, que.Model, ""},
+		{que.Kind, "", que.Team},
+		{que.Kind, "", ""},
+	}
+	var bes *parser.Route
+	for ind, gro := range gros {
+		if (ind%2 == 1 && que.Team == "") || (ind >= 2 && que.Model == "") {
+			continue
 		}
+		bes = innermost(bes, mat.routes[gro], que)
 	}
-	if !fou {
+	if bes == nil {
 		return parser.Route{}, parser.Pool{}, false
 	}
-	return bes, mat.pools[bes.Pool], true
+	return *bes, mat.pools[bes.Pool], true
+}
+
+func innermost(bes *parser.Route, rous []*parser.Route, que Query) *parser.Route {
+	for _, rou := range rous {
+		if !rou.Match.Takes(que.Model, que.Team, que.Path, que.PromptTokens) {
+			continue
+		}
+		if bes == nil || bes.Match.Contains(rou.Match) {
+			bes = rou
+		}
+	}
+	return bes
 }
 
 // Models lists the models that a team's routes name, without duplicates.
--- a/version/parser/tables.go
+++ b/version/parser/tables.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -17,6 +18,9 @@
 // MaxDocumentBytes bounds the encoded tables; it is the platform's limit of a value.
 const MaxDocumentBytes = 1 << 20
 
+// MaxRecentEdits bounds the edits that the tables list.
+const MaxRecentEdits = 32
+
 // Duration is a time.Duration that reads and writes as text such as "30s".
 type Duration time.Duration
 
@@ -40,12 +44,22 @@
 	// Revision counts the accepted changes from 1. Revision 0 has no content.
 	Revision uint64
 	// Nonce identifies the edit that made the revision.
-	Nonce  string `json:",omitempty"`
+	Nonce string `json:",omitempty"`
+	// Recent lists the last edits, the newest last, so that an edit can be found
+	// also when later ones were accepted on top of it.
+	Recent []Edit `json:",omitempty"`
 	Routes []Route
 	Pools  []Pool
 	Teams  []Team
 }
 
+// Edit identifies an accepted change.
+type Edit struct {
+	Revision uint64
+	Nonce    string
+	At       time.Time
+}
+
 // FaultsError lists every fault of a tables document.
 type FaultsError struct{ Faults []string }
 
@@ -83,7 +97,7 @@
 
 // Defaults fills in the fields left empty.
 func (tab Tables) Defaults() Tables {
-	out := Tables{Revision: tab.Revision, Nonce: tab.Nonce}
+	out := Tables{Revision: tab.Revision, Nonce: tab.Nonce, Recent: tab.Recent}
 	for _, rou := range tab.Routes {
 		out.Routes = append(out.Routes, rou.Defaults())
 	}
@@ -103,6 +117,30 @@
 	return tab
 }
 
+// WithEdit returns the tables as the successor of a revision.
+func (tab Tables) WithEdit(bas Tables, edi Edit) Tables {
+	rec := append(slices.Clone(bas.Recent), edi)
+	tab.Recent = rec[max(0, len(rec)-MaxRecentEdits):]
+	return tab.WithRevision(edi.Revision, edi.Nonce)
+}
+
+// Includes reports whether the edit with a nonce made this revision or an
+// earlier one. known is false when the revision is no longer listed.
+func (tab Tables) Includes(revision uint64, nonce string) (included, known bool) {
+	if tab.Nonce == nonce && tab.Revision == revision {
+		return true, true
+	}
+	if revision > tab.Revision {
+		return false, true
+	}
+	for _, edi := range tab.Recent {
+		if edi.Revision == revision {
+			return edi.Nonce == nonce, true
+		}
+	}
+	return false, tab.Revision == revision
+}
+
 // Validate returns a FaultsError with every fault, or nil.
 func (tab Tables) Validate() error {
 	var fas []string
@@ -125,7 +163,7 @@
 func (tab Tables) validateRoutes(poos map[string]PoolKind) []string {
 	var fas []string
 	nams := map[string]bool{}
-	for ind, rou := range tab.Routes {
+	for _, rou := range tab.Routes {
 		fas = append(fas, rou.Validate()...)
 		if nams[rou.Name] {
 			fas = append(fas, fmt.Sprintf("route %q: the name stands twice", rou.Name))
@@ -138,13 +176,8 @@
 		if kin == PoolService && rou.Match.forPrompts() {
 			fas = append(fas, fmt.Sprintf("route %q: Model and prompt bounds are for routes to engine pools", rou.Name))
 		}
-		for _, oth := range tab.Routes[:ind] {
-			if poos[oth.Pool] == kin && rou.Match.Ambiguous(oth.Match) {
-				fas = append(fas, fmt.Sprintf("route %q: overlaps route %q and neither lies within the other", rou.Name, oth.Name))
-			}
-		}
 	}
-	return fas
+	return append(fas, ambiguities(tab.Routes, poos)...)
 }
 
 func (tab Tables) validateTeams() []string {
