--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -80,6 +80,9 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			mul.retire(address, ses)
 		}
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
 		return nil, eris.Wrapf(err, "Multiplexer.Call: reply of peer %s", address)
 	}
 	if fai := rep.GetFailure(); fai != nil {
--- /dev/null
+++ b/connection/multiplexer/multiplexer_test.go
@@ -0,0 +1,125 @@
+package multiplexer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/multiplexer"
+	"hemlockpin/internal/faulter"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+const silenceBound = 3 * time.Second
+
+func done() *messenger.Envelope {
+	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
+}
+
+// serve answers pings at once and holds every other call until it is given up.
+func serve(t *testing.T, held *atomic.Int64) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mul := &multiplexer.Multiplexer{Handler: func(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
+		if env.GetPing() != nil {
+			return done()
+		}
+		held.Add(1)
+		defer held.Add(-1)
+		<-ctx.Done()
+		return nil
+	}}
+	don := make(chan struct{})
+	go func() {
+		defer close(don)
+		_ = mul.Serve(lis)
+	}()
+	t.Cleanup(func() {
+		lis.Close()
+		mul.Close()
+		<-don
+	})
+	return lis.Addr().String()
+}
+
+func ping() *messenger.Envelope {
+	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{}}}
+}
+
+func TestSilentSession(t *testing.T) {
+	tts := []struct {
+		name  string
+		fault func(*faulter.Proxy)
+	}{
+		{"both ways silent", func(pro *faulter.Proxy) { pro.SilenceEstablished(true, true) }},
+		{"requests lost", func(pro *faulter.Proxy) { pro.SilenceEstablished(true, false) }},
+		{"answers lost", func(pro *faulter.Proxy) { pro.SilenceEstablished(false, true) }},
+	}
+	for _, tt := range tts {
+		t.Run(tt.name, func(t *testing.T) {
+			var held atomic.Int64
+			pro, err := faulter.New(serve(t, &held))
+			require.NoError(t, err)
+			t.Cleanup(pro.Close)
+			mul := &multiplexer.Multiplexer{}
+			t.Cleanup(mul.Close)
+			ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+			defer stop()
+			res := make(chan error, 1)
+			go func() {
+				_, err := mul.Call(ctx, pro.Address(), done())
+				res <- err
+			}()
+			require.Eventually(t, func() bool { return held.Load() == 1 }, silenceBound, time.Millisecond)
+			tt.fault(pro)
+			// A call without an answer ends because its session does.
+			select {
+			case err := <-res:
+				require.Error(t, err)
+			case <-time.After(silenceBound):
+				require.Fail(t, "the silent session was not found")
+			}
+			_, err = mul.Call(ctx, pro.Address(), ping())
+			require.NoError(t, err)
+			// The host at the other end gives the call up as well.
+			require.Eventually(t, func() bool { return held.Load() == 0 }, silenceBound, 10*time.Millisecond)
+		})
+	}
+}
+
+// A slow call on a session that answers heartbeats is not disturbed by the
+// timeout of another.
+func TestTimeoutLeavesOtherCalls(t *testing.T) {
+	var held atomic.Int64
+	add := serve(t, &held)
+	mul := &multiplexer.Multiplexer{}
+	defer mul.Close()
+	long, stop := context.WithCancel(t.Context())
+	res := make(chan error, 1)
+	go func() {
+		_, err := mul.Call(long, add, done())
+		res <- err
+	}()
+	require.Eventually(t, func() bool { return held.Load() == 1 }, silenceBound, time.Millisecond)
+	short, end := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer end()
+	_, err := mul.Call(short, add, done())
+	require.Error(t, err)
+	_, err = mul.Call(t.Context(), add, ping())
+	require.NoError(t, err)
+	select {
+	case err := <-res:
+		require.Fail(t, "the slow call ended", "%v", err)
+	case <-time.After(2 * time.Second):
+	}
+	stop()
+	require.ErrorIs(t, <-res, context.Canceled)
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/process/gossiper/merge.go
+++ b/process/gossiper/merge.go
@@ -49,10 +49,11 @@
 		return nil
 	}
 	mem := ros.members[upd.ID]
+	if (mem == nil || mem.State == StateListed) && upd.State == StateDead {
+		// It may be an earlier process of a host that has to be tried first.
+		return nil
+	}
 	if mem == nil {
-		if upd.State == StateDead {
-			return nil
-		}
 		mem = &member{Peer: Peer{ID: upd.ID, State: StateListed}}
 		ros.members[upd.ID] = mem
 	}
