--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -33,6 +33,8 @@
 	WriteTimeout  time.Duration `long:"write-timeout" env:"HEMLOCKPIN_WRITE_TIMEOUT" default:"30s" description:"limit of one write to a slow reader"`
 	IdleTimeout   time.Duration `long:"idle-timeout" env:"HEMLOCKPIN_IDLE_TIMEOUT" default:"2m" description:"limit of a caller's connection without a request"`
 	MaxBodyMemory int64         `long:"max-body-memory" env:"HEMLOCKPIN_MAX_BODY_MEMORY" default:"536870912" description:"limit of the memory for bodies of requests in progress, in bytes, counting three copies of each"`
+	DrainNotice   time.Duration `long:"drain-notice" env:"HEMLOCKPIN_DRAIN_NOTICE" default:"2s" description:"how long a draining host still takes requests, for the balancer to turn away"`
+	SeedPeers     []string      `long:"seed-peer" env:"HEMLOCKPIN_SEED_PEERS" env-delim:"," description:"address of another host, as IP:port, to ask when the platform is out"`
 
 	LoadInterval time.Duration `long:"load-interval" env:"HEMLOCKPIN_LOAD_INTERVAL" default:"250ms" description:"interval of engine load reports"`
 	ListInterval time.Duration `long:"list-interval" env:"HEMLOCKPIN_LIST_INTERVAL" default:"1s" description:"interval of reading the platform's list"`
@@ -78,6 +80,11 @@
 			fas = append(fas, fmt.Sprintf("%s %q must be IP:port", add.flag, add.val))
 		}
 	}
+	for _, add := range set.SeedPeers {
+		if !validAddress(add) {
+			fas = append(fas, fmt.Sprintf("--seed-peer %q must be IP:port", add))
+		}
+	}
 	if ure, err := url.Parse(set.Platform); err != nil || ure.Scheme != "http" && ure.Scheme != "https" || ure.Host == "" {
 		fas = append(fas, fmt.Sprintf("--platform %q must be a URL such as http://127.0.0.1:7000", set.Platform))
 	}
@@ -102,6 +109,7 @@
 		{"--idle-timeout", int64(set.IdleTimeout)},
 		{"--max-body-memory", set.MaxBodyMemory},
 		{"--drain-timeout", int64(set.DrainTimeout)},
+		{"--drain-notice", int64(set.DrainNotice)},
 		{"--load-interval", int64(set.LoadInterval)},
 		{"--list-interval", int64(set.ListInterval)},
 		{"--heartbeat-interval", int64(set.Heartbeat)},
