--- a/process/scheduler/cell.go
+++ b/process/scheduler/cell.go
@@ -206,8 +206,8 @@
 	}
 }
 
-// list takes engines in and out of the cell. Grants on engines that went stay
-// accounted for until they end.
+// list takes engines in and out of the cell. An engine that went keeps its
+// account until its grants have ended, as it may come back.
 func (cel *Cell) list(lis Listing, now time.Time) {
 	keep := map[string]bool{}
 	for _, end := range lis.Engines {
@@ -223,11 +223,17 @@
 		eng.listedLeaving = end.Leaving
 	}
 	for _, eng := range cel.engines {
-		if !keep[eng.id] {
-			cel.prefixes.clear(eng.slot)
-			delete(cel.byID, eng.id)
-			cel.unpromiseOn(eng)
+		if keep[eng.id] {
+			continue
+		}
+		cel.unpromiseOn(eng)
+		if eng.running > 0 {
+			eng.listedLeaving = true
+			keep[eng.id] = true
+			continue
 		}
+		cel.prefixes.clear(eng.slot)
+		delete(cel.byID, eng.id)
 	}
 	cel.engines = slices.DeleteFunc(cel.engines, func(eng *engine) bool { return !keep[eng.id] })
 }
@@ -283,12 +289,8 @@
 	cel.swept = now
 	for _, id := range sortedKeys(cel.asks) {
 		one := cel.asks[id]
-		switch {
-		case now.Sub(cel.seen[id]) > askTimeout:
+		if !cel.expired(one, now) && now.Sub(cel.seen[id]) > askTimeout {
 			cel.drop(one)
-		case !now.Before(one.latestStart):
-			cel.drop(one)
-			cel.refuse(id, CodeOverloaded, "no engine could start the prompt in time", cel.wait(one.team, one.long))
 		}
 	}
 	for _, gra := range cel.grants {
@@ -304,6 +306,16 @@
 	cel.queue.forget()
 }
 
+// expired refuses a waiting ask that can no longer start in time.
+func (cel *Cell) expired(one *ask, now time.Time) bool {
+	if now.Before(one.latestStart) {
+		return false
+	}
+	cel.drop(one)
+	cel.refuse(one.id, CodeOverloaded, "no engine could start the prompt in time", cel.wait(one.team, one.long))
+	return true
+}
+
 // sortedKeys makes the order of actions a function of the state.
 func sortedKeys(asks map[string]*ask) []string {
 	ids := make([]string, 0, len(asks))
--- a/process/scheduler/dispatcher.go
+++ b/process/scheduler/dispatcher.go
@@ -61,6 +61,9 @@
 			return
 		}
 		one := (*tea.heap(long))[0]
+		if cel.expired(one, now) {
+			continue
+		}
 		switch cel.try(one, now) {
 		case granted:
 		case noEngine:
