--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -10,11 +10,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,6 +29,10 @@
 	MaxValueBytes = 1 << 20
 
 	maxListBytes = 64 << 20
+
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = 30 * time.Second
+	maxIdleConns    = 64
 )
 
 // Errors of the object API. Any other error of a Put or Delete leaves the
@@ -69,9 +77,29 @@
 // Persister calls the platform at BaseURL.
 type Persister struct {
 	BaseURL string
-	Client  http.Client
+	// Client places the calls. A zero client gets a transport of its own.
+	Client http.Client
+
+	once  sync.Once
+	calls atomic.Int64
+}
+
+func (per *Persister) client() *http.Client {
+	per.once.Do(func() {
+		if per.Client.Transport != nil {
+			return
+		}
+		dia := &net.Dialer{Timeout: dialTimeout}
+		per.Client.Transport = &http.Transport{
+			DialContext: dia.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		}
+	})
+	return &per.Client
 }
 
+// Calls returns the number of calls sent so far.
+func (per *Persister) Calls() int64 { return per.calls.Load() }
+
 // Get reads one object.
 func (per *Persister) Get(ctx context.Context, path string) (Object, error) {
 	res, err := per.do(ctx, http.MethodGet, "/v1/objects/"+path, nil, nil)
@@ -141,13 +169,16 @@
 	for nam, val := range head {
 		req.Header[nam] = val
 	}
-	res, err := per.Client.Do(req)
+	per.calls.Add(1)
+	res, err := per.client().Do(req)
 	if err != nil {
+		per.condemn(err)
 		return response{}, eris.Wrap(err, "send")
 	}
 	defer res.Body.Close()
 	buf, err := io.ReadAll(io.LimitReader(res.Body, maxListBytes))
 	if err != nil {
+		per.condemn(err)
 		return response{}, eris.Wrap(err, "read answer")
 	}
 	if err := statusError(res.StatusCode); err != nil {
@@ -156,6 +187,14 @@
 	return response{etag: res.Header.Get("ETag"), body: buf}, nil
 }
 
+// condemn closes the idle connections after a call timed out: what silenced one
+// may have silenced all that were open, while new ones work.
+func (per *Persister) condemn(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		per.client().CloseIdleConnections()
+	}
+}
+
 func statusError(status int) error {
 	switch status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -23,11 +23,11 @@
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
 	"hemlockpin/request/executor"
+	"hemlockpin/request/receiver"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"go.opentelemetry.io/otel"
 )
 
@@ -56,44 +56,50 @@
 	watcher     *watcher.Watcher
 	journal     *journaler.Journal
 	admitter    *admitter.Admitter
+	allocator   *allocator.Allocator
 	executor    *executor.Executor
+	meter       *meter
+	bodies      receiver.Budget
 	scheduler   *scheduler.Scheduler
 	cells       *allocator.Cells
 	draining    atomic.Bool
 	started     time.Time
+	// requestDrain has the effect of SIGTERM. It is set by Run.
+	requestDrain context.CancelFunc
 }
 
 // New joins the parts of a host.
 func New(set configurer.Settings, log zerolog.Logger, now time.Time) *Server {
 	ser := &Server{Settings: set, Log: log, Incarnation: uint64(now.UnixNano()), started: now}
-	rep := prometheus.NewReporter(prometheus.Options{})
-	ser.metrics = rep.HTTPHandler()
-	ser.scope, _ = tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "hemlockpin", CachedReporter: rep, Separator: prometheus.DefaultSeparator, SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, time.Second)
+	ser.scope, ser.metrics = newScope(log)
 	own := invoker.Owner{Host: set.HostID, Incarnation: ser.Incarnation}
+	ser.meter = newMeter(ser.scope)
+	ser.bodies.MaxBytes = set.MaxBodyMemory
 	ser.invoker = &invoker.Invoker{}
 	ser.persister = &persister.Persister{BaseURL: set.Platform}
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
-	ser.journal = &journaler.Journal{Store: ser.persister}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
 	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
 	ser.gossiper = &gossiper.Gossiper{
 		Self:        &messenger.Member{Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Incarnation: ser.Incarnation},
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
 	}
+	ser.journal = ser.newJournal()
 	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
+	ser.allocator = ser.newAllocator(own)
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: ser.newAllocator(own),
+		Allocator: ser.allocator,
 	}
 	return ser
 }
 
 // Run serves until ctx ends, then drains.
 func (ser *Server) Run(ctx context.Context) error {
+	ctx, ser.requestDrain = context.WithCancel(ctx)
+	defer ser.requestDrain()
 	liss, err := ser.listen()
 	if err != nil {
 		return err
@@ -107,10 +113,13 @@
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresh(work) })
+	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
-	cal := &http.Server{Handler: ser.callerRoutes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: ser.Settings.ReadTimeout, MaxHeaderBytes: ser.Settings.MaxHeader}
+	cal := ser.callerServer(ser.edge(ser.callerRoutes()))
 	ope := &http.Server{Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
-	gro.Go(func() { _ = cal.Serve(liss.caller) })
+	gro.Go(func() {
+		_ = cal.Serve(&limitedListener{Listener: liss.caller, max: int64(ser.Settings.MaxConns), refused: ser.scope.Counter("connections_refused")})
+	})
 	gro.Go(func() { _ = ope.Serve(liss.operator) })
 	ser.Log.Info().Str("Host", ser.Settings.HostID).Str("Listen", ser.Settings.Listen).Msg("host started")
 	<-ctx.Done()
@@ -131,6 +140,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), ser.Settings.DrainTimeout)
 	defer stop()
 	err := cal.Shutdown(ctx)
+	ser.executor.Settle()
+	ser.awaitClaims(ctx)
 	ser.Log.Info().Err(err).Msg("host stopped")
 	return eris.Wrap(err, "Server.drain: requests in progress at the drain time-out")
 }
@@ -186,7 +197,11 @@
 		}
 		return &messenger.Envelope{Body: &messenger.Envelope_TablesAck{TablesAck: &messenger.TablesAck{Revision: ser.publisher.Current().Revision()}}}
 	case *messenger.Envelope_ClaimCommit:
-		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, time.Now())}}
+		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Write(ctx, bod.ClaimCommit)}}
+	case *messenger.Envelope_StatusQuery:
+		return &messenger.Envelope{Body: &messenger.Envelope_StatusReport{StatusReport: ser.report()}}
+	case *messenger.Envelope_DrainOrder:
+		return ser.handleDrain(bod.DrainOrder)
 	default:
 		if rep := ser.handleSchedule(ctx, env); rep != nil {
 			return rep
