Add the experimenter, which sets the policies side by side

Cause: no run showed the policies against each other on real host processes, nor judged the targets.

--- a/process/scheduler/engine.go
+++ b/process/scheduler/engine.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// chunkTokens is what an engine may prefill of a prompt of lower priority
-	// before it turns to one of higher priority.
-	chunkTokens = 4096
+	// chunkTime is what an engine may spend on a prompt of lower priority before
+	// it turns to one of higher priority.
+	chunkTime = 20 * time.Millisecond
 	// backlogWindow is the prefill work that a cell keeps on an engine. More
 	// would wait in the engine's queue, where it can't be put in order anew.
 	backlogWindow = 40 * time.Millisecond
@@ -86,6 +86,8 @@
 	return eng.rate
 }
 
+func (eng *engine) chunkTokens() int64 { return int64(eng.prefillRate() * chunkTime.Seconds()) }
+
 func (eng *engine) prefillTime(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) / eng.prefillRate() * float64(time.Second))
 }
@@ -117,13 +119,13 @@
 			lower += par.left
 		}
 	}
-	return same + min(lower, chunkTokens) + eng.foreignQueued
+	return same + min(lower, eng.chunkTokens()) + eng.foreignQueued
 }
 
 // longBusy reports whether the engine prefills a long prompt.
 func (eng *engine) longBusy() bool {
 	for _, par := range eng.prefills {
-		if par.left > chunkTokens && par.gra.ask.long {
+		if par.left > eng.chunkTokens() && par.gra.ask.long {
 			return true
 		}
 	}
--- a/request/placer/chooser.go
+++ b/request/placer/chooser.go
@@ -8,8 +8,8 @@
 const (
 	// sampleTries bounds the random draws before all endpoints are read.
 	sampleTries = 8
-	// LongTokens is the length from which a prompt counts as long.
-	LongTokens = 16_384
+	// longPrefill is the prefill time from which a prompt counts as long.
+	longPrefill = 100 * time.Millisecond
 
 	minLongShare = 0.25
 	maxLongShare = 0.75
@@ -143,13 +143,14 @@
 // a short one through to them when its own would make it wait.
 func byReservation(req Request, vie View, now time.Time, ran *rand.Rand) int {
 	all := len(vie.Endpoints)
+	cutLength := longTokens(vie)
 	sha := vie.LongShare
 	if sha == 0 {
-		sha = min(maxLongShare, max(minLongShare, vie.Mix.longShare(LongTokens)))
+		sha = min(maxLongShare, max(minLongShare, vie.Mix.longShare(cutLength)))
 	}
 	cut := int(sha * float64(all))
 	lon, sho := span{0, cut}, span{cut, all}
-	if req.PromptTokens >= LongTokens {
+	if req.PromptTokens >= cutLength {
 		return firstOf(twoChoices(req, vie, lon, now, ran), func() int { return twoChoices(req, vie, sho, now, ran) })
 	}
 	own := twoChoices(req, vie, sho, now, ran)
@@ -166,6 +167,19 @@
 	return own
 }
 
+// longTokens is the length from which a prompt counts as long on the first
+// endpoint that has reported.
+func longTokens(vie View) int64 {
+	rat := float64(assumedPrefillRate)
+	for ind := range vie.Endpoints {
+		if vie.Endpoints[ind].PrefillRate > 0 {
+			rat = vie.Endpoints[ind].PrefillRate
+			break
+		}
+	}
+	return int64(rat * longPrefill.Seconds())
+}
+
 func firstOf(ind int, other func() int) int {
 	if ind >= 0 {
 		return ind
--- a/request/placer/placer_test.go
+++ b/request/placer/placer_test.go
@@ -119,5 +119,5 @@
 	mix = mix.WithRequest(90_000, epoch).WithRequest(150_000, epoch)
 	require.Equal(t, 0, mix.class(1000))
 	require.Equal(t, 2, mix.class(150_000))
-	require.InDelta(t, 0.727, mix.longShare(LongTokens), 0.001)
+	require.InDelta(t, 0.727, mix.longShare(longTokens(View{})), 0.001)
 }
--- /dev/null
+++ b/tools/experimenter/main.go
@@ -0,0 +1,141 @@
+// Command experimenter runs the placement policies side by side on fleets of
+// real processes, at several loads and under faults, and says which targets are
+// met. Lengths, prefill rates and memories are scaled down together, so that
+// all times stay those of the full sizes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"hemlockpin/load/mixer"
+	"hemlockpin/load/reporter"
+	"hemlockpin/load/summarizer"
+	"hemlockpin/request/placer"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+)
+
+const exitUsage = 2
+
+type settings struct {
+	Bin      string        `long:"bin" default:"bin" description:"folder of the built programs"`
+	Out      string        `long:"out" default:"out/placement" description:"folder of the reports"`
+	Mix      string        `long:"mix" default:"wijesinghe" description:"wijesinghe or port-louis"`
+	Policies []string      `long:"policy" description:"placement policy; may be repeated; all if missing"`
+	Loads    []int         `long:"load" description:"per cent of what the engines can do; may be repeated; 50, 80, 95 and 120 if missing"`
+	Faults   []string      `long:"fault" description:"calm, engine-killed, host-killed, platform-out or ledgers; may be repeated; calm if missing"`
+	Targets  bool          `long:"targets" description:"also measure the targets, at 80 per cent"`
+	Quick    bool          `long:"quick" description:"short runs, for trials"`
+	Duration time.Duration `long:"duration" default:"60s" description:"time of each run"`
+	WarmUp   time.Duration `long:"warm-up" default:"5s" description:"part of each run that is not counted"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
+	Hosts    int           `long:"hosts" default:"15" description:"entry hosts"`
+	Engines  int           `long:"engines" default:"14" description:"model engines"`
+	Services int           `long:"services" default:"3" description:"plain services"`
+	Scale    float64       `long:"scale" default:"10" description:"divides lengths, prefill rates and memories"`
+	Log      string        `long:"log" description:"file for the logs of all processes"`
+}
+
+// Defaults fills in the lists left empty.
+func (set settings) Defaults() settings {
+	if len(set.Policies) == 0 {
+		for _, pol := range placer.Policies() {
+			set.Policies = append(set.Policies, string(pol))
+		}
+	}
+	if len(set.Loads) == 0 {
+		set.Loads = []int{50, 80, 95, 120}
+	}
+	if len(set.Faults) == 0 {
+		set.Faults = []string{faultCalm}
+	}
+	if set.Quick {
+		set.Duration = quickDuration
+		set.WarmUp = quickWarmUp
+	}
+	return set
+}
+
+// Validate reports every fault of the settings.
+func (set settings) Validate() error {
+	var fas []string
+	if _, ok := mixer.ByName(set.Mix); !ok {
+		fas = append(fas, "unknown mix "+set.Mix)
+	}
+	for _, pol := range set.Policies {
+		if !placer.Policy(pol).Valid() {
+			fas = append(fas, "unknown policy "+pol)
+		}
+	}
+	for _, fau := range set.Faults {
+		if !validFault(fau) {
+			fas = append(fas, "unknown fault "+fau)
+		}
+	}
+	if set.Scale < 1 || set.Hosts < 1 || set.Engines < 1 {
+		fas = append(fas, "--scale, --hosts and --engines must be at least 1")
+	}
+	if len(fas) > 0 {
+		return eris.Errorf("bad settings: %q", fas)
+	}
+	return nil
+}
+
+const (
+	quickDuration = 12 * time.Second
+	quickWarmUp   = 3 * time.Second
+)
+
+func main() {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	set = set.Defaults()
+	err := set.Validate()
+	if err == nil {
+		err = run(set)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "experimenter:", err)
+		os.Exit(1)
+	}
+}
+
+func run(set settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := os.MkdirAll(set.Out, 0o755); err != nil {
+		return eris.Wrap(err, "run: folder")
+	}
+	exp, err := newExperiment(set)
+	if err != nil {
+		return err
+	}
+	defer exp.close()
+	for _, pol := range set.Policies {
+		if err := exp.policy(ctx, pol); err != nil {
+			return err
+		}
+	}
+	return write(set, exp.reports)
+}
+
+func write(set settings, reps []summarizer.Report) error {
+	nam := filepath.Join(set.Out, fmt.Sprintf("%s-%d", set.Mix, set.Seed))
+	if err := reporter.WriteJSON(nam+".json", reps); err != nil {
+		return err
+	}
+	tit := fmt.Sprintf("Placement, mix %s, seed %d, scale %g, %d hosts, %d engines", set.Mix, set.Seed, set.Scale, set.Hosts, set.Engines)
+	return reporter.WriteHTML(nam+".html", tit, reps)
+}
