--- /dev/null
+++ b/version/parser/parser_test.go
@@ -0,0 +1,123 @@
+package parser_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"hemlockpin/version/parser"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+)
+
+// TestParse checks documents and the faults that they are rejected for.
+func TestParse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/parse", func(t *testing.T, dat *datadriven.TestData) string {
+		tab, err := parser.Parse([]byte(dat.Input))
+		var fas *parser.FaultsError
+		if eris.As(err, &fas) {
+			require.Zero(t, tab.Routes, "a rejected document gives no tables")
+			return strings.Join(fas.Faults, "\n")
+		}
+		require.NoError(t, err)
+		doc, err := tab.Encode()
+		require.NoError(t, err)
+		again, err := parser.Parse(doc)
+		require.NoError(t, err)
+		require.Equal(t, tab, again)
+		return fmt.Sprintf("accepted: %d routes, %d pools, %d teams", len(tab.Routes), len(tab.Pools), len(tab.Teams))
+	})
+}
+
+func TestDocumentTooLarge(t *testing.T) {
+	_, err := parser.Parse(make([]byte, parser.MaxDocumentBytes+1))
+	require.ErrorContains(t, err, "the limit is 1048576")
+}
+
+// matches are all combinations of a few models, teams, paths and lengths.
+func matches() []parser.Match {
+	var out []parser.Match
+	for _, mod := range []string{"", "m", "n"} {
+		for _, tea := range []string{"", "t", "u"} {
+			for _, pat := range []string{"", "/", "/a", "/a/", "/a/b", "/ab"} {
+				for _, len := range [][2]int64{{0, 0}, {0, 10}, {5, 20}, {11, 0}} {
+					out = append(out, parser.Match{Model: mod, Team: tea, PathPrefix: pat, MinPromptTokens: len[0], MaxPromptTokens: len[1]})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// The indexed check finds exactly the pairs that comparing all routes finds.
+func TestAmbiguitiesAreComplete(t *testing.T) {
+	mats := matches()
+	pool := parser.Pool{Name: "p", Kind: parser.PoolEngine, Selector: parser.Selector{Service: "s"}}.Defaults()
+	for ind, one := range mats {
+		for _, two := range mats[ind:] {
+			tab := parser.Tables{Pools: []parser.Pool{pool}, Routes: []parser.Route{
+				parser.Route{Name: "one", Match: one, Pool: "p"}.Defaults(), parser.Route{Name: "two", Match: two, Pool: "p"}.Defaults(),
+			}}
+			require.Equal(t, one.Ambiguous(two), tab.Validate() != nil, "%+v against %+v", one, two)
+		}
+	}
+}
+
+// bigTables returns 5,000 routes over 11 models and 980 teams.
+func bigTables() parser.Tables {
+	tab := parser.Tables{Pools: []parser.Pool{{Name: "p", Kind: parser.PoolEngine, Selector: parser.Selector{Service: "s"}}}}
+	for ind := range 980 {
+		tab.Teams = append(tab.Teams, parser.Team{Name: fmt.Sprintf("team-%d", ind), KeyDigests: []string{parser.DigestKey(fmt.Sprint(ind))}})
+	}
+	for ind := range 5000 {
+		tab.Routes = append(tab.Routes, parser.Route{
+			Name: fmt.Sprintf("route-%d", ind), Pool: "p", TimeLimit: parser.Duration(time.Second),
+			Match: parser.Match{Model: fmt.Sprintf("m-%d", ind/980), Team: fmt.Sprintf("team-%d", ind%980)},
+		})
+	}
+	return tab.Defaults()
+}
+
+func BenchmarkValidate5000Routes(b *testing.B) {
+	tab := bigTables()
+	for b.Loop() {
+		require.NoError(b, tab.Validate())
+	}
+}
+
+func BenchmarkParse5000Routes(b *testing.B) {
+	doc, err := bigTables().Encode()
+	require.NoError(b, err)
+	b.ReportMetric(float64(len(doc)), "document-bytes")
+	for b.Loop() {
+		_, err := parser.Parse(doc)
+		require.NoError(b, err)
+	}
+}
+
+// FuzzParse requires that whatever is accepted is accepted again unchanged.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"Revision":1,"Routes":[{"Name":"a","Match":{"Model":"m"},"Pool":"p","TimeLimit":"30s"}],"Pools":[{"Name":"p","Kind":"Engine","Selector":{"Service":"s"}}],"Teams":null}`))
+	f.Add([]byte(`{"Routes":[{"Name":"a","Match":{"PathPrefix":"/a//b"},"Pool":"p"}],"Pools":[{"Name":"p","Kind":"Service","Selector":{"Service":"s"}}]}`))
+	f.Add([]byte(`{"Teams":[{"Name":"t","KeyDigests":["00"],"Share":-1}]} {}`))
+	f.Add([]byte(`{"Recent":[{"Revision":1,"Nonce":"n","At":"2026-01-02T03:04:05Z"}]}`))
+	f.Fuzz(func(t *testing.T, doc []byte) {
+		tab, err := parser.Parse(doc)
+		if err != nil {
+			return
+		}
+		out, err := tab.Encode()
+		require.NoError(t, err)
+		if len(out) > parser.MaxDocumentBytes {
+			return
+		}
+		again, err := parser.Parse(out)
+		require.NoError(t, err)
+		twice, err := again.Encode()
+		require.NoError(t, err)
+		require.Equal(t, string(out), string(twice))
+	})
+}
