--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hemlockpin/connection/messenger"
@@ -32,6 +33,7 @@
 type Multiplexer struct {
 	Handler Handler
 
+	bytes    atomic.Int64
 	mu       sync.Mutex
 	sessions map[string]*session
 	accepted map[*yamux.Session]struct{}
@@ -101,7 +103,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "Multiplexer.acquire: dial peer %s", address)
 	}
-	yam, err := yamux.Client(con, sessionConfig())
+	yam, err := yamux.Client(countedConn{con, &mul.bytes}, sessionConfig())
 	if err != nil {
 		con.Close()
 		return nil, eris.Wrapf(err, "Multiplexer.acquire: open session to peer %s", address)
@@ -194,7 +196,7 @@
 }
 
 func (mul *Multiplexer) serveConn(con net.Conn) {
-	ses, err := yamux.Server(con, sessionConfig())
+	ses, err := yamux.Server(countedConn{con, &mul.bytes}, sessionConfig())
 	if err != nil {
 		con.Close()
 		return
--- a/process/server/drain.go
+++ b/process/server/drain.go
@@ -52,6 +52,7 @@
 		Writes: ser.pendingWrites,
 	}, drainer.Settings{Notice: ser.Settings.DrainNotice, Timeout: ser.Settings.DrainTimeout}, again)
 	_ = cal.Close()
+	ser.executor.Settle()
 	ser.Log.Info().Err(err).Msg("host stopped")
 	return err
 }
@@ -66,10 +67,8 @@
 	}()
 }
 
-// pendingWrites counts the outcomes of calls that are not yet recorded.
+// pendingWrites counts claimed calls whose callers have left and outcomes that
+// are not yet recorded.
 func (ser *Server) pendingWrites() int {
-	if pen, ok := any(ser.journal).(interface{ Pending() int }); ok {
-		return pen.Pending()
-	}
-	return 0
+	return ser.executor.CallsInProgress() + ser.journal.Pending()
 }
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -24,8 +24,15 @@
 	case *messenger.Envelope_TablesPush:
 		return ser.gossiper.HandlePush(bod.TablesPush)
 	case *messenger.Envelope_ClaimCommit:
-		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Commit(ctx, bod.ClaimCommit, now)}}
+		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Write(ctx, bod.ClaimCommit)}}
+	case *messenger.Envelope_StatusQuery:
+		return &messenger.Envelope{Body: &messenger.Envelope_StatusReport{StatusReport: ser.report()}}
+	case *messenger.Envelope_DrainOrder:
+		return ser.handleDrain(bod.DrainOrder)
 	default:
+		if rep := ser.handleSchedule(ctx, env); rep != nil {
+			return rep
+		}
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
 }
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -18,15 +18,15 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
 	"hemlockpin/request/executor"
-	"hemlockpin/request/placer"
+	"hemlockpin/request/receiver"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"go.opentelemetry.io/otel"
 )
 
@@ -49,39 +49,47 @@
 	watcher     *watcher.Watcher
 	journal     *journaler.Journal
 	admitter    *admitter.Admitter
+	allocator   *allocator.Allocator
 	executor    *executor.Executor
+	meter       *meter
+	bodies      receiver.Budget
+	scheduler   *scheduler.Scheduler
+	cells       *allocator.Cells
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	started     time.Time
+	// requestDrain has the effect of SIGTERM. It is set by Run.
+	requestDrain context.CancelFunc
 }
 
 // New joins the parts of a host.
 func New(set configurer.Settings, log zerolog.Logger, now time.Time) *Server {
 	ser := &Server{Settings: set, Log: log, Incarnation: uint64(now.UnixNano()), started: now}
-	rep := prometheus.NewReporter(prometheus.Options{})
-	ser.metrics = rep.HTTPHandler()
-	ser.scope, _ = tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "hemlockpin", CachedReporter: rep, Separator: prometheus.DefaultSeparator, SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, time.Second)
+	ser.scope, ser.metrics = newScope(log)
 	own := invoker.Owner{Host: set.HostID, Incarnation: ser.Incarnation}
+	ser.meter = newMeter(ser.scope)
+	ser.bodies.MaxBytes = set.MaxBodyMemory
 	ser.invoker = &invoker.Invoker{}
 	ser.persister = &persister.Persister{BaseURL: set.Platform}
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
-	ser.journal = &journaler.Journal{Store: ser.persister}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
 	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
 	ser.joinTables()
+	ser.journal = ser.newJournal()
+	ser.allocator = ser.newAllocator(own)
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: &allocator.Allocator{Policy: placer.Policy(set.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own},
+		Allocator: ser.allocator,
 	}
 	return ser
 }
 
 // Run serves until ctx ends, then drains.
 func (ser *Server) Run(ctx context.Context) error {
+	ctx, ser.requestDrain = context.WithCancel(ctx)
+	defer ser.requestDrain()
 	liss, err := ser.listen()
 	if err != nil {
 		return err
@@ -92,12 +100,17 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
+	gro.Go(func() { ser.scheduler.Run(work) })
+	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
 	gro.Go(func() { ser.gaugeTables(work) })
+	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
-	cal := &http.Server{Handler: ser.countRequests(ser.callerRoutes()), ReadHeaderTimeout: headerTimeout, ReadTimeout: ser.Settings.ReadTimeout, MaxHeaderBytes: ser.Settings.MaxHeader}
+	cal := ser.callerServer(ser.countRequests(ser.edge(ser.callerRoutes())))
 	ope := &http.Server{Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
-	gro.Go(func() { _ = cal.Serve(liss.caller) })
+	gro.Go(func() {
+		_ = cal.Serve(&limitedListener{Listener: liss.caller, max: int64(ser.Settings.MaxConns), refused: ser.scope.Counter("connections_refused")})
+	})
 	gro.Go(func() { _ = ope.Serve(liss.operator) })
 	ser.Log.Info().Str("Host", ser.Settings.HostID).Str("Listen", ser.Settings.Listen).Msg("host started")
 	<-ctx.Done()
