Leave engines that break every stream and eject failing endpoints

Cause: under random faults 30 of 2218 requests ended with endpoint_failed although healthy engines were left. The soak tool now prints each request that failed: nearly all fell to an engine that broke each stream after three tokens. Every token gave the engine a new second try, so one engine used up all eight attempts. Hosts also had no memory of failing endpoints, so each request found out for itself. Conclusion: a second try on the same engine is given once. process/ejector keeps failing endpoints out with doubling periods and single trials, never more than half of a pool.

--- a/internal/disturber/disturber.go
+++ b/internal/disturber/disturber.go
@@ -152,7 +152,7 @@
 	dis.spans = append(dis.spans, spa)
 	delete(dis.busy, pro.ID)
 	if dis.Log != nil {
-		fmt.Fprintf(dis.Log, "%s %s for %s: %v\n", fau.kind, pro.ID, spa.To.Sub(spa.From).Round(time.Millisecond), err)
+		fmt.Fprintf(dis.Log, "%s to %s %s %s for %s: %v\n", spa.From.Format("05.000"), spa.To.Format("05.000"), fau.kind, pro.ID, spa.To.Sub(spa.From).Round(time.Millisecond), err)
 	}
 }
 
--- a/load/sender/sender.go
+++ b/load/sender/sender.go
@@ -58,6 +58,8 @@
 	Outcome Outcome
 	Status  int
 	Code    string
+	// Message is the explanation of an error answer.
+	Message string
 	Ran     string
 	// First is the time to the first token, Total that to the last byte.
 	First time.Duration
@@ -210,11 +212,12 @@
 func refused(req mixer.Request, hos string, res *http.Response, beg time.Time) Result {
 	var bod struct {
 		Error struct {
-			Code string `json:"code"`
+			Code    string `json:"code"`
+			Message string `json:"message"`
 		} `json:"error"`
 	}
 	_ = json.NewDecoder(res.Body).Decode(&bod)
-	out := Result{Request: req, Outcome: Failed, Host: hos, Status: res.StatusCode, Code: bod.Error.Code, Ran: res.Header.Get(responder.RunHeader), Total: time.Since(beg)}
+	out := Result{Request: req, Outcome: Failed, Host: hos, Status: res.StatusCode, Code: bod.Error.Code, Message: bod.Error.Message, Ran: res.Header.Get(responder.RunHeader), Total: time.Since(beg)}
 	if out.Ran == "NotRun" {
 		out.Outcome = Refused
 	}
@@ -227,7 +230,8 @@
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
 	Error *struct {
-		Code string `json:"code"`
+		Code    string `json:"code"`
+		Message string `json:"message"`
 	} `json:"error"`
 }
 
@@ -256,6 +260,7 @@
 		if chu.Error != nil {
 			out.Outcome = Failed
 			out.Code = chu.Error.Code
+			out.Message = chu.Error.Message
 			break
 		}
 		if len(chu.Choices) == 0 || chu.Choices[0].Text == "" {
--- a/process/allocator/allocator.go
+++ b/process/allocator/allocator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlockpin/connection/invoker"
+	"hemlockpin/process/ejector"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/placer"
@@ -26,6 +27,8 @@
 	Watcher *watcher.Watcher
 	Invoker *invoker.Invoker
 	Owner   invoker.Owner
+	// Ejector keeps failing endpoints out.
+	Ejector ejector.Ejector
 	// Cells reaches the schedulers; nil places from the own view only.
 	Cells *Cells
 
@@ -35,9 +38,9 @@
 	mix   placer.Mix
 }
 
-// Acquire places a request. With a scheduler it waits until it is granted or
+// acquire places a request. With a scheduler it waits until it is granted or
 // refused; else waiting is left to the engines' queues.
-func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+func (all *Allocator) acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
 	if all.Cells != nil && all.Policy == placer.PolicyCell && poo.Kind == parser.PoolEngine {
 		lea, err := all.fromCell(ctx, req, poo)
 		if !eris.Is(err, errNoScheduler) {
--- /dev/null
+++ b/process/allocator/health.go
@@ -0,0 +1,58 @@
+package allocator
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"hemlockpin/request/executor"
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+)
+
+// codeNoEndpoint refuses a request for which every endpoint is excluded.
+const codeNoEndpoint = "no_endpoint"
+
+// Acquire places a request on an endpoint that has not failed lately, or on
+// any if no other is left.
+func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+	out := all.ejected(poo, time.Now())
+	if len(out) == 0 {
+		return all.reported(all.acquire(ctx, req, poo))
+	}
+	sub := req
+	sub.Excluded = append(slices.Clip(req.Excluded), out...)
+	lea, err := all.acquire(ctx, sub, poo)
+	var ref *executor.RefusedError
+	if errors.As(err, &ref) && ref.Refuse.Code == codeNoEndpoint {
+		lea, err = all.acquire(ctx, req, poo)
+	}
+	return all.reported(lea, err)
+}
+
+func (all *Allocator) ejected(poo parser.Pool, now time.Time) []string {
+	if all.Ejector.Ejected() == 0 {
+		return nil
+	}
+	all.mu.Lock()
+	vie := all.view(poo, now)
+	all.mu.Unlock()
+	has := func(id string) bool {
+		_, ok := vie.index[id]
+		return ok
+	}
+	return all.Ejector.Excluded(len(vie.endpoints), has, now)
+}
+
+// reported makes the lease report how its endpoint did.
+func (all *Allocator) reported(lea executor.Lease, err error) (executor.Lease, error) {
+	lea.Report = func(healthy bool, now time.Time) {
+		if healthy {
+			all.Ejector.Succeeded(lea.Endpoint)
+			return
+		}
+		all.Ejector.Failed(lea.Endpoint, now)
+	}
+	return lea, err
+}
--- a/request/attempter/attempter.go
+++ b/request/attempter/attempter.go
@@ -119,11 +119,11 @@
 }
 
 // WithDelivered returns the state after a token reached the caller. Progress
-// gives the endpoint a new second try.
+// gives the endpoint no further second try: one that breaks every stream would
+// use up all attempts.
 func (sta State) WithDelivered(cou int64) State {
 	sta.Delivered = cou
 	sta.Ran = invoker.Ran
-	sta.Resumed = false
 	return sta
 }
 
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -103,6 +103,9 @@
 	ctx, spa := exe.Tracer.Start(ctx, "service")
 	defer spa.End()
 	rep, err := exe.Invoker.Call(ctx, lea.Address, cal.service)
+	if ctx.Err() == nil {
+		lea.report(err == nil, exe.Clock())
+	}
 	if err == nil {
 		return claimer.Replied{Reply: rep}, nil
 	}
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -36,6 +36,15 @@
 	// Prefilled tells the allocator that the first token has arrived. It is
 	// idempotent and never nil.
 	Prefilled func()
+	// Report tells the allocator whether the endpoint served the request or
+	// failed it; nil for nobody.
+	Report func(healthy bool, now time.Time)
+}
+
+func (lea Lease) report(healthy bool, now time.Time) {
+	if lea.Report != nil {
+		lea.Report(healthy, now)
+	}
 }
 
 // RefusedError reports that no endpoint could be had.
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -135,6 +135,7 @@
 	ver := gen.assembler.Finish(fin)
 	switch ver {
 	case assembler.Complete:
+		gen.lease.report(true, exe.Clock())
 	case assembler.Drop:
 		exe.counters().dropped.Inc(1)
 		return nil
@@ -200,6 +201,9 @@
 		eve.Permanent = ine.Status == http.StatusBadRequest || ine.Status == http.StatusRequestEntityTooLarge
 		eve.Connection = errors.Is(err, invoker.ErrSilent) || ine.Status == 0 && ine.Code == "" && ine.Ran != invoker.NotRun
 	}
+	if !eve.Permanent {
+		gen.lease.report(false, exe.Clock())
+	}
 	if eris.Is(err, invoker.ErrSilent) {
 		exe.counters().silent.Inc(1)
 		exe.Invoker.Condemn(gen.lease.Address)
--- a/request/executor/resume_test.go
+++ b/request/executor/resume_test.go
@@ -1,11 +1,14 @@
 package executor_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,6 +17,7 @@
 	"hemlockpin/connection/invoker"
 	"hemlockpin/request/admitter"
 	"hemlockpin/request/executor"
+	"hemlockpin/request/placer"
 	"hemlockpin/version/matcher"
 	"hemlockpin/version/parser"
 
@@ -38,6 +42,62 @@
 		writeTokens(wri, req, true)
 	}))
 	t.Cleanup(eng.Close)
+	txt := askWhole(t, fixedAllocator{strings.TrimPrefix(eng.URL, "http://")})
+	require.Contains(t, txt, strings.Repeat(" t1234", 20))
+}
+
+// choosingAllocator leases the first address that is not excluded.
+type choosingAllocator []string
+
+func (cho choosingAllocator) Acquire(_ context.Context, req placer.Request, _ parser.Pool) (executor.Lease, error) {
+	for _, add := range cho {
+		if !slices.Contains(req.Excluded, add) {
+			return executor.Lease{Endpoint: add, Address: add, Release: func() {}, Prefilled: func() {}}, nil
+		}
+	}
+	return executor.Lease{}, &executor.RefusedError{Refuse: placer.Refuse{Code: "no_endpoint"}}
+}
+
+// An engine that breaks every stream after some tokens is left after its second
+// try, however far the answer has come.
+func TestLeaveEngineThatBreaksEveryStream(t *testing.T) {
+	bad := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, htr *http.Request) {
+		var req invoker.GenerateRequest
+		if htr.URL.Path != "/v1/generate" || json.NewDecoder(htr.Body).Decode(&req) != nil {
+			return
+		}
+		writeSome(wri, req, req.StartIndex, req.StartIndex+1)
+	}))
+	t.Cleanup(bad.Close)
+	good := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, htr *http.Request) {
+		var req invoker.GenerateRequest
+		if htr.URL.Path != "/v1/generate" || json.NewDecoder(htr.Body).Decode(&req) != nil {
+			return
+		}
+		writeSome(wri, req, req.StartIndex, req.MaxTokens)
+		fmt.Fprintf(wri, "event: Finish\ndata: {\"RequestID\":%q,\"Attempt\":%d,\"Reason\":\"length\",\"PromptTokens\":%d,\"CompletionTokens\":%d}\n\n", req.RequestID, req.Attempt, req.PromptTokens, req.MaxTokens)
+	}))
+	t.Cleanup(good.Close)
+	txt := askWhole(t, choosingAllocator{strings.TrimPrefix(bad.URL, "http://"), strings.TrimPrefix(good.URL, "http://")})
+	require.Contains(t, txt, "t0 t1 t2 t3 t4 t5 t6 t7 t8 t9 t10 t11 t12 t13 t14 t15 t16 t17 t18 t19")
+}
+
+// writeSome streams the tokens from one index up to another.
+func writeSome(wri http.ResponseWriter, req invoker.GenerateRequest, from, to int64) {
+	hea := wri.Header()
+	hea.Set("Content-Type", "text/event-stream")
+	hea.Set("Engine-Request-Id", req.RequestID)
+	hea.Set("Engine-Attempt", strconv.Itoa(req.Attempt))
+	hea.Set("Engine-Model", req.Model)
+	hea.Set("Engine-Prompt-Tokens", strconv.FormatInt(req.PromptTokens, 10))
+	for ind := from; ind < to; ind++ {
+		fmt.Fprintf(wri, "event: Token\ndata: {\"RequestID\":%q,\"Attempt\":%d,\"Index\":%d,\"Text\":\" t%d\"}\n\n", req.RequestID, req.Attempt, ind, ind)
+	}
+}
+
+// askWhole asks a host for a whole answer of 20 tokens and returns the body.
+func askWhole(t *testing.T, all executor.Allocator) string {
+	t.Helper()
 	mat := matcher.New(parser.Tables{
 		Revision: 1,
 		Routes:   []parser.Route{{Name: "all", Match: parser.Match{Model: "m"}, Pool: "p", TimeLimit: parser.Duration(10 * time.Second)}},
@@ -46,14 +106,14 @@
 	})
 	exe := &executor.Executor{
 		Owner: invoker.Owner{Host: "host-0", Incarnation: 1}, Invoker: &invoker.Invoker{},
-		Allocator: fixedAllocator{strings.TrimPrefix(eng.URL, "http://")}, Admitter: &admitter.Admitter{}, Clock: time.Now,
+		Allocator: all, Admitter: &admitter.Admitter{}, Clock: time.Now,
 		Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), MaxBodyBytes: 1 << 20,
 	}
 	hos := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		exe.Generate(req.Context(), wri, req, mat, false)
 	}))
 	t.Cleanup(hos.Close)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, hos.URL+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"Why?","max_tokens":3}`))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, hos.URL+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"Why?","max_tokens":20}`))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer k")
 	res, err := http.DefaultClient.Do(req)
@@ -62,5 +122,5 @@
 	txt, err := io.ReadAll(res.Body)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, res.StatusCode, string(txt))
-	require.Contains(t, string(txt), fmt.Sprintf("%q", " t1234 t1234 t1234"))
+	return string(txt)
 }
--- a/tools/soaker/main.go
+++ b/tools/soaker/main.go
@@ -98,7 +98,7 @@
 	aud := &auditor.Auditor{Fleet: fle, TimeLimit: set.TimeLimit}
 	dis := &disturber.Disturber{Fleet: fle, Links: lis, Every: set.Every, Seed: set.Seed, Log: os.Stderr}
 	run := &driver.Run{
-		Mix: mix, Rate: set.Rate, Seed: set.Seed, Duration: set.Duration, Progress: os.Stderr, Observe: aud.Observe,
+		Mix: mix, Rate: set.Rate, Seed: set.Seed, Duration: set.Duration, Progress: os.Stderr, Observe: func(res sender.Result) { aud.Observe(res); tell(res) },
 		Sender: &sender.Sender{Model: mix.Model, Verify: true, Repeats: callRepeats, TimeLimit: set.TimeLimit},
 	}
 	for _, hos := range fle.Hosts {
@@ -129,6 +129,13 @@
 	return judge(ctx, set, aud, dis)
 }
 
+// tell prints a request that was not answered whole, for the search of causes.
+func tell(res sender.Result) {
+	if res.Outcome != sender.Whole && res.Outcome != sender.Late {
+		fmt.Fprintf(os.Stderr, "%s %s %s at %s after %s: %s: %s\n", res.Began.Format("05.000"), res.Request.Class, res.Outcome, res.Host, res.Total.Round(time.Millisecond), res.Code, res.Message)
+	}
+}
+
 func judge(ctx context.Context, set settings, aud *auditor.Auditor, dis *disturber.Disturber) error {
 	spas := dis.Spans()
 	fins := aud.Judge(ctx, spas)
