--- a/process/journaler/writer.go
+++ b/process/journaler/writer.go
@@ -99,7 +99,15 @@
 	return false
 }
 
-// take removes the next batch from the queue. It ends the run when there is none.
+// more reports whether changes wait, and ends the run when there are none.
+func (wri *writer) more() bool {
+	wri.mu.Lock()
+	defer wri.mu.Unlock()
+	wri.running = len(wri.queue) > 0
+	return wri.running
+}
+
+// take removes the next batch from the queue.
 func (wri *writer) take() []*waiter {
 	wri.mu.Lock()
 	defer wri.mu.Unlock()
@@ -108,22 +116,18 @@
 		lim = maxBatch
 	}
 	cou := min(len(wri.queue), lim)
-	if cou == 0 {
-		wri.running = false
-		return nil
-	}
 	wais := wri.queue[:cou:cou]
 	wri.queue = wri.queue[cou:]
 	return wais
 }
 
 func (wri *writer) run() {
-	for {
+	for wri.more() {
 		// The wait is where a batch gathers under load.
 		_ = wri.limiter.Wait(context.Background())
 		wais := wri.take()
-		if wais == nil {
-			return
+		if len(wais) == 0 {
+			continue
 		}
 		ress := wri.batch(wais)
 		for ind, wai := range wais {
--- a/request/executor/once.go
+++ b/request/executor/once.go
@@ -18,7 +18,7 @@
 	lateBudget = 30 * time.Second
 	// recordWait bounds how long an answer waits for its outcome to be
 	// recorded, or a refusal for its claim to be given back.
-	recordWait = 500 * time.Millisecond
+	recordWait = 100 * time.Millisecond
 	// The answer at the time limit leaves this part of the limit, within
 	// bounds, for its way to the caller.
 	answerMarginShare = 10
