--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -69,6 +69,7 @@
 	Service    string
 	Address    string
 	DataCenter string
+	Region     string `json:",omitempty"`
 	Models     []string
 	Leaving    bool
 }
--- /dev/null
+++ b/process/allocator/explain.go
@@ -0,0 +1,28 @@
+package allocator
+
+import (
+	"time"
+
+	"hemlockpin/process/scheduler"
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+)
+
+// Scheduler names the cell that a request would be queued in and the host that
+// schedules it. Both are empty if this host places by itself.
+func (all *Allocator) Scheduler(req placer.Request, poo parser.Pool, now time.Time) (cell, id string) {
+	if all.Cells == nil || poo.Kind != parser.PoolEngine {
+		return "", ""
+	}
+	all.mu.Lock()
+	ends := all.view(poo, now).endpoints
+	all.mu.Unlock()
+	if len(ends) == 0 {
+		return "", ""
+	}
+	cell = all.Cells.choose(scheduler.Partition(all.Cells.Region+"/"+poo.Name, ends), req, now)
+	for _, hos := range all.Cells.candidates(cell, now) {
+		return cell, hos.id
+	}
+	return cell, ""
+}
--- a/request/responder/responder.go
+++ b/request/responder/responder.go
@@ -18,6 +18,11 @@
 	RequestIDHeader = "Hemlockpin-Request-Id"
 	// RevisionHeader names the revision of the tables that applied.
 	RevisionHeader = "Hemlockpin-Tables-Revision"
+	// AgeHeader gives the age of the tables in seconds, when a host has been cut
+	// off from the store and from peers that see it.
+	AgeHeader = "Hemlockpin-Tables-Age"
+	// InForceHeader counts the hosts known to have an accepted edit in force.
+	InForceHeader = "Hemlockpin-Tables-In-Force"
 )
 
 // Problem is a refusal or failure to tell the caller.
@@ -66,6 +71,7 @@
 
 // WriteProblem writes a refusal before any other part of the answer.
 func WriteProblem(wri http.ResponseWriter, pro Problem) {
+	note(wri, pro)
 	if pro.RetryAfter > 0 {
 		sec := int64((pro.RetryAfter + time.Second - 1) / time.Second)
 		wri.Header().Set("Retry-After", strconv.FormatInt(sec, 10))
