--- a/internal/claimproof/claimproof_test.go
+++ b/internal/claimproof/claimproof_test.go
@@ -114,24 +114,46 @@
 	}
 }
 
-func startFleet(t *testing.T) *testkit.Fleet {
+// links are the faulty connections of the fleet.
+type links struct {
+	t   *testing.T
+	all []*testkit.Link
+}
+
+// via returns the address of a link to address.
+func (lins *links) via(address string) string {
+	lin, err := testkit.NewLink(uuid.NewString(), address)
+	require.NoError(lins.t, err)
+	lins.t.Cleanup(lin.Close)
+	lins.all = append(lins.all, lin)
+	return lin.Address()
+}
+
+// silenceOpen makes all open connections silent for good; later ones work.
+func (lins *links) silenceOpen() {
+	for _, lin := range lins.all {
+		lin.SilenceEstablished()
+	}
+}
+
+func startFleet(t *testing.T) (*testkit.Fleet, *links) {
 	t.Helper()
 	bin, err := testkit.Build()
 	require.NoError(t, err)
-	pro := newProxies(t)
+	lins := &links{t: t}
 	tab := testkit.SampleTables()
 	for ind := range tab.Routes {
 		tab.Routes[ind].TimeLimit = parser.Duration(callLimit)
 	}
 	fle, err := testkit.Start(t.Context(), testkit.Plan{
 		Bin: bin, Model: testkit.Model, Hosts: hosts, Services: 2, Tables: tab, ServiceArgs: []string{"--delay", "20ms"},
-		PlatformVia: func(add string) string { return pro.via("platform", add) },
-		EndpointVia: func(_, add string) string { return pro.via("endpoint", add) },
-		PeerVia:     func(_, add string) string { return pro.via("peer", add) },
+		PlatformVia: func(add string) string { return lins.via(add) },
+		EndpointVia: func(_, add string) string { return lins.via(add) },
+		PeerVia:     func(_, add string) string { return lins.via(add) },
 	})
 	require.NoError(t, err)
 	t.Cleanup(fle.Stop)
-	return fle
+	return fle, lins
 }
 
 // runs adds up the executions that the services counted.
@@ -207,7 +229,7 @@
 	fault func(t *testing.T)
 }
 
-func faultCases(fle *testkit.Fleet) []faultCase {
+func faultCases(fle *testkit.Fleet, lins *links) []faultCase {
 	return []faultCase{
 		{"calm", func(*testing.T) { time.Sleep(faultTime / 2) }},
 		{"host killed", func(t *testing.T) { killAndRestart(t, fle.Hosts[0]); killAndRestart(t, fle.Hosts[1]) }},
@@ -217,9 +239,7 @@
 		{"platform slow", func(t *testing.T) { platformFault(t, fle, keeper.Faults{SlowMs: 700}, faultTime) }},
 		{"services lose answers", func(t *testing.T) { loseAnswers(t, fle, 20); time.Sleep(faultTime) }},
 		{"open connections silent", func(t *testing.T) {
-			for _, gro := range []string{"platform", "peer", "endpoint"} {
-				silenceOpen(gro)
-			}
+			lins.silenceOpen()
 			time.Sleep(faultTime)
 		}},
 		{"host frozen, platform loses answers, services lose answers", func(t *testing.T) {
@@ -242,8 +262,8 @@
 
 // TestClaims runs callers that repeat their keys over several hosts under faults.
 func TestClaims(t *testing.T) {
-	fle := startFleet(t)
-	for ind, tt := range faultCases(fle) {
+	fle, lins := startFleet(t)
+	for ind, tt := range faultCases(fle, lins) {
 		t.Run(tt.name, func(t *testing.T) {
 			rec := &record{tries: map[string][]answer{}}
 			ctx, stop := context.WithCancel(t.Context())
--- a/process/journaler/shard_test.go
+++ b/process/journaler/shard_test.go
@@ -106,21 +106,26 @@
 	})
 }
 
-// fill adds claims until the shard refuses one, and returns their number.
+// fill adds finished claims until the shard refuses one, and returns their number.
 func fill(t testing.TB, sha Shard, body int) (Shard, int) {
-	cou := 0
-	for {
-		key := "team/0193a000-0000-7000-8000-" + fmt.Sprintf("%012d", cou)
-		non := "0193a000-0000-7000-8000-" + fmt.Sprintf("%012d", cou)
-		cla := &messenger.ClaimCommit{Key: key, BodyDigest: make([]byte, 16), Host: "host-000", Nonce: non, KeyTimeMs: epoch.UnixMilli() + int64(cou)}
-		fin := &messenger.ClaimCommit{Step: messenger.ClaimCommit_STEP_FINISH, Key: key, Nonce: non, Outcome: &messenger.Outcome{Status: 200, ContentType: "application/json", Body: make([]byte, body)}}
-		nex, ress, _ := sha.Apply([]*messenger.ClaimCommit{cla, fin}, epoch)
-		if ress[0].GetState() == messenger.ClaimResult_STATE_FULL {
-			return sha, cou
+	const step = 100
+	for cou := 0; ; {
+		var coms []*messenger.ClaimCommit
+		for num := cou; num < cou+step; num++ {
+			non := fmt.Sprintf("0193a000-0000-7000-8000-%012d", num)
+			one := &messenger.ClaimCommit{Key: "team/" + non, BodyDigest: make([]byte, 16), Host: "host-000", Nonce: non, KeyTimeMs: epoch.UnixMilli() + int64(num)}
+			fin := &messenger.ClaimCommit{Step: messenger.ClaimCommit_STEP_FINISH, Key: one.GetKey(), Nonce: non, Outcome: &messenger.Outcome{Status: 200, ContentType: "application/json", Body: make([]byte, body)}}
+			coms = append(coms, one, fin)
 		}
-		require.Equal(t, messenger.ClaimResult_STATE_FINISHED, ress[1].GetState())
+		nex, ress, _ := sha.Apply(coms, epoch)
 		sha = nex
-		cou++
+		for ind := 0; ind < len(ress); ind += 2 {
+			if ress[ind].GetState() == messenger.ClaimResult_STATE_FULL {
+				return sha, cou
+			}
+			require.Equal(t, messenger.ClaimResult_STATE_FINISHED, ress[ind+1].GetState())
+			cou++
+		}
 	}
 }
 
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -40,13 +39,45 @@
 	LoseAnswers int
 	// FreezeList keeps the host list as it was when it was set.
 	FreezeList bool
+	// OneShots strike single calls, in their order.
+	OneShots []OneShot `json:",omitempty"`
 }
 
+// OneShot is a fault that strikes one call.
+type OneShot struct {
+	// Method and PathPrefix pick the calls of the object API; empty for any.
+	Method     string
+	PathPrefix string
+	// Skip lets this many of the picked calls pass first.
+	Skip int
+	Kind FaultKind
+	// SlowMs is the added delay of a Slow call, in milliseconds.
+	SlowMs int
+}
+
+// FaultKind is what a one-shot fault does to a call.
+type FaultKind string
+
+// Kinds of one-shot faults.
+const (
+	// Refuse answers that the platform is unavailable, without effect.
+	Refuse FaultKind = "Refuse"
+	// Drop closes the connection without effect.
+	Drop FaultKind = "Drop"
+	// LoseAnswer closes the connection after the effect.
+	LoseAnswer FaultKind = "LoseAnswer"
+	// Slow delays the call before its effect.
+	Slow FaultKind = "Slow"
+	// SlowAnswer delays the answer after the effect.
+	SlowAnswer FaultKind = "SlowAnswer"
+)
+
 // Keeper is the platform's state.
 type Keeper struct {
-	set    Settings
-	reads  *rate.Limiter
-	writes *rate.Limiter
+	set     Settings
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	weights *rate.Limiter
 
 	mu      sync.Mutex
 	version uint64
@@ -56,10 +87,23 @@
 	faults  Faults
 	changed chan struct{}
 	counts  Counts
+	changes map[string][]Change
+}
+
+// Counts are the calls taken so far. A watch counts as one read, however long
+// it waits; Waiting is the number of watches that wait now.
+type Counts struct{ Reads, Writes, Watches, Waiting, Weights, Limited int }
+
+// Change is one accepted write of an object, as checkers of histories see it.
+type Change struct {
+	Version uint64
+	At      time.Time
+	Bytes   int
+	Deleted bool `json:",omitempty"`
 }
 
-// Counts are the calls served so far.
-type Counts struct{ Reads, Writes, Watches, Limited int }
+// maxChanges bounds the changes kept of one object.
+const maxChanges = 10_000
 
 type listing struct {
 	at      time.Time
@@ -72,6 +116,8 @@
 		set:     set,
 		reads:   rate.NewLimiter(rate.Limit(set.ReadRate), int(set.ReadRate)),
 		writes:  rate.NewLimiter(rate.Limit(set.WriteRate), int(set.WriteRate)),
+		weights: rate.NewLimiter(rate.Limit(set.WeightRate), max(1, int(set.WeightRate))),
+		changes: map[string][]Change{},
 		objects: map[string]persister.Object{},
 		entries: map[string]persister.Entry{},
 		changed: make(chan struct{}),
@@ -85,6 +131,8 @@
 	rou.HandleFunc("/control/entries/{id}", kee.deleteEntry).Methods(http.MethodDelete)
 	rou.HandleFunc("/control/faults", kee.putFaults).Methods(http.MethodPut)
 	rou.HandleFunc("/control/counts", kee.getCounts).Methods(http.MethodGet)
+	rou.HandleFunc("/control/changes/{path:.+}", kee.getChanges).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/weights/{model}/{version}", kee.guard(kee.getWeights)).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/objects/{path:.+}", kee.guard(kee.get)).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/objects/{path:.+}", kee.guard(kee.put)).Methods(http.MethodPut)
 	rou.HandleFunc("/v1/objects/{path:.+}", kee.guard(kee.delete)).Methods(http.MethodDelete)
@@ -93,43 +141,6 @@
 	return rou
 }
 
-// guard applies outage, rate and delay.
-func (kee *Keeper) guard(nex http.HandlerFunc) http.HandlerFunc {
-	return func(wri http.ResponseWriter, req *http.Request) {
-		kee.mu.Lock()
-		fau := kee.faults
-		kee.mu.Unlock()
-		if fau.Down {
-			wri.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		if !kee.allow(req) {
-			wri.Header().Set("Retry-After", "1")
-			wri.WriteHeader(http.StatusTooManyRequests)
-			return
-		}
-		time.Sleep(kee.set.Delay + time.Duration(fau.SlowMs)*time.Millisecond)
-		nex(wri, req)
-	}
-}
-
-func (kee *Keeper) allow(req *http.Request) bool {
-	kee.mu.Lock()
-	defer kee.mu.Unlock()
-	lim := kee.reads
-	if req.Method != http.MethodGet {
-		lim = kee.writes
-		kee.counts.Writes++
-	} else {
-		kee.counts.Reads++
-	}
-	if lim.Allow() {
-		return true
-	}
-	kee.counts.Limited++
-	return false
-}
-
 func etag(ver uint64) string { return strconv.Quote(strconv.FormatUint(ver, 10)) }
 
 func (kee *Keeper) get(wri http.ResponseWriter, req *http.Request) {
@@ -164,7 +175,7 @@
 	kee.version++
 	ver := kee.version
 	kee.objects[path] = persister.Object{Path: path, Version: ver, Value: val}
-	los := kee.changeDone()
+	los := kee.changeDone(path, Change{Version: ver, At: time.Now(), Bytes: len(val)})
 	kee.mu.Unlock()
 	if los {
 		panic(http.ErrAbortHandler)
@@ -172,8 +183,12 @@
 	wri.Header().Set("ETag", etag(ver))
 }
 
-// changeDone wakes the watchers and reports whether the answer is to be lost.
-func (kee *Keeper) changeDone() bool {
+// changeDone notes a change, wakes the watchers and reports whether the answer
+// is to be lost.
+func (kee *Keeper) changeDone(path string, cha Change) bool {
+	if len(kee.changes[path]) < maxChanges {
+		kee.changes[path] = append(kee.changes[path], cha)
+	}
 	close(kee.changed)
 	kee.changed = make(chan struct{})
 	if kee.faults.LoseAnswers == 0 {
@@ -200,7 +215,8 @@
 		return
 	}
 	delete(kee.objects, path)
-	los := kee.changeDone()
+	kee.version++
+	los := kee.changeDone(path, Change{Version: kee.version, At: time.Now(), Deleted: true})
 	kee.mu.Unlock()
 	if los {
 		panic(http.ErrAbortHandler)
@@ -208,40 +224,6 @@
 	wri.WriteHeader(http.StatusNoContent)
 }
 
-func (kee *Keeper) watch(wri http.ResponseWriter, req *http.Request) {
-	aft, _ := strconv.ParseUint(req.FormValue("After"), 10, 64)
-	wai, _ := strconv.Atoi(req.FormValue("WaitMs"))
-	tim := time.NewTimer(time.Duration(wai) * time.Millisecond)
-	defer tim.Stop()
-	for {
-		objs, cha := kee.after(req.FormValue("Prefix"), aft)
-		if len(objs) > 0 {
-			_ = json.NewEncoder(wri).Encode(objs)
-			return
-		}
-		select {
-		case <-cha:
-		case <-tim.C:
-			_ = json.NewEncoder(wri).Encode([]persister.Object{})
-			return
-		case <-req.Context().Done():
-			return
-		}
-	}
-}
-
-func (kee *Keeper) after(prefix string, aft uint64) ([]persister.Object, chan struct{}) {
-	kee.mu.Lock()
-	defer kee.mu.Unlock()
-	var objs []persister.Object
-	for _, obj := range kee.objects {
-		if obj.Version > aft && strings.HasPrefix(obj.Path, prefix) {
-			objs = append(objs, obj)
-		}
-	}
-	return objs, kee.changed
-}
-
 // list serves the newest listing that is at least the lag old.
 func (kee *Keeper) list(wri http.ResponseWriter, _ *http.Request) {
 	kee.mu.Lock()
