Check settings whole, trace every hop and document the settings

Before / After: `go test -race -count=1 ./internal/traceproof ./process/configurer ./process/server ./internal/clitest` passes. On a scratch copy: trace context not sent to peers: TestTree "0" is not greater than or equal to "2"; a changed default: TestPage fails; reading ends at the first bad value: TestRead fails. Conclusion: a prompt's spans are prompt, admission, placement, engine; a booking's call, admission, claim, placement, service; peer calls lie below placement and claim. An outcome is recorded in the background and has no span.

--- a/cmd/hemlockpind/main.go
+++ b/cmd/hemlockpind/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,37 +15,46 @@
 
 	"hemlockpin/process/configurer"
 	"hemlockpin/process/server"
+	"hemlockpin/process/tracer"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 )
 
-const exitSettings = 2
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
 
 func main() {
-	var set configurer.Settings
-	par := flags.NewParser(&set, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := par.Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			fmt.Println(err)
-			return
-		}
-		fail(err, exitSettings)
-	}
-	if err := set.Validate(); err != nil {
+	set, err := configurer.Read(os.Args[1:])
+	var hel *configurer.HelpError
+	switch {
+	case errors.As(err, &hel):
+		fmt.Println(hel.Text)
+		return
+	case err != nil:
 		fail(err, exitSettings)
-	}
-	if set.CheckSettings {
+	case set.CheckSettings:
 		fmt.Println("settings are good")
 		return
 	}
+	if err := run(set); err != nil {
+		fail(err, exitFailure)
+	}
+}
+
+func run(set configurer.Settings) error {
 	lev, _ := zerolog.ParseLevel(set.LogLevel)
 	log := zerolog.New(os.Stderr).Level(lev).With().Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := server.New(set, log, time.Now()).Run(ctx); err != nil {
-		fail(err, 1)
+	now := time.Now()
+	flush, err := tracer.Start(ctx, tracer.Settings{Endpoint: set.TraceEndpoint, Ratio: set.TraceRatio, Host: set.HostID, DataCenter: set.DataCenter}, log)
+	if err != nil {
+		return err
 	}
+	defer flush()
+	return server.New(set, log, now).Run(ctx)
 }
 
 func fail(err error, code int) {
--- a/internal/clitest/cli_test.go
+++ b/internal/clitest/cli_test.go
@@ -38,6 +38,8 @@
 			env.Setenv("HOST0", "http://"+fle.Hosts[0].Operator)
 			env.Setenv("HOST1", "http://"+fle.Hosts[1].Operator)
 			env.Setenv("NOBODY", "http://"+testkit.FreeAddress())
+			env.Setenv("LISTEN", testkit.FreeAddress())
+			env.Setenv("TAKEN", fle.Hosts[0].Operator)
 			env.Setenv("HEMLOCKPIN_OPERATOR", "http://"+fle.Hosts[0].Operator)
 			return nil
 		},
--- a/process/server/claims.go
+++ b/process/server/claims.go
@@ -32,7 +32,7 @@
 func (ser *Server) newJournal() *journaler.Journal {
 	return &journaler.Journal{
 		Store: ser.persister, Self: journaler.Member{ID: ser.Settings.HostID, Address: ser.Settings.PeerListen},
-		Members: liveHosts{ser.gossiper}, Peers: ser.multiplexer, Scope: ser.scope,
+		Members: liveHosts{ser.gossiper}, Peers: tracedPeers{ser.multiplexer}, Scope: ser.scope,
 	}
 }
 
--- a/process/server/edge_test.go
+++ b/process/server/edge_test.go
@@ -44,10 +44,14 @@
 }
 
 func edgeSettings() configurer.Settings {
-	return configurer.Settings{
-		HostID: "host-0", MaxBodyBytes: 4000, MaxHeader: 8192, MaxConns: 100, MaxRequests: 100, MaxBodyMemory: 1 << 20,
-		ReadTimeout: 300 * time.Millisecond, WriteTimeout: 300 * time.Millisecond, IdleTimeout: time.Second, Placement: "random",
+	var set configurer.Settings
+	set.HostID = "host-0"
+	set.Placement = "random"
+	set.Limits = configurer.Limits{
+		MaxBodyBytes: 4000, MaxBodyMemory: 1 << 20, MaxHeader: 8192, MaxConns: 100, MaxRequests: 100,
+		ReadTimeout: 300 * time.Millisecond, WriteTimeout: 300 * time.Millisecond, IdleTimeout: time.Second,
 	}
+	return set
 }
 
 // startEdge serves the callers' routes of a host without endpoints; han
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -80,7 +80,7 @@
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
-	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
+	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.servePeer}
 	ser.gossiper = &gossiper.Gossiper{
 		Self:        &messenger.Member{Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Incarnation: ser.Incarnation},
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
@@ -89,9 +89,9 @@
 	ser.publisher.Push = func(pus *messenger.TablesPush) { ser.gossiper.Push(context.Background(), pus) }
 	ser.allocator = ser.newAllocator(own)
 	ser.executor = &executor.Executor{
-		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
+		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: tracedClaims{ser.journal}, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: ser.allocator,
+		Allocator: tracedAllocator{ser.allocator},
 	}
 	return ser
 }
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -52,7 +52,7 @@
 		Method: htr.Method, Path: htr.URL.RequestURI(), Header: forwarded(htr.Header), Body: bod,
 		Key: htr.Header.Get(receiver.KeyHeader), Once: !req.route.Repeatable,
 	}}
-	done, ref := exe.Admitter.Admit(cal.placement(), cal.team, cal.pool, exe.Clock())
+	done, ref := exe.admit(ctx, cal.placement(), cal.team, cal.pool)
 	if ref != nil {
 		responder.WriteProblem(wri, unclaimed(refusal(*ref), htr.Header))
 		return
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -70,7 +70,7 @@
 }
 
 func (exe *Executor) generate(ctx context.Context, gen *generation) {
-	done, ref := exe.Admitter.Admit(gen.placement(), gen.team, gen.pool, exe.Clock())
+	done, ref := exe.admit(ctx, gen.placement(), gen.team, gen.pool)
 	if ref != nil {
 		gen.answer.Fail(refusal(*ref), exe.Clock())
 		return
--- /dev/null
+++ b/request/executor/trace.go
@@ -0,0 +1,21 @@
+package executor
+
+import (
+	"context"
+
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// admit asks for admission within a span.
+func (exe *Executor) admit(ctx context.Context, req placer.Request, tea parser.Team, poo parser.Pool) (done func(), ref *placer.Refuse) {
+	_, spa := exe.Tracer.Start(ctx, "admission")
+	defer spa.End()
+	done, ref = exe.Admitter.Admit(req, tea, poo, exe.Clock())
+	if ref != nil {
+		spa.SetAttributes(attribute.String("Refused", ref.Code))
+	}
+	return done, ref
+}
