--- a/load/driver/driver.go
+++ b/load/driver/driver.go
@@ -22,6 +22,9 @@
 const (
 	progressInterval = 2 * time.Second
 	faultTimeout     = 5 * time.Second
+	// callerTimeout is the least time that a caller waits for an end; it is
+	// above the time limits of the tables used with the mixes for calls.
+	callerTimeout = 60 * time.Second
 	// maxInFlight bounds the requests in progress; more are counted as not sent.
 	maxInFlight = 20_000
 )
@@ -47,6 +50,8 @@
 	Operators []string
 	// Progress receives a line every few seconds; nil for none.
 	Progress io.Writer
+	// Observe is called with each result, from several goroutines; nil for none.
+	Observe func(sender.Result)
 
 	flying  atomic.Int64
 	dropped atomic.Int64
@@ -155,13 +160,17 @@
 		run.flying.Add(1)
 		gro.Go(func() {
 			defer run.flying.Add(-1)
-			ctx, stop := context.WithTimeout(ctx, 2*req.Patience)
+			ctx, stop := context.WithTimeout(ctx, max(2*req.Patience, callerTimeout))
 			defer stop()
 			text := ""
 			if req.Kind == mixer.KindPrompt {
 				text = mix.Text(req)
 			}
-			sum.Add(run.Sender.Send(ctx, req, text))
+			res := run.Sender.Send(ctx, req, text)
+			sum.Add(res)
+			if run.Observe != nil {
+				run.Observe(res)
+			}
 		})
 	}
 }
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -52,10 +52,12 @@
 	Platform     string        `long:"platform" env:"HEMLOCKPIN_PLATFORM" description:"base URL of the platform, as http://IP:port"`
 	ListInterval time.Duration `long:"list-interval" env:"HEMLOCKPIN_LIST_INTERVAL" default:"1s" description:"interval of reading the platform's list"`
 	Heartbeat    time.Duration `long:"heartbeat-interval" env:"HEMLOCKPIN_HEARTBEAT_INTERVAL" default:"1s" description:"interval of probes between hosts"`
+	SeedPeers    []string      `long:"seed-peer" env:"HEMLOCKPIN_SEED_PEERS" env-delim:"," description:"address of another host, as IP:port, to ask when the platform is out; may stand several times"`
 }
 
 // Stopping says how the host ends.
 type Stopping struct {
+	DrainNotice  time.Duration `long:"drain-notice" env:"HEMLOCKPIN_DRAIN_NOTICE" default:"2s" description:"how long a draining host still takes requests, for the balancer to turn away"`
 	DrainTimeout time.Duration `long:"drain-timeout" env:"HEMLOCKPIN_DRAIN_TIMEOUT" default:"10m" description:"limit for requests in progress at shutdown"`
 }
 
--- a/process/configurer/validator.go
+++ b/process/configurer/validator.go
@@ -25,7 +25,7 @@
 	fas = append(fas, set.Limits.validate()...)
 	fas = append(fas, set.Placing.validate()...)
 	fas = append(fas, set.Peering.validate()...)
-	fas = append(fas, positive(number{"--drain-timeout", int64(set.DrainTimeout)})...)
+	fas = append(fas, positive(number{"--drain-notice", int64(set.DrainNotice)}, number{"--drain-timeout", int64(set.DrainTimeout)})...)
 	fas = append(fas, set.Observation.validate()...)
 	if len(fas) > 0 {
 		return &FaultsError{fas}
@@ -89,6 +89,11 @@
 		number{"--list-interval", int64(pee.ListInterval)},
 		number{"--heartbeat-interval", int64(pee.Heartbeat)},
 	)
+	for _, add := range pee.SeedPeers {
+		if !validAddress(add) {
+			fas = append(fas, fmt.Sprintf("--seed-peer %q must be IP:port", add))
+		}
+	}
 	if !validURL(pee.Platform) {
 		fas = append(fas, fmt.Sprintf("--platform %q must be a URL such as http://127.0.0.1:7000", pee.Platform))
 	}
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/request/receiver"
@@ -14,6 +15,7 @@
 
 func (ser *Server) callerRoutes() http.Handler {
 	rou := mux.NewRouter().SkipClean(true)
+	rou.Use(ser.requireTables)
 	rou.HandleFunc("/healthz", func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusOK) })
 	rou.HandleFunc("/readyz", ser.ready)
 	rou.HandleFunc("/v1/chat/completions", ser.prompt(true)).Methods(http.MethodPost)
@@ -38,6 +40,7 @@
 func (ser *Server) tables(wri http.ResponseWriter) *matcher.Matcher {
 	mat := ser.publisher.Current()
 	wri.Header().Set(responder.RevisionHeader, strconv.FormatUint(mat.Revision(), 10))
+	ser.markStale(wri.Header(), time.Now())
 	return mat
 }
 
--- a/process/server/meter_test.go
+++ b/process/server/meter_test.go
@@ -90,8 +90,8 @@
 // TestMetricNames holds every metric to the naming of Prometheus.
 func TestMetricNames(t *testing.T) {
 	ser, _ := startEdge(t, edgeSettings(), nil)
-	ser.gauge(time.Now())
-	require.Eventually(t, func() bool { return strings.Contains(scrape(ser), "hemlockpin_tables_revision 1") }, edgeTimeout, 50*time.Millisecond)
+	ser.gauge()
+	require.Eventually(t, func() bool { return strings.Contains(scrape(ser), "hemlockpin_draining 0") }, edgeTimeout, 50*time.Millisecond)
 	nam := regexp.MustCompile(`^hemlockpin_[a-z0-9_]+$`)
 	for _, lin := range strings.Split(scrape(ser), "\n") {
 		if fie := strings.Fields(lin); len(fie) > 2 && fie[1] == "TYPE" && strings.HasPrefix(fie[2], "hemlockpin") {
