--- /dev/null
+++ b/examples/claiming/main.go
@@ -0,0 +1,60 @@
+// Command claiming embeds the journal of claims without the daemon: two callers
+// use one key, and only one of them may run the call.
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+	"hemlockpin/process/journaler"
+)
+
+// memory is an object store with conditional writes. A real one is shared by
+// all hosts and outlives them.
+type memory struct {
+	mu      sync.Mutex
+	objects map[string]persister.Object
+}
+
+// Get reads an object.
+func (mem *memory) Get(_ context.Context, path string) (persister.Object, error) {
+	mem.mu.Lock()
+	defer mem.mu.Unlock()
+	obj, ok := mem.objects[path]
+	if !ok {
+		return persister.Object{}, persister.ErrNotFound
+	}
+	return obj, nil
+}
+
+// Put writes an object if its version is still the given one.
+func (mem *memory) Put(_ context.Context, obj persister.Object) (uint64, error) {
+	mem.mu.Lock()
+	defer mem.mu.Unlock()
+	if mem.objects[obj.Path].Version != obj.Version {
+		return 0, persister.ErrConflict
+	}
+	obj.Version++
+	mem.objects[obj.Path] = obj
+	return obj.Version, nil
+}
+
+func main() {
+	sto := &memory{objects: map[string]persister.Object{}}
+	for _, hos := range []string{"host-0", "host-1"} {
+		jou := &journaler.Journal{Store: sto, Self: journaler.Member{ID: hos}}
+		res := jou.Commit(context.Background(), &messenger.ClaimCommit{
+			Step: messenger.ClaimCommit_STEP_CLAIM, Key: "tailors/pickup-7", BodyDigest: []byte("tuesday"),
+			Host: hos, Nonce: "request-at-" + hos, KeyTimeMs: time.Now().UnixMilli(),
+		})
+		if res.GetState() == messenger.ClaimResult_STATE_COMMITTED {
+			fmt.Println(hos, "runs the call")
+			continue
+		}
+		fmt.Println(hos, "must not run it:", res.GetState())
+	}
+}
--- /dev/null
+++ b/examples/placing/main_test.go
@@ -0,0 +1,8 @@
+package main
+
+func Example() {
+	main()
+	// Output:
+	// true questions pedal
+	// place on engine-1
+}
--- a/request/claimer/key.go
+++ b/request/claimer/key.go
@@ -39,7 +39,7 @@
 // returns a Fail for a key that can't be accepted. The call is refused before
 // anything runs, but an earlier call may have used the key in another form.
 func ParseKey(txt, stamp string, now time.Time, skew time.Duration) (Key, *Fail) {
-	if !validKey(txt) {
+	if !ValidKey(txt) {
 		return Key{}, badKey("idempotency_key_invalid", "the key must be 1 to 200 printable ASCII characters", invoker.NotRun)
 	}
 	key := Key{Text: txt, Own: true}
@@ -66,7 +66,9 @@
 	return &Fail{Status: http.StatusBadRequest, Code: code, Message: message, Ran: ran}
 }
 
-func validKey(txt string) bool {
+// ValidKey reports whether a text can be an idempotency key: printable ASCII
+// without spaces, at most MaxKeyBytes.
+func ValidKey(txt string) bool {
 	if txt == "" || len(txt) > MaxKeyBytes {
 		return false
 	}
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"hemlockpin/request/claimer"
 )
 
 // Headers that callers may set.
@@ -21,8 +23,6 @@
 )
 
 const (
-	// MaxKeyBytes bounds an idempotency key.
-	MaxKeyBytes = 255
 	// MaxBearerBytes bounds a bearer key.
 	MaxBearerBytes = 1024
 	// MinTimeLimit is the shortest time limit that a caller may ask for.
@@ -68,20 +68,9 @@
 	return err
 }
 
-// validateKey admits printable ASCII without spaces, which every endpoint can
-// take as a header.
 func validateKey(hea http.Header) error {
-	if len(hea.Values(KeyHeader)) == 0 {
-		return nil
-	}
-	key := hea.Get(KeyHeader)
-	if key == "" || len(key) > MaxKeyBytes {
-		return bad("invalid_idempotency_key", KeyHeader, fmt.Sprintf("the key must be 1 to %d characters", MaxKeyBytes))
-	}
-	for ind := range len(key) {
-		if key[ind] <= ' ' || key[ind] > '~' {
-			return bad("invalid_idempotency_key", KeyHeader, "the key must be printable ASCII without spaces")
-		}
+	if len(hea.Values(KeyHeader)) > 0 && !claimer.ValidKey(hea.Get(KeyHeader)) {
+		return bad("idempotency_key_invalid", KeyHeader, fmt.Sprintf("the key must be 1 to %d printable ASCII characters without spaces", claimer.MaxKeyBytes))
 	}
 	return nil
 }
--- /dev/null
+++ b/tools/runner/requests.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"hemlockpin/internal/testkit"
+	"hemlockpin/request/hasher"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	ledgerTokens = 1_000_000
+	ledgerWord   = "ledger "
+	answerTokens = 16
+	shownBytes   = 40
+	columnGap    = 2
+)
+
+// result is what one request took.
+type result struct {
+	first  time.Duration
+	total  time.Duration
+	answer string
+}
+
+// showRequests sends the requests to one host after the other.
+func showRequests(ctx context.Context, fle *testkit.Fleet) error {
+	tries := []struct {
+		name string
+		send func(ctx context.Context, hos *testkit.Process) (result, error)
+	}{
+		{"short prompt", prompt("Why does the treadle stick?")},
+		{"ledger of a million tokens", prompt(strings.Repeat(ledgerWord, ledgerTokens*hasher.BytesPerToken/len(ledgerWord)))},
+		{"booking", booking},
+	}
+	wri := tabwriter.NewWriter(os.Stdout, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(wri, "REQUEST\tHOST\tFIRST TOKEN\tTOTAL\tANSWER")
+	for ind, try := range tries {
+		hos := fle.Hosts[ind%len(fle.Hosts)]
+		res, err := try.send(ctx, hos)
+		if err != nil {
+			return eris.Wrapf(err, "%s at host %s", try.name, hos.ID)
+		}
+		fir := "-"
+		if res.first > 0 {
+			fir = milliseconds(res.first)
+		}
+		fmt.Fprintf(wri, "%s\t%s\t%s\t%s\t%s\n", try.name, hos.ID, fir, milliseconds(res.total), shorten(res.answer))
+	}
+	return wri.Flush()
+}
+
+func milliseconds(dur time.Duration) string {
+	return fmt.Sprintf("%.1f ms", float64(dur.Microseconds())/1000)
+}
+
+func shorten(txt string) string {
+	if len(txt) <= shownBytes {
+		return txt
+	}
+	return txt[:shownBytes] + "..."
+}
+
+// prompt streams an answer through the stock OpenAI client.
+func prompt(text string) func(context.Context, *testkit.Process) (result, error) {
+	return func(ctx context.Context, hos *testkit.Process) (result, error) {
+		cli := openai.NewClient(option.WithBaseURL("http://"+hos.Address+"/v1/"), option.WithAPIKey(testkit.Key), option.WithMaxRetries(0))
+		var res result
+		var acc openai.ChatCompletionAccumulator
+		beg := time.Now()
+		str := cli.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
+			Model: testkit.Model, MaxTokens: openai.Int(answerTokens),
+			Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+		})
+		defer str.Close()
+		for str.Next() {
+			if res.first == 0 {
+				res.first = time.Since(beg)
+			}
+			acc.AddChunk(str.Current())
+		}
+		res.total = time.Since(beg)
+		if err := str.Err(); err != nil {
+			return res, err
+		}
+		if len(acc.Choices) == 0 {
+			return res, eris.New("the answer is empty")
+		}
+		res.answer = acc.Choices[0].Message.Content
+		return res, nil
+	}
+}
+
+func booking(ctx context.Context, hos *testkit.Process) (result, error) {
+	beg := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hos.Address+"/bookings", bytes.NewBufferString(`{"Slot":"2026-12-05T09:00"}`))
+	if err != nil {
+		return result{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+testkit.Key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return result{}, err
+	}
+	defer res.Body.Close()
+	txt, err := io.ReadAll(res.Body)
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = eris.Errorf("status %d: %s", res.StatusCode, txt)
+	}
+	return result{total: time.Since(beg), answer: strings.TrimSpace(string(txt))}, err
+}
