--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"hemlockpin/connection/invoker"
@@ -45,6 +46,9 @@
 		return
 	}
 	pro, err := receiver.ParsePrompt(htr.Body, exe.MaxBodyBytes, chat)
+	if len(pro.Ignored) > 0 {
+		wri.Header().Set(responder.IgnoredHeader, strings.Join(pro.Ignored, ", "))
+	}
 	if err == nil {
 		err = exe.route(&req, mat, matcher.Query{Kind: parser.PoolEngine, Model: pro.Model, Team: req.team.Name, Path: htr.URL.Path, PromptTokens: pro.Tokens}, htr.Header)
 	}
--- a/request/responder/responder.go
+++ b/request/responder/responder.go
@@ -18,6 +18,8 @@
 	RequestIDHeader = "Hemlockpin-Request-Id"
 	// RevisionHeader names the revision of the tables that applied.
 	RevisionHeader = "Hemlockpin-Tables-Revision"
+	// IgnoredHeader names the fields of a prompt that had no effect.
+	IgnoredHeader = "Hemlockpin-Ignored"
 	// AgeHeader gives the age of the tables in seconds, when a host has been cut
 	// off from the store and from peers that see it.
 	AgeHeader = "Hemlockpin-Tables-Age"
