--- a/internal/wholepath/client_test.go
+++ b/internal/wholepath/client_test.go
@@ -14,7 +14,7 @@
 
 // TestClient uses the stock client for what TestWholePath leaves out.
 func TestClient(t *testing.T) {
-	fle := startFleet(t, testkit.Plan{Hosts: 1, Engines: 1, HostArgs: []string{"--max-body-bytes", "20000"}})
+	fle := startFleet(t, testkit.Plan{Hosts: 1, Engines: 1})
 	cli := client(fle.Hosts[0], testkit.Key)
 
 	t.Run("stream with usage", func(t *testing.T) {
@@ -50,7 +50,11 @@
 		require.Equal(t, "temperature", res.Header.Get("Hemlockpin-Ignored"))
 		require.Equal(t, "Ran", res.Header.Get("Hemlockpin-Run"))
 	})
+}
 
+// TestClientErrors expects the client's own error type with its fields.
+func TestClientErrors(t *testing.T) {
+	fle := startFleet(t, testkit.Plan{Hosts: 1, Engines: 1, HostArgs: []string{"--max-body-bytes", "20000"}})
 	tt := []struct {
 		name   string
 		key    string
