--- a/cmd/hemlockpin/apply.go
+++ b/cmd/hemlockpin/apply.go
@@ -57,5 +57,6 @@
 	}
 	fil.Revision = old.Revision
 	fil.Nonce = old.Nonce
+	fil.Recent = old.Recent
 	return fil
 }
--- a/cmd/hemlockpin/history.go
+++ b/cmd/hemlockpin/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,22 +26,22 @@
 
 // Execute lists the revisions.
 func (com *historyCommand) Execute([]string) error {
-	ents, err := com.requester().History(com.ctx)
+	his, err := com.requester().History(com.ctx)
 	if err != nil {
 		return historyError(err, "the history")
 	}
 	if com.JSON {
-		return com.printJSON(ents)
+		return com.printJSON(his)
 	}
-	rows := make([][]string, 0, len(ents))
-	for _, ent := range ents {
-		whe := "-"
-		if !ent.Time.IsZero() {
-			whe = ent.Time.Format(time.RFC3339)
-		}
-		rows = append(rows, []string{strconv.FormatUint(ent.Revision, 10), whe, orDash(ent.Nonce)})
+	rows := make([][]string, 0, len(his.Edits))
+	for _, edi := range his.Edits {
+		rows = append(rows, []string{strconv.FormatUint(edi.Revision, 10), edi.At.UTC().Format(time.RFC3339), orDash(edi.Nonce)})
 	}
-	return com.printTable([]string{"REVISION", "ACCEPTED", "EDIT"}, rows)
+	if err := com.printTable([]string{"REVISION", "ACCEPTED", "EDIT"}, rows); err != nil {
+		return err
+	}
+	fmt.Fprintf(com.out, "revision %d is in force; revisions from %d on can be read\n", his.Newest, his.Oldest)
+	return nil
 }
 
 type rollbackCommand struct {
