--- a/process/server/schedule.go
+++ b/process/server/schedule.go
@@ -6,6 +6,7 @@
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
 	"hemlockpin/process/allocator"
 	"hemlockpin/process/scheduler"
 	"hemlockpin/request/placer"
@@ -27,7 +28,7 @@
 	}
 	ser.cells = &allocator.Cells{
 		Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Region: ser.Settings.Region,
-		Entries: ser.watcher.Entries, Caller: tracedPeers{ser.multiplexer}, Scheduler: ser.scheduler, Scope: ser.scope,
+		Entries: ser.liveEntries, Caller: tracedPeers{ser.multiplexer}, Scheduler: ser.scheduler, Scope: ser.scope,
 	}
 	if all.Policy == placer.PolicyCell {
 		ser.watcher.PollLimit = cellPollLimit
@@ -48,3 +49,16 @@
 		return nil
 	}
 }
+
+// liveEntries lists the live hosts that don't leave, as membership knows them.
+// The platform's list lags, and a scheduler that is gone costs each request a
+// time-out.
+func (ser *Server) liveEntries() []persister.Entry {
+	var out []persister.Entry
+	for _, per := range ser.gossiper.Live(time.Now()) {
+		out = append(out, persister.Entry{
+			ID: per.ID, Kind: persister.KindEntry, Address: per.Address, DataCenter: per.DataCenter, Region: per.Region,
+		})
+	}
+	return out
+}
