Give orders to engines under leases with fencing numbers

Ruled out: times in the lease object: clocks of hosts need not agree, so a taker waits until it saw one version for term and margin by its own clock. Leaving a lease's end to the fencing number alone: some engines ignore it, so each order also names the generation of the configuration it is to be applied to, and its holder gives none that could arrive after the end of its lease. Conclusion: POST /v1/orders on a host gives orders that are idempotent by ID and paced by the weight store. An engine that checks neither number can carry out a delayed order of a paused holder; that is written in the package comment.

--- /dev/null
+++ b/connection/invoker/orders.go
@@ -0,0 +1,39 @@
+package invoker
+
+import "context"
+
+// Kinds of orders.
+const (
+	LoadModel   = "LoadModel"
+	LoadAdapter = "LoadAdapter"
+	LoadVersion = "LoadVersion"
+	ChangeRole  = "ChangeRole"
+)
+
+// Codes with which engines refuse orders.
+const (
+	CodeStaleFence      = "stale_fence"
+	CodeWrongGeneration = "wrong_generation"
+)
+
+// EngineConfig is the configuration of an engine.
+type EngineConfig struct {
+	// Generation counts from 1 and grows with each order carried out.
+	Generation uint64
+	// Fence is the highest fencing number seen.
+	Fence    uint64
+	Models   []string
+	Adapters []string
+	// Versions holds the loaded version of each model.
+	Versions map[string]string
+	Role     string
+	// Orders are the identifiers of the latest orders, oldest first.
+	Orders []string
+}
+
+// Config reads the configuration of an engine.
+func (inv *Invoker) Config(ctx context.Context, address string) (EngineConfig, error) {
+	var cfg EngineConfig
+	err := inv.get(ctx, "Invoker.Config", address, "/v1/config", &cfg)
+	return cfg, err
+}
--- /dev/null
+++ b/process/leaser/holder.go
@@ -0,0 +1,116 @@
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"hemlockpin/connection/persister"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+)
+
+const storeTimeout = 2 * time.Second
+
+// ObjectStore is the part of the platform that leases need.
+type ObjectStore interface {
+	Get(ctx context.Context, path string) (persister.Object, error)
+	Put(ctx context.Context, obj persister.Object) (uint64, error)
+}
+
+// Holder acquires and holds one lease. It is not safe for concurrent use.
+type Holder struct {
+	Store ObjectStore
+	// Name names the lease; its object is leases/{Name}.
+	Name string
+	Host string
+	// Clock returns the present time; nil stands for the system's clock.
+	Clock func() time.Time
+
+	state State
+}
+
+func (hol *Holder) now() time.Time {
+	if hol.Clock == nil {
+		return time.Now()
+	}
+	return hol.Clock()
+}
+
+// Acquire waits until the lease is held, or renews a held one. The fencing
+// number of Hold changes if the lease had lapsed in between.
+func (hol *Holder) Acquire(ctx context.Context) (Hold, error) {
+	if hol.state.Nonce == "" {
+		hol.state = State{Host: hol.Host, Nonce: uuid.NewString()}
+	}
+	var eve Event = Wanted{}
+	for {
+		sta, act := hol.state.Next(eve, hol.now())
+		hol.state = sta
+		if ctx.Err() != nil {
+			return Hold{}, eris.Wrapf(ctx.Err(), "Holder.Acquire: lease %s held by %s", hol.Name, sta.lease.Host)
+		}
+		switch act := act.(type) {
+		case Hold:
+			return act, nil
+		case Load:
+			eve = hol.load(ctx, act)
+		case Store:
+			eve = hol.put(ctx, act)
+		default:
+			return Hold{}, eris.Errorf("Holder.Acquire: lease %s: unexpected action %T", hol.Name, act)
+		}
+	}
+}
+
+// Release gives the lease back once. If that fails, others wait out the term.
+func (hol *Holder) Release(ctx context.Context) {
+	sta, act := hol.state.Next(Released{}, hol.now())
+	hol.state = sta
+	if sto, ok := act.(Store); ok {
+		hol.put(ctx, sto)
+	}
+}
+
+func (hol *Holder) path() string { return "leases/" + hol.Name }
+
+func (hol *Holder) load(ctx context.Context, loa Load) Event {
+	select {
+	case <-time.After(loa.At.Sub(hol.now())):
+	case <-ctx.Done():
+		return LoadFailed{ctx.Err().Error()}
+	}
+	ctx, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	obj, err := hol.Store.Get(ctx, hol.path())
+	if eris.Is(err, persister.ErrNotFound) {
+		return Loaded{}
+	}
+	var lea Lease
+	if err == nil {
+		err = json.Unmarshal(obj.Value, &lea)
+	}
+	if err != nil {
+		return LoadFailed{err.Error()}
+	}
+	return Loaded{Lease: lea, Version: obj.Version}
+}
+
+func (hol *Holder) put(ctx context.Context, sto Store) Event {
+	val, err := json.Marshal(sto.Lease)
+	if err != nil {
+		return Lost{err.Error()}
+	}
+	ctx, stop := context.WithTimeout(ctx, storeTimeout)
+	defer stop()
+	ver, err := hol.Store.Put(ctx, persister.Object{Path: hol.path(), Version: sto.Version, Value: val})
+	switch {
+	case err == nil:
+		return Stored{ver}
+	case eris.Is(err, persister.ErrConflict), eris.Is(err, persister.ErrRateLimited):
+		return Conflicted{}
+	default:
+		return Lost{err.Error()}
+	}
+}
--- a/process/server/operator.go
+++ b/process/server/operator.go
@@ -41,6 +41,7 @@
 	rou.HandleFunc("/v1/explain", ser.explain).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/drain", ser.postDrain).Methods(http.MethodPost)
 	ser.tablesRoutes(rou)
+	ser.orderRoutes(rou)
 	return rou
 }
 
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -26,6 +26,7 @@
 	ChunkTokens  int64         `long:"chunk-tokens" default:"4096" description:"prompt tokens a step"`
 	Step         time.Duration `long:"step" default:"10ms" description:"time of a step that decodes"`
 	LoadLag      time.Duration `long:"load-lag" default:"200ms" description:"lag of the load report"`
+	ChecksFence  bool          `long:"checks-fencing" description:"refuse orders with an old fencing number"`
 	IdleEvery    time.Duration `long:"idle-every" default:"500ms" description:"interval of signs of life on a waiting stream"`
 }
 
@@ -80,6 +81,7 @@
 	lagged  []lagged
 	faults  Faults
 	wake    chan struct{}
+	config  config
 }
 
 type lagged struct {
@@ -297,7 +299,7 @@
 
 func (gen *Generator) load(now time.Time) invoker.Load {
 	loa := invoker.Load{
-		Engine: gen.set.ID, Role: "Serve", Leaving: gen.leaving || gen.faults.Leaving, Models: gen.set.Models,
+		Engine: gen.set.ID, Role: gen.config.roleOr("Serve"), Leaving: gen.leaving || gen.faults.Leaving, Models: gen.set.Models,
 		Running: len(gen.running), Queued: len(gen.waiting), MemoryTokens: gen.set.MemoryTokens, UsedTokens: gen.used(),
 		CachedTokens: gen.cache.tokens(), PrefillRate: gen.set.PrefillRate, StepMs: gen.set.Step.Seconds() * 1000,
 	}
--- a/standin/generator/handler.go
+++ b/standin/generator/handler.go
@@ -22,6 +22,8 @@
 	rou.HandleFunc("/v1/load", gen.getLoad).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/reserve", gen.reserve).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/release", gen.release).Methods(http.MethodPost)
+	rou.HandleFunc("/v1/config", gen.getConfig).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/orders", gen.takeOrder).Methods(http.MethodPost)
 	rou.HandleFunc("/control/faults", gen.putFaults).Methods(http.MethodPut)
 	rou.HandleFunc("/control/memory", gen.memory).Methods(http.MethodGet)
 	return rou
