Count teams over all hosts and bound what operators' calls may take

Cause: the status had no counts of teams; asking 920 hosts 32 at a time could take longer than the command waits when a data centre of them is dead; the operators' listener had no read and write time-outs; no test filled a host. Ruled out: a poll of all hosts by each host; the counts are asked for on demand. Conclusion: 128 hosts are asked at a time within 6 s.

--- a/cmd/hemlockpin/main.go
+++ b/cmd/hemlockpin/main.go
@@ -139,6 +139,7 @@
 		{"rollback", rollbackShort, rollbackLong, &rollbackCommand{command: com}},
 		{"explain", explainShort, explainLong, &explainCommand{command: com}},
 		{"status", statusShort, statusLong, &statusCommand{command: com}},
+		{"usage", usageShort, usageLong, &usageCommand{command: com}},
 		{"endpoints", endpointsShort, endpointsLong, &endpointsCommand{command: com}},
 		{"drain", drainShort, drainLong, &drainCommand{command: com}},
 		{"digest", digestShort, digestLong, &digestCommand{command: com}},
--- a/internal/clitest/cli_test.go
+++ b/internal/clitest/cli_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -44,7 +45,7 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"exits": exits, "fault": fault, "revision": revision, "ended": ended,
+			"exits": exits, "fault": fault, "revision": revision, "ended": ended, "book": book,
 		},
 	})
 }
@@ -99,3 +100,15 @@
 		ts.Fatalf("exit code %d", cod)
 	}
 }
+
+// book sends a call of a plain service to a host with the given key.
+func book(ts *testscript.TestScript, _ bool, args []string) {
+	hos, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	req, err := http.NewRequest(http.MethodGet, "http://"+fleet(ts).Hosts[hos].Address+args[2], nil)
+	ts.Check(err)
+	req.Header.Set("Authorization", "Bearer "+args[1])
+	res, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	res.Body.Close()
+}
--- a/internal/wholepath/client_test.go
+++ b/internal/wholepath/client_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"hemlockpin/internal/testkit"
 
@@ -89,3 +90,24 @@
 		})
 	}
 }
+
+// TestWaitingLimit fills the only place of a host with a stream.
+func TestWaitingLimit(t *testing.T) {
+	fle := startFleet(t, testkit.Plan{Hosts: 1, Engines: 1, HostArgs: []string{"--max-requests", "1"}})
+	cli := client(fle.Hosts[0], testkit.Key)
+	str := cli.Chat.Completions.NewStreaming(t.Context(), params("Hum", 20_000))
+	defer str.Close()
+	require.True(t, str.Next(), "%v", str.Err())
+	_, err := cli.Chat.Completions.New(t.Context(), params("Hum", 1))
+	var ape *openai.Error
+	require.ErrorAs(t, err, &ape)
+	require.Equal(t, http.StatusServiceUnavailable, ape.StatusCode)
+	require.Equal(t, "host_full", ape.Code)
+	require.Equal(t, "NotRun", ape.Response.Header.Get("Hemlockpin-Run"))
+	require.NotEmpty(t, ape.Response.Header.Get("Retry-After"))
+	require.NoError(t, str.Close())
+	require.NoError(t, testkit.Poll(t.Context(), 10*time.Second, func() bool {
+		_, err := cli.Chat.Completions.New(t.Context(), params("Hum", 1))
+		return err == nil
+	}))
+}
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -111,6 +111,11 @@
 	return read[[]server.EndpointStatus](ctx, req, http.MethodGet, "/v1/status/endpoints", nil)
 }
 
+// TeamsStatus reads the counts of each team over all hosts.
+func (req *Requester) TeamsStatus(ctx context.Context) (server.TeamsStatus, error) {
+	return read[server.TeamsStatus](ctx, req, http.MethodGet, "/v1/status/teams", nil)
+}
+
 // Explain asks which way a request would take.
 func (req *Requester) Explain(ctx context.Context, exp server.ExplainRequest) (server.Explanation, error) {
 	return read[server.Explanation](ctx, req, http.MethodPost, "/v1/explain", exp)
--- a/process/server/counters.go
+++ b/process/server/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -27,10 +28,33 @@
 	name  string
 
 	mu    sync.Mutex
-	known map[T]tally.Counter
+	known map[T]*counted
 }
 
-func (cou *counters[T]) get(ser T) tally.Counter {
+// counted is a counter that can be read, too.
+type counted struct {
+	counter tally.Counter
+	total   atomic.Int64
+}
+
+// Inc counts.
+func (cou *counted) Inc(num int64) {
+	cou.counter.Inc(num)
+	cou.total.Add(num)
+}
+
+// totals returns what was counted since the start.
+func (cou *counters[T]) totals() map[T]int64 {
+	cou.mu.Lock()
+	defer cou.mu.Unlock()
+	out := make(map[T]int64, len(cou.known))
+	for ser, one := range cou.known {
+		out[ser] = one.total.Load()
+	}
+	return out
+}
+
+func (cou *counters[T]) get(ser T) *counted {
 	cou.mu.Lock()
 	defer cou.mu.Unlock()
 	if one, ok := cou.known[ser]; ok {
@@ -43,9 +67,9 @@
 		}
 	}
 	if cou.known == nil {
-		cou.known = map[T]tally.Counter{}
+		cou.known = map[T]*counted{}
 	}
-	one := cou.scope.Tagged(ser.tags()).Counter(cou.name)
+	one := &counted{counter: cou.scope.Tagged(ser.tags()).Counter(cou.name)}
 	cou.known[ser] = one
 	return one
 }
--- a/process/server/hosts.go
+++ b/process/server/hosts.go
@@ -19,11 +19,16 @@
 
 const (
 	hostCallTimeout = 2 * time.Second
-	// hostCalls bounds the peers asked at a time.
-	hostCalls       = 32
+	// statusTimeout bounds asking all hosts; those left then count as silent.
+	statusTimeout = 6 * time.Second
+	// hostCalls bounds the peers asked at a time, so that a data centre of dead
+	// hosts among a thousand is asked within statusTimeout.
+	hostCalls       = 128
 	maxOperatorBody = 1 << 20
 )
 
+var errOtherMessage = errors.New("the host answered with another message")
+
 // HostStatus is one host as it answered for itself, or the error of asking it.
 type HostStatus struct {
 	Host            string
@@ -76,19 +81,35 @@
 func (ser *Server) statusHosts(wri http.ResponseWriter, htr *http.Request) {
 	ents := ser.hosts()
 	stas := make([]HostStatus, len(ents), len(ents)+1)
+	ser.askHosts(htr.Context(), ents, func(ctx context.Context, ind int, ent persister.Entry) {
+		stas[ind] = ser.askStatus(ctx, ent)
+	})
+	stas = append(stas, newHostStatus(ser.report()))
+	slices.SortFunc(stas, func(one, two HostStatus) int { return cmp.Compare(one.Host, two.Host) })
+	responder.WriteJSON(wri, http.StatusOK, stas)
+}
+
+// askHosts asks many hosts at a time within statusTimeout.
+func (ser *Server) askHosts(ctx context.Context, ents []persister.Entry, ask func(ctx context.Context, ind int, ent persister.Entry)) {
+	ctx, stop := context.WithTimeout(ctx, statusTimeout)
+	defer stop()
 	sem := make(chan struct{}, hostCalls)
 	var gro sync.WaitGroup
 	for ind, ent := range ents {
 		sem <- struct{}{}
 		gro.Go(func() {
 			defer func() { <-sem }()
-			stas[ind] = ser.askStatus(htr.Context(), ent)
+			ask(ctx, ind, ent)
 		})
 	}
 	gro.Wait()
-	stas = append(stas, newHostStatus(ser.report()))
-	slices.SortFunc(stas, func(one, two HostStatus) int { return cmp.Compare(one.Host, two.Host) })
-	responder.WriteJSON(wri, http.StatusOK, stas)
+}
+
+// askHost calls one host on behalf of an operator.
+func (ser *Server) askHost(ctx context.Context, ent persister.Entry, env *messenger.Envelope) (*messenger.Envelope, error) {
+	ctx, stop := context.WithTimeout(ctx, hostCallTimeout)
+	defer stop()
+	return ser.multiplexer.Call(ctx, ent.Address, env)
 }
 
 // hosts lists the other entry hosts.
@@ -99,11 +120,9 @@
 }
 
 func (ser *Server) askStatus(ctx context.Context, ent persister.Entry) HostStatus {
-	ctx, stop := context.WithTimeout(ctx, hostCallTimeout)
-	defer stop()
-	rep, err := ser.multiplexer.Call(ctx, ent.Address, &messenger.Envelope{Body: &messenger.Envelope_StatusQuery{StatusQuery: &messenger.StatusQuery{}}})
+	rep, err := ser.askHost(ctx, ent, &messenger.Envelope{Body: &messenger.Envelope_StatusQuery{StatusQuery: &messenger.StatusQuery{}}})
 	if err == nil && rep.GetStatusReport() == nil {
-		err = errors.New("the host answered with another message")
+		err = errOtherMessage
 	}
 	if err != nil {
 		return HostStatus{Host: ent.ID, DataCenter: ent.DataCenter, Error: err.Error()}
@@ -162,9 +181,7 @@
 		responder.WriteJSON(wri, http.StatusNotFound, OperatorError{Code: "unknown_host", Message: fmt.Sprintf("no host %q is listed", req.Host)})
 		return
 	}
-	ctx, stop := context.WithTimeout(ctx, hostCallTimeout)
-	defer stop()
-	_, err := ser.multiplexer.Call(ctx, hoss[ind].Address, &messenger.Envelope{Body: &messenger.Envelope_DrainOrder{DrainOrder: &messenger.DrainOrder{Host: req.Host}}})
+	_, err := ser.askHost(ctx, hoss[ind], &messenger.Envelope{Body: &messenger.Envelope_DrainOrder{DrainOrder: &messenger.DrainOrder{Host: req.Host}}})
 	if err != nil {
 		responder.WriteJSON(wri, http.StatusBadGateway, OperatorError{Code: "unknown", Message: err.Error()})
 		return
--- a/process/server/operator.go
+++ b/process/server/operator.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"log"
 	"net/http"
 	"time"
 
@@ -11,6 +12,11 @@
 	"github.com/gorilla/mux"
 )
 
+const (
+	operatorTimeout     = time.Minute
+	operatorIdleTimeout = 2 * time.Minute
+)
+
 // Status is what a host says of itself to operators.
 type Status struct {
 	Host            string
@@ -29,6 +35,15 @@
 	Endpoints     []persister.Entry
 }
 
+// operatorServer is the HTTP server that faces operators and the collector of
+// metrics.
+func (ser *Server) operatorServer() *http.Server {
+	return &http.Server{
+		Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: operatorTimeout,
+		WriteTimeout: operatorTimeout, IdleTimeout: operatorIdleTimeout, ErrorLog: log.New(serverLog{ser}, "", 0),
+	}
+}
+
 func (ser *Server) operatorRoutes() http.Handler {
 	rou := mux.NewRouter()
 	rou.Handle("/metrics", ser.metrics)
@@ -38,6 +53,7 @@
 	rou.HandleFunc("/v1/usage", ser.usage).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/status/hosts", ser.statusHosts).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/status/endpoints", ser.statusEndpoints).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/status/teams", ser.statusTeams).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/explain", ser.explain).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/drain", ser.postDrain).Methods(http.MethodPost)
 	ser.tablesRoutes(rou)
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -27,6 +27,8 @@
 		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Write(ctx, bod.ClaimCommit)}}
 	case *messenger.Envelope_StatusQuery:
 		return &messenger.Envelope{Body: &messenger.Envelope_StatusReport{StatusReport: ser.report()}}
+	case *messenger.Envelope_TeamsQuery:
+		return &messenger.Envelope{Body: &messenger.Envelope_TeamsReport{TeamsReport: ser.teamsReport()}}
 	case *messenger.Envelope_DrainOrder:
 		return ser.handleDrain(bod.DrainOrder)
 	default:
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -107,7 +107,7 @@
 	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := ser.callerServer(ser.countRequests(ser.edge(ser.callerRoutes())))
-	ope := &http.Server{Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
+	ope := ser.operatorServer()
 	gro.Go(func() {
 		_ = cal.Serve(&limitedListener{Listener: liss.caller, max: int64(ser.Settings.MaxConns), refused: ser.scope.Counter("connections_refused")})
 	})
--- /dev/null
+++ b/process/server/teams.go
@@ -0,0 +1,86 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+	"hemlockpin/request/responder"
+)
+
+// TeamStatus counts the requests of one team since the hosts started.
+type TeamStatus struct {
+	Team    string
+	Whole   int64
+	Refused int64
+	Failed  int64
+	Cut     int64
+}
+
+// TeamsStatus is the sum over the hosts that answered.
+type TeamsStatus struct {
+	Teams []TeamStatus
+	// Hosts counts the hosts in the sum, Silent names those that did not answer.
+	Hosts  int
+	Silent []string
+}
+
+func (ser *Server) teamsReport() *messenger.TeamsReport {
+	rep := &messenger.TeamsReport{Host: ser.Settings.HostID}
+	for key, num := range ser.meter.teams.totals() {
+		rep.Counts = append(rep.Counts, &messenger.TeamCount{Team: key.team, Outcome: key.outcome, Requests: num})
+	}
+	return rep
+}
+
+// statusTeams sums the counts of all hosts. It is made for operators, not for
+// polling.
+func (ser *Server) statusTeams(wri http.ResponseWriter, htr *http.Request) {
+	ents := ser.hosts()
+	reps := make([]*messenger.TeamsReport, len(ents), len(ents)+1)
+	ser.askHosts(htr.Context(), ents, func(ctx context.Context, ind int, ent persister.Entry) {
+		rep, err := ser.askHost(ctx, ent, &messenger.Envelope{Body: &messenger.Envelope_TeamsQuery{TeamsQuery: &messenger.TeamsQuery{}}})
+		if err == nil {
+			reps[ind] = rep.GetTeamsReport()
+		}
+	})
+	out := TeamsStatus{Silent: []string{}}
+	for ind, rep := range reps {
+		if rep == nil {
+			out.Silent = append(out.Silent, ents[ind].ID)
+		}
+	}
+	reps = append(reps, ser.teamsReport())
+	out.Hosts = len(reps) - len(out.Silent)
+	out.Teams = sumTeams(reps)
+	responder.WriteJSON(wri, http.StatusOK, out)
+}
+
+func sumTeams(reps []*messenger.TeamsReport) []TeamStatus {
+	sums := map[string]TeamStatus{}
+	for _, rep := range reps {
+		for _, cou := range rep.GetCounts() {
+			sums[cou.GetTeam()] = sums[cou.GetTeam()].with(cou)
+		}
+	}
+	return slices.SortedFunc(maps.Values(sums), func(one, two TeamStatus) int { return cmp.Compare(one.Team, two.Team) })
+}
+
+func (sta TeamStatus) with(cou *messenger.TeamCount) TeamStatus {
+	sta.Team = cou.GetTeam()
+	switch cou.GetOutcome() {
+	case outcomeWhole:
+		sta.Whole += cou.GetRequests()
+	case outcomeRefused:
+		sta.Refused += cou.GetRequests()
+	case outcomeFailed:
+		sta.Failed += cou.GetRequests()
+	case outcomeCut:
+		sta.Cut += cou.GetRequests()
+	}
+	return sta
+}
