--- a/internal/testkit/fleet.go
+++ b/internal/testkit/fleet.go
@@ -46,6 +46,8 @@
 	EngineArgs   []string
 	ServiceArgs  []string
 	HostArgs     []string
+	// HostArgsFor returns further arguments of the host with an index; nil for none.
+	HostArgsFor func(ind int) []string
 	// Tables is put in force before Start returns, unless it is empty.
 	Tables parser.Tables
 	// PlatformVia returns the address that hosts use for the platform; nil
@@ -219,6 +221,9 @@
 		"--host-id", id, "--data-center", fle.dataCenter(ind), "--listen", add, "--peer-listen", pee,
 		"--operator-listen", ope, "--platform", "http://" + pla,
 	}
+	if fle.Plan.HostArgsFor != nil {
+		args = append(args, fle.Plan.HostArgsFor(ind)...)
+	}
 	pro := fle.process(id, "hemlockpind", add, append(args, fle.Plan.HostArgs...))
 	pro.Peer = pee
 	pro.Operator = ope
