--- /dev/null
+++ b/internal/tableproof/tables_test.go
@@ -0,0 +1,190 @@
+package tableproof_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hemlockpin/internal/testkit"
+	"hemlockpin/request/responder"
+	"hemlockpin/version/parser"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An accepted edit survives the platform going down and the host that took it
+// dying right after; hosts that start or restart in the outage get it from peers.
+func TestEditThenOutage(t *testing.T) {
+	fle := start(t, testkit.Plan{Hosts: 4, PlatformArgs: []string{"--list-lag", "200ms"}})
+	stop := fle.watchRevisions()
+	out, err := fle.Edit(t.Context(), 3, tables(7), 1)
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), out.Revision)
+	fle.platformDown(true)
+	fle.Hosts[3].Kill()
+	stop()
+	fle.waitRevision(2, inForceBound, fle.Hosts[:3]...)
+
+	require.NoError(t, fle.AddHost(t.Context()))
+	added := fle.Hosts[4]
+	ready := func(hos *testkit.Process) bool {
+		return testkit.GetOK(t.Context(), "http://"+hos.Address+"/readyz") == nil
+	}
+	for _, hos := range []*testkit.Process{added, fle.Hosts[1]} {
+		if hos != added {
+			hos.Kill()
+			require.NoError(t, hos.Start())
+		}
+		require.NoError(t, testkit.Poll(t.Context(), settleBound, func() bool { return ready(hos) }))
+		require.Equal(t, uint64(2), fle.status(hos).TablesRevision, "a host is not ready before it has the newest tables")
+	}
+	fle.platformDown(false)
+	fle.waitRevision(2, inForceBound, fle.Hosts[0], fle.Hosts[1], fle.Hosts[2], added)
+	tab, err := fle.Tables(t.Context(), 4)
+	require.NoError(t, err)
+	require.Equal(t, 7, markOf(tab))
+}
+
+// Operators race over three hosts while the platform loses answers.
+func TestRacingOperators(t *testing.T) {
+	const operators, edits = 6, 5
+	fle := start(t, testkit.Plan{Hosts: 3, PlatformArgs: []string{"--list-lag", "200ms"}})
+	defer fle.watchRevisions()()
+	faults, end := context.WithCancel(t.Context())
+	defer end()
+	go func() {
+		for faults.Err() == nil {
+			_ = fle.Fault(faults, fle.Platform, struct{ LoseAnswers int }{1})
+			time.Sleep(15 * time.Millisecond)
+		}
+	}()
+	results := map[int]string{}
+	accepted := map[uint64]int{}
+	var mu sync.Mutex
+	var gro sync.WaitGroup
+	for ope := range operators {
+		gro.Go(func() {
+			for num := range edits {
+				mark := 100 + ope*edits + num
+				cur, err := fle.Tables(t.Context(), ope%3)
+				if err != nil {
+					continue
+				}
+				tab, err := fle.Edit(t.Context(), ope%3, tables(mark), cur.Revision)
+				mu.Lock()
+				switch {
+				case err == nil:
+					results[mark] = "accepted"
+					accepted[tab.Revision] = mark
+				case strings.Contains(err.Error(), `"raced"`), strings.Contains(err.Error(), `"not_accepted"`):
+					results[mark] = "nothing changed"
+				default:
+					results[mark] = "unknown"
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	gro.Wait()
+	end()
+	marks := fle.pastMarks()
+	t.Logf("results %v, history %v", results, marks)
+	seen := map[int]bool{}
+	for _, mark := range marks {
+		require.False(t, seen[mark], "an edit was accepted twice")
+		seen[mark] = true
+	}
+	num := 0
+	for mark, res := range results {
+		switch res {
+		case "accepted":
+			num++
+			require.True(t, seen[mark], "accepted edit %d is not in the history", mark)
+		case "nothing changed":
+			require.False(t, seen[mark], "edit %d was said to change nothing", mark)
+		}
+	}
+	require.Positive(t, num)
+	fle.waitRevision(uint64(len(marks)), inForceBound, fle.Hosts...)
+}
+
+// pastMarks reads the marks of all accepted revisions from the first on.
+func (fle *fleet) pastMarks() []int {
+	var his struct{ Newest uint64 }
+	require.NoError(fle.t, testkit.GetJSON(fle.t.Context(), "http://"+fle.Hosts[0].Operator+"/v1/tables/history", &his))
+	var out []int
+	for rev := uint64(1); rev <= his.Newest; rev++ {
+		var tab parser.Tables
+		url := fmt.Sprintf("http://%s/v1/tables/history/%d", fle.Hosts[0].Operator, rev)
+		require.NoError(fle.t, testkit.GetJSON(fle.t.Context(), url, &tab))
+		require.Equal(fle.t, rev, tab.Revision)
+		out = append(out, markOf(tab))
+	}
+	return out
+}
+
+// A host without the platform and its peers keeps its tables and says how old
+// they are; the others, which lose each other but not the platform, take an edit;
+// it catches up without going back.
+func TestHostCutOff(t *testing.T) {
+	fle := start(t, testkit.Plan{Hosts: 4, Engines: 1, PlatformArgs: []string{"--list-lag", "200ms"}})
+	defer fle.watchRevisions()()
+	cut := fle.Hosts[3]
+	require.NoError(t, cut.Freeze())
+	fle.platforms[3].Cut()
+	for _, lin := range fle.peers {
+		lin.Cut()
+	}
+	// The others lose each other as well, and each reads the platform itself.
+	_, err := fle.Edit(t.Context(), 0, tables(8), 1)
+	require.NoError(t, err)
+	fle.waitRevision(2, inForceBound, fle.Hosts[:3]...)
+	require.NoError(t, cut.Wake())
+	require.NoError(t, testkit.Poll(t.Context(), time.Minute, func() bool { return ageHeader(t, cut) != "" }), "the age is told once it may matter")
+	sta := fle.status(cut)
+	require.Equal(t, uint64(1), sta.TablesRevision)
+	require.GreaterOrEqual(t, sta.TablesAgeMs, int64(30_000))
+	for _, lin := range fle.peers {
+		require.NoError(t, lin.Restore())
+	}
+	fle.waitRevision(2, inForceBound, cut)
+	require.NoError(t, fle.platforms[3].Restore())
+	require.NoError(t, testkit.Poll(t.Context(), settleBound, func() bool { return ageHeader(t, cut) == "" }))
+}
+
+func ageHeader(t *testing.T, hos *testkit.Process) string {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+hos.Address+"/v1/models", http.NoBody)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testkit.Key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.Header.Get(responder.AgeHeader)
+}
+
+// One-way cuts: the host's calls are lost, or the calls to it are. An edit is in
+// force on all hosts all the same, for either side pulls or pushes.
+func TestOneWayCuts(t *testing.T) {
+	fle := start(t, testkit.Plan{Hosts: 3, PlatformArgs: []string{"--list-lag", "200ms"}})
+	defer fle.watchRevisions()()
+	rev := uint64(1)
+	for _, dir := range []testkit.Direction{testkit.Requests, testkit.Answers} {
+		require.NoError(t, fle.peers["host-2"].Block(dir))
+		fle.platforms[2].Cut()
+		out, err := fle.Edit(t.Context(), 0, tables(20+int(rev)), rev)
+		require.NoError(t, err)
+		rev = out.Revision
+		fle.waitRevision(rev, inForceBound, fle.Hosts...)
+		require.NoError(t, fle.peers["host-2"].Unblock(dir))
+		require.NoError(t, fle.platforms[2].Restore())
+		fle.waitLive(3)
+	}
+}
