--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -9,9 +9,9 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"hemlockpin/connection/counter"
 	"hemlockpin/connection/messenger"
 
 	"github.com/hashicorp/yamux"
@@ -32,8 +32,9 @@
 // Serve needs a Handler.
 type Multiplexer struct {
 	Handler Handler
+	// Traffic counts the bytes of all sessions.
+	Traffic counter.Traffic
 
-	bytes    atomic.Int64
 	mu       sync.Mutex
 	sessions map[string]*session
 	accepted map[*yamux.Session]struct{}
@@ -103,7 +104,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "Multiplexer.acquire: dial peer %s", address)
 	}
-	yam, err := yamux.Client(countedConn{con, &mul.bytes}, sessionConfig())
+	yam, err := yamux.Client(mul.Traffic.Wrap(con), sessionConfig())
 	if err != nil {
 		con.Close()
 		return nil, eris.Wrapf(err, "Multiplexer.acquire: open session to peer %s", address)
@@ -177,6 +178,12 @@
 	}
 }
 
+// Bytes returns the bytes sent and received over all sessions so far.
+func (mul *Multiplexer) Bytes() int64 {
+	tot := mul.Traffic.Totals()
+	return tot.Sent + tot.Received
+}
+
 // Sessions returns the number of sessions that this host has dialed and keeps.
 func (mul *Multiplexer) Sessions() int {
 	mul.mu.Lock()
@@ -196,7 +203,7 @@
 }
 
 func (mul *Multiplexer) serveConn(con net.Conn) {
-	ses, err := yamux.Server(countedConn{con, &mul.bytes}, sessionConfig())
+	ses, err := yamux.Server(mul.Traffic.Wrap(con), sessionConfig())
 	if err != nil {
 		con.Close()
 		return
--- a/internal/tableproof/drain_test.go
+++ b/internal/tableproof/drain_test.go
@@ -94,7 +94,7 @@
 		}
 	}
 	load(8, &streams, func(address string, ind int) error {
-		return ask(context.Background(), address, fmt.Sprintf("question %d", ind), 80)
+		return ask(context.Background(), address, fmt.Sprintf("question %d", ind), 250)
 	})
 	load(3, &bookings, func(address string, _ int) error { return book(context.Background(), address) })
 	for _, hos := range fle.Hosts {
--- a/internal/tableproof/tables_test.go
+++ b/internal/tableproof/tables_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,8 +59,8 @@
 	faults, end := context.WithCancel(t.Context())
 	defer end()
 	go func() {
-		for faults.Err() == nil {
-			_ = fle.Fault(faults, fle.Platform, struct{ LoseAnswers int }{1})
+		for num := 0; faults.Err() == nil; num++ {
+			_ = fle.Fault(faults, fle.Platform, struct{ LoseAnswers int }{1 + num%3})
 			time.Sleep(15 * time.Millisecond)
 		}
 	}()
@@ -67,10 +68,12 @@
 	accepted := map[uint64]int{}
 	var mu sync.Mutex
 	var gro sync.WaitGroup
+	var lastMark atomic.Int64
+	lastMark.Store(100)
 	for ope := range operators {
 		gro.Go(func() {
-			for num := range edits {
-				mark := 100 + ope*edits + num
+			for num := 0; num < edits; {
+				mark := int(lastMark.Add(1))
 				cur, err := fle.Tables(t.Context(), ope%3)
 				if err != nil {
 					continue
@@ -81,6 +84,7 @@
 				case err == nil:
 					results[mark] = "accepted"
 					accepted[tab.Revision] = mark
+					num++
 				case strings.Contains(err.Error(), `"raced"`), strings.Contains(err.Error(), `"not_accepted"`):
 					results[mark] = "nothing changed"
 				default:
@@ -93,7 +97,7 @@
 	gro.Wait()
 	end()
 	marks := fle.pastMarks()
-	t.Logf("results %v, history %v", results, marks)
+	t.Logf("%d edits tried, %d accepted, history %v", len(results), len(accepted), marks)
 	seen := map[int]bool{}
 	for _, mark := range marks {
 		require.False(t, seen[mark], "an edit was accepted twice")
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -122,7 +122,7 @@
 		if ent.Kind != persister.KindEntry {
 			continue
 		}
-		per := Peer{ID: ent.ID, Address: ent.Address, DataCenter: ent.DataCenter}
+		per := Peer{ID: ent.ID, Address: ent.Address, DataCenter: ent.DataCenter, Region: ent.Region}
 		if ent.Leaving {
 			per.State = StateLeaving
 		}
--- a/process/publisher/refresher.go
+++ b/process/publisher/refresher.go
@@ -14,7 +14,7 @@
 	// WatchersPerRegion is the number of hosts of a region that watch the store.
 	WatchersPerRegion = 2
 
-	watchWait    = 5 * time.Second
+	watchWait    = 2 * time.Second
 	watchGrace   = 2 * time.Second
 	dutyInterval = 500 * time.Millisecond
 	// pollInterval is the mean time between the reads of a host that does not
--- a/process/server/monitor.go
+++ b/process/server/monitor.go
@@ -9,7 +9,7 @@
 	monitorInterval = time.Second
 	// storeSilence is how long the tables may go unconfirmed before the host
 	// says so.
-	storeSilence = 10 * time.Second
+	storeSilence = staleAfter
 )
 
 // monitor sets the gauges and logs changes of state until ctx ends.
@@ -35,6 +35,7 @@
 	ser.scope.Gauge("peers_known").Update(float64(len(ser.gossiper.Peers())))
 	ser.scope.Gauge("endpoints_listed").Update(float64(len(ser.watcher.Entries())))
 	ser.scope.Gauge("body_memory_bytes").Update(float64(ser.bodies.Used()))
+	ser.gaugePeers(now)
 	ser.scope.Gauge("draining").Update(boolGauge(ser.draining.Load()))
 }
 
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockpin/connection/counter"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/multiplexer"
 	"hemlockpin/connection/persister"
@@ -58,6 +59,8 @@
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	started     time.Time
+
+	platformTraffic counter.Traffic
 	// requestDrain has the effect of SIGTERM. It is set by Run.
 	requestDrain context.CancelFunc
 }
@@ -70,7 +73,7 @@
 	ser.meter = newMeter(ser.scope)
 	ser.bodies.MaxBytes = set.MaxBodyMemory
 	ser.invoker = &invoker.Invoker{}
-	ser.persister = &persister.Persister{BaseURL: set.Platform}
+	ser.persister = ser.newPersister()
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
@@ -103,7 +106,6 @@
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
-	gro.Go(func() { ser.gaugeTables(work) })
 	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := ser.callerServer(ser.countRequests(ser.edge(ser.callerRoutes())))
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -6,7 +6,9 @@
 	"strconv"
 	"time"
 
+	"hemlockpin/connection/counter"
 	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/publisher"
 	"hemlockpin/request/responder"
@@ -14,8 +16,10 @@
 
 const (
 	// staleAfter is the age from which answers tell that the tables may be old.
-	staleAfter    = 30 * time.Second
-	gaugeInterval = time.Second
+	staleAfter          = 30 * time.Second
+	platformDialTimeout = time.Second
+	platformIdleTimeout = 90 * time.Second
+	platformIdleConns   = 8
 	// forwardTimeout bounds the forwarding of news to peers.
 	forwardTimeout = 5 * time.Second
 )
@@ -36,7 +40,6 @@
 	}
 	ser.publisher.Spread = func(ctx context.Context) (int, int) { return ser.gossiper.PushTables(ctx, true) }
 	ser.publisher.OnAccept = func(fromStore bool) {
-		ser.Log.Info().Uint64("Revision", ser.publisher.Current().Revision()).Bool("FromStore", fromStore).Msg("tables in force")
 		go ser.forward(func(ctx context.Context) { ser.gossiper.PushTables(ctx, fromStore) })
 	}
 	ser.refresher = &publisher.Refresher{
@@ -62,21 +65,17 @@
 	return out
 }
 
-// gaugeTables reports the revision and the age of the tables until ctx ends.
-func (ser *Server) gaugeTables(ctx context.Context) {
-	tic := time.NewTicker(gaugeInterval)
-	defer tic.Stop()
-	for {
-		rev, age := ser.publisher.Freshness(time.Now())
-		ser.scope.Gauge("tables_revision").Update(float64(rev))
-		ser.scope.Gauge("tables_age_seconds").Update(age.Seconds())
-		ser.scope.Gauge("peers_live").Update(float64(len(ser.gossiper.Live(time.Now()))))
-		ser.scope.Gauge("peer_sessions").Update(float64(ser.multiplexer.Sessions()))
-		select {
-		case <-tic.C:
-		case <-ctx.Done():
-			return
-		}
+// gaugePeers reports membership and the traffic that control causes. The
+// counts are totals since the start.
+func (ser *Server) gaugePeers(now time.Time) {
+	ser.scope.Gauge("peers_live").Update(float64(len(ser.gossiper.Live(now))))
+	ser.scope.Gauge("peer_sessions").Update(float64(ser.multiplexer.Sessions()))
+	for kin, tra := range map[string]*counter.Traffic{"peer": &ser.multiplexer.Traffic, "platform": &ser.platformTraffic} {
+		tot := tra.Totals()
+		sco := ser.scope.Tagged(map[string]string{"with": kin})
+		sco.Gauge("control_bytes_sent").Update(float64(tot.Sent))
+		sco.Gauge("control_bytes_received").Update(float64(tot.Received))
+		sco.Gauge("control_connections_opened").Update(float64(tot.Opened))
 	}
 }
 
@@ -86,3 +85,12 @@
 		hea.Set(responder.AgeHeader, strconv.FormatInt(int64(age/time.Second), 10))
 	}
 }
+
+// newPersister returns a client of the platform whose traffic is counted.
+func (ser *Server) newPersister() *persister.Persister {
+	tra := &http.Transport{
+		DialContext:         ser.platformTraffic.Dialer(platformDialTimeout),
+		MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: platformIdleTimeout, DisableCompression: true,
+	}
+	return &persister.Persister{BaseURL: ser.Settings.Platform, Client: http.Client{Transport: tra}}
+}
