Reclaim engine memory that no live owner holds

Cause: a host that died, a cancel that was lost or a connection that went silent left sequences and reservations on engines for good; nothing named an owner in a way that a survivor could check. A caller that does not read was bounded only by 4 MB of kernel buffer and was counted as one that left. Ruled out: freeing after a time without sign of the owner alone, which robs a frozen host whose request still has time; a watch or a write for each request; freeing by request ID only, which could hit a newer attempt. Conclusion: survivors free what is replaced, dead, disowned, abandoned or past its deadline; the engine refuses to free a newer attempt.

--- a/connection/invoker/engine.go
+++ b/connection/invoker/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/url"
 	"strconv"
 	"time"
 )
@@ -99,7 +98,9 @@
 	CachedTokens       int64
 	PrefillRate        float64
 	StepMs             float64
-	Sequences          []Sequence
+	// AgeMs is the age of the report when it was sent.
+	AgeMs     int64
+	Sequences []Sequence
 }
 
 // Load reads the engine's report.
@@ -113,8 +114,7 @@
 // report. Work younger than minAge is left out.
 func (inv *Invoker) Sequences(ctx context.Context, address string, minAge time.Duration) (Load, error) {
 	var loa Load
-	que := url.Values{"Sequences": {"true"}, "MinAgeMs": {strconv.FormatInt(minAge.Milliseconds(), 10)}}
-	err := inv.get(ctx, "Invoker.Sequences", address, "/v1/load?"+que.Encode(), &loa)
+	err := inv.get(ctx, "Invoker.Sequences", address, "/v1/load?MinAgeMs="+strconv.FormatInt(minAge.Milliseconds(), 10), &loa)
 	return loa, err
 }
 
--- /dev/null
+++ b/process/reclaimer/runner.go
@@ -0,0 +1,158 @@
+package reclaimer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/connection/messenger"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+)
+
+const callTimeout = time.Second
+
+// Engine is one engine of the platform's list.
+type Engine struct {
+	ID      string
+	Address string
+}
+
+// Runner carries the decisions out for the engines of which this host has the
+// duty. All fields must be set.
+type Runner struct {
+	Self    invoker.Owner
+	Invoker *invoker.Invoker
+	Members Members
+	Owned   Owned
+	Scope   tally.Scope
+	// Engines lists all engines, Live the other hosts that are alive.
+	Engines func() []Engine
+	Live    func(now time.Time) []string
+	// Call sends an envelope to a host.
+	Call func(ctx context.Context, host string, env *messenger.Envelope) (*messenger.Envelope, error)
+
+	reclaimer Reclaimer
+}
+
+// Run reads the engines' reports until ctx ends.
+func (run *Runner) Run(ctx context.Context, every time.Duration) {
+	run.reclaimer.Self = run.Self
+	tic := time.NewTicker(every)
+	defer tic.Stop()
+	for {
+		select {
+		case now := <-tic.C:
+			run.round(ctx, now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Duty returns the host that looks after an engine: the one with the highest
+// hash among those alive. Two hosts that differ on who is alive may both.
+func Duty(engine string, hosts []string) string {
+	var bes string
+	var top uint64
+	for _, hos := range hosts {
+		if sum := xxhash.Sum64String(engine + "\x00" + hos); bes == "" || sum > top {
+			bes, top = hos, sum
+		}
+	}
+	return bes
+}
+
+func (run *Runner) round(ctx context.Context, now time.Time) {
+	hosts := append(run.Live(now), run.Self.Host)
+	reps := make(chan Report)
+	var gro sync.WaitGroup
+	for _, eng := range run.Engines() {
+		if Duty(eng.ID, hosts) == run.Self.Host {
+			gro.Go(func() { run.read(ctx, eng, reps) })
+		}
+	}
+	go func() {
+		gro.Wait()
+		close(reps)
+	}()
+	for rep := range reps {
+		for _, act := range run.reclaimer.Decide(rep, run.Members, run.Owned, time.Now()) {
+			run.carryOut(ctx, act)
+		}
+	}
+}
+
+func (run *Runner) read(ctx context.Context, eng Engine, reps chan<- Report) {
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	loa, err := run.Invoker.Sequences(ctx, eng.Address, MinAge)
+	if err != nil {
+		run.Scope.Counter("reclaim_reports_failed").Inc(1)
+		return
+	}
+	at := time.Now().Add(-time.Duration(loa.AgeMs) * time.Millisecond)
+	reps <- Report{Endpoint: eng.ID, Address: eng.Address, Load: loa, At: at}
+}
+
+func (run *Runner) carryOut(ctx context.Context, act Action) {
+	ctx, stop := context.WithTimeout(ctx, callTimeout)
+	defer stop()
+	switch act := act.(type) {
+	case Free:
+		run.free(ctx, act)
+	case Ask:
+		ans, err := run.ask(ctx, act)
+		if err != nil {
+			run.Scope.Counter("reclaim_questions_failed").Inc(1)
+			return
+		}
+		for _, fre := range Answered(act, ans) {
+			run.free(ctx, fre)
+		}
+	}
+}
+
+func (run *Runner) free(ctx context.Context, fre Free) {
+	if err := run.Invoker.Free(ctx, fre.Address, fre.Free); err != nil {
+		run.Scope.Counter("reclaim_frees_failed").Inc(1)
+		return
+	}
+	sco := run.Scope.Tagged(map[string]string{"reason": string(fre.Reason)})
+	sco.Counter("reclaimed").Inc(1)
+	sco.Counter("reclaimed_tokens").Inc(fre.Tokens)
+}
+
+func (run *Runner) ask(ctx context.Context, ask Ask) (Answer, error) {
+	que := &messenger.OwnerQuery{Incarnation: ask.Incarnation}
+	for _, fre := range ask.Holdings {
+		que.Requests = append(que.Requests, requestOf(fre.Free.RequestID, fre.Free.ID))
+	}
+	rep, err := run.Call(ctx, ask.Host, &messenger.Envelope{Body: &messenger.Envelope_OwnerQuery{OwnerQuery: que}})
+	if err != nil {
+		return Answer{}, eris.Wrapf(err, "Runner.ask: host %s", ask.Host)
+	}
+	own := rep.GetOwnerAnswer()
+	if own == nil {
+		return Answer{}, eris.Errorf("Runner.ask: host %s: unexpected reply", ask.Host)
+	}
+	ans := Answer{Incarnation: own.GetIncarnation(), Known: map[string]int{}}
+	for _, req := range own.GetKnown() {
+		ans.Known[req.GetId()] = int(req.GetAttempt())
+	}
+	return ans, nil
+}
+
+// HandleQuery answers a peer's question from what this host works on.
+func (run *Runner) HandleQuery(que *messenger.OwnerQuery) *messenger.Envelope {
+	ans := &messenger.OwnerAnswer{Incarnation: run.Self.Incarnation}
+	for _, id := range que.GetRequests() {
+		if att, ok := run.Owned.Attempt(id); ok {
+			ans.Known = append(ans.Known, &messenger.OwnedRequest{Id: id, Attempt: int64(att)})
+		}
+	}
+	return &messenger.Envelope{Body: &messenger.Envelope_OwnerAnswer{OwnerAnswer: ans}}
+}
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +15,17 @@
 	"github.com/gorilla/mux"
 )
 
+// callerBufferBytes bounds what the kernel holds of an answer that a caller
+// does not read.
+const callerBufferBytes = 64 << 10
+
+func boundCaller(ctx context.Context, con net.Conn) context.Context {
+	if tcp, ok := con.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(callerBufferBytes)
+	}
+	return ctx
+}
+
 func (ser *Server) callerRoutes() http.Handler {
 	rou := mux.NewRouter().SkipClean(true)
 	rou.Use(ser.requireTables)
--- a/process/server/peers.go
+++ b/process/server/peers.go
@@ -27,6 +27,8 @@
 		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: ser.journal.Write(ctx, bod.ClaimCommit)}}
 	case *messenger.Envelope_StatusQuery:
 		return &messenger.Envelope{Body: &messenger.Envelope_StatusReport{StatusReport: ser.report()}}
+	case *messenger.Envelope_OwnerQuery:
+		return ser.reclaimer.HandleQuery(bod.OwnerQuery)
 	case *messenger.Envelope_DrainOrder:
 		return ser.handleDrain(bod.DrainOrder)
 	default:
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -18,6 +18,7 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/reclaimer"
 	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
@@ -51,6 +52,7 @@
 	admitter    *admitter.Admitter
 	allocator   *allocator.Allocator
 	executor    *executor.Executor
+	reclaimer   *reclaimer.Runner
 	meter       *meter
 	bodies      receiver.Budget
 	scheduler   *scheduler.Scheduler
@@ -83,6 +85,7 @@
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
 		Allocator: ser.allocator,
 	}
+	ser.reclaimer = ser.newReclaimer(own)
 	return ser
 }
 
@@ -100,6 +103,7 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
+	gro.Go(func() { ser.reclaimer.Run(work, reclaimInterval) })
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
--- a/process/watcher/watcher.go
+++ b/process/watcher/watcher.go
@@ -141,6 +141,13 @@
 	return wat.version
 }
 
+// Listed returns when the list was last read.
+func (wat *Watcher) Listed() time.Time {
+	wat.mu.Lock()
+	defer wat.mu.Unlock()
+	return wat.listed
+}
+
 // Entries returns the last list that was read.
 func (wat *Watcher) Entries() []persister.Entry {
 	wat.mu.Lock()
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -90,26 +90,31 @@
 
 // track notes a request as in progress until the returned function is called.
 func (exe *Executor) track(id string) func() {
+	exe.note(id, 0)
+	return func() {
+		exe.mu.Lock()
+		defer exe.mu.Unlock()
+		delete(exe.running, id)
+	}
+}
+
+// note sets the newest attempt of a request in progress.
+func (exe *Executor) note(id string, att int) {
 	exe.mu.Lock()
 	defer exe.mu.Unlock()
 	if exe.running == nil {
 		exe.running = map[string]int{}
 	}
-	exe.running[id]++
-	return func() {
-		exe.mu.Lock()
-		defer exe.mu.Unlock()
-		if exe.running[id]--; exe.running[id] == 0 {
-			delete(exe.running, id)
-		}
-	}
+	exe.running[id] = att
 }
 
-// InProgress reports whether this host works on a request.
-func (exe *Executor) InProgress(id string) bool {
+// Attempt returns the newest attempt of a request and whether this host still
+// works on it.
+func (exe *Executor) Attempt(id string) (int, bool) {
 	exe.mu.Lock()
 	defer exe.mu.Unlock()
-	return exe.running[id] > 0
+	att, ok := exe.running[id]
+	return att, ok
 }
 
 // Settle waits until what ended requests left to do on endpoints is done.
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -171,6 +171,7 @@
 
 func (exe *Executor) open(ctx context.Context, gen *generation) error {
 	gen.state = gen.state.WithAttempt()
+	exe.note(gen.id, gen.state.Attempt)
 	gen.assembler = gen.assembler.WithAttempt(gen.state.Attempt)
 	gen.progress = progress{at: exe.Clock()}
 	str, err := exe.Invoker.Generate(ctx, gen.lease.Address, exe.dispatch(gen))
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -179,9 +179,7 @@
 
 // failed builds the event of a dispatch that did not end whole.
 func (exe *Executor) failed(ctx context.Context, gen *generation, err error) attempter.Event {
-	if ctx.Err() != nil {
-		return ended(ctx)
-	}
+	// A failed write also ends the context, so it is looked at first.
 	end := gen.lease.Endpoint
 	switch {
 	case eris.Is(err, responder.ErrSlowCaller):
@@ -189,6 +187,8 @@
 		return attempter.Gone{}
 	case eris.Is(err, errCaller):
 		return attempter.Gone{}
+	case ctx.Err() != nil:
+		return ended(ctx)
 	case eris.Is(err, errStalled):
 		exe.counters().stalled.Inc(1)
 		return attempter.Stalled{Endpoint: end}
--- /dev/null
+++ b/standin/generator/report.go
@@ -0,0 +1,116 @@
+package generator
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hemlockpin/connection/invoker"
+)
+
+// lagged is a load report that is shown later.
+type lagged struct {
+	at   time.Time
+	load invoker.Load
+}
+
+// report keeps load reports until the lag has passed.
+func (gen *Generator) report(now time.Time) {
+	if cou := len(gen.lagged); cou > 0 && now.Sub(gen.lagged[cou-1].at) < gen.set.LoadLag/4 {
+		return
+	}
+	gen.lagged = append(gen.lagged, lagged{now, gen.load(now)})
+	lim := now.Add(-gen.set.LoadLag)
+	for len(gen.lagged) > 1 && gen.lagged[1].at.Before(lim) {
+		gen.lagged = gen.lagged[1:]
+	}
+}
+
+func (gen *Generator) load(now time.Time) invoker.Load {
+	loa := invoker.Load{
+		Engine: gen.set.ID, Incarnation: gen.incarnation, Role: "Serve", Leaving: gen.isLeaving(), Models: gen.set.Models,
+		Running: len(gen.running), Queued: len(gen.waiting), MemoryTokens: gen.set.MemoryTokens, UsedTokens: gen.used(),
+		CachedTokens: gen.cache.tokens(), PrefillRate: gen.set.PrefillRate, StepMs: gen.set.Step.Seconds() * 1000,
+	}
+	for _, seq := range gen.waiting {
+		loa.QueuedPromptTokens += seq.total()
+		loa.Sequences = append(loa.Sequences, seq.entry("Queued", now))
+	}
+	for _, seq := range gen.running {
+		loa.QueuedPromptTokens += max(0, seq.total()-seq.prefilled)
+		loa.Sequences = append(loa.Sequences, seq.entry("Running", now))
+	}
+	for _, hol := range gen.holds {
+		loa.Sequences = append(loa.Sequences, hol.entry(now))
+	}
+	return loa
+}
+
+func (gen *Generator) isLeaving() bool { return gen.leaving || gen.faults.Leaving }
+
+func (seq *sequence) entry(kind string, now time.Time) invoker.Sequence {
+	ent := invoker.Sequence{
+		RequestID: seq.req.RequestID, Attempt: seq.req.Attempt, Owner: seq.req.Owner, Kind: kind, Tokens: seq.memory,
+		AgeMs: now.Sub(seq.queuedAt).Milliseconds(), IdleMs: now.Sub(seq.movedAt).Milliseconds(),
+		ExpiresMs: seq.expiresAt.Sub(now).Milliseconds(), Detached: seq.sink == 0,
+	}
+	return ent
+}
+
+func (hol hold) entry(now time.Time) invoker.Sequence {
+	age := now.Sub(hol.at).Milliseconds()
+	return invoker.Sequence{
+		RequestID: hol.requestID, Owner: hol.owner, Tokens: hol.tokens, Kind: hol.kind, ID: hol.id,
+		AgeMs: age, IdleMs: age, ExpiresMs: hol.expiresAt.Sub(now).Milliseconds(),
+	}
+}
+
+// getLoad serves the lagging report, without sequences younger than MinAgeMs.
+func (gen *Generator) getLoad(wri http.ResponseWriter, htr *http.Request) {
+	gen.mu.Lock()
+	now := time.Now()
+	gen.report(now)
+	rep := gen.lagged[0]
+	frozen := gen.faults.Freeze
+	gen.mu.Unlock()
+	if frozen {
+		<-htr.Context().Done()
+		return
+	}
+	loa := rep.load
+	loa.AgeMs = now.Sub(rep.at).Milliseconds()
+	if minAge, err := strconv.ParseInt(htr.URL.Query().Get("MinAgeMs"), 10, 64); err == nil {
+		loa.Sequences = older(rep.load.Sequences, minAge)
+	}
+	_ = json.NewEncoder(wri).Encode(loa)
+}
+
+func older(seqs []invoker.Sequence, minAge int64) []invoker.Sequence {
+	var out []invoker.Sequence
+	for _, seq := range seqs {
+		if seq.AgeMs >= minAge {
+			out = append(out, seq)
+		}
+	}
+	return out
+}
+
+// memory serves the true account without lag.
+func (gen *Generator) memory(wri http.ResponseWriter, _ *http.Request) {
+	gen.mu.Lock()
+	loa := gen.load(time.Now())
+	gen.mu.Unlock()
+	_ = json.NewEncoder(wri).Encode(loa)
+}
+
+func (gen *Generator) getEvents(wri http.ResponseWriter, htr *http.Request) {
+	aft, ok := decode[struct{ After uint64 }](wri, htr)
+	if !ok {
+		return
+	}
+	gen.mu.Lock()
+	eves := gen.cache.after(aft.After, gen.set.EventGap, time.Now().Add(-gen.set.EventLag))
+	gen.mu.Unlock()
+	_ = json.NewEncoder(wri).Encode(eves)
+}
