Reserve groups of engines in a fixed order, waiting within bounds

Cause: the allocator took the engines of a group in the order of the plan under the request's own name and failed the request when one was busy, so two hosts could turn each other away and a late release could free a newer reservation. Also found: the stand-in engine queued the leader's sequence behind one that waited for the memory which the group held. Ruled out: trying all at once and backing off alone, under which a long prompt is passed by short ones without end; holding out of order, which can wait in a circle. Conclusion: reservations are all or nothing, in the order of engine names, with a new name each; busy groups are asked for again until the deadline.

--- a/connection/invoker/engine.go
+++ b/connection/invoker/engine.go
@@ -127,6 +127,8 @@
 	// BudgetMs is the time until the request's deadline; 0 stands for the
 	// engine's default.
 	BudgetMs int64
+	// WaitMs is how long the engine may keep the call until memory is free.
+	WaitMs int64
 }
 
 // ReserveFor sets memory of an engine aside until it is released. It is
--- a/process/allocator/allocator.go
+++ b/process/allocator/allocator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlockpin/connection/invoker"
+	"hemlockpin/process/grouper"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/placer"
@@ -18,8 +19,6 @@
 	"github.com/rotisserie/eris"
 )
 
-const releaseTimeout = time.Second
-
 // Allocator places requests. Its maps are ready as zero values.
 type Allocator struct {
 	Policy  placer.Policy
@@ -86,32 +85,18 @@
 
 // group reserves memory on every engine of a group, or on none.
 func (all *Allocator) group(ctx context.Context, req placer.Request, dec placer.PlaceGroup) (executor.Lease, error) {
-	resID := req.ID
-	var pars []invoker.Part
-	free := func() { all.free(ctx, pars) }
-	for _, par := range dec.Parts {
-		pars = append(pars, invoker.Part{Endpoint: par.Endpoint, Address: par.Address, Tokens: par.Tokens, ReservationID: resID})
-		if err := all.Invoker.Reserve(ctx, par.Address, resID, req.ID, all.Owner, par.Tokens); err != nil {
-			free()
-			return executor.Lease{}, &executor.RefusedError{Refuse: placer.Refuse{
-				Code: codeGroupUnavailable, Message: "the engines cannot hold the prompt together now: " + err.Error(), RetryAfter: time.Second,
-			}}
-		}
+	gro, err := (&grouper.Runner{Invoker: all.Invoker, Owner: all.Owner}).Reserve(ctx, req, dec.Parts, time.Now())
+	if err != nil {
+		return executor.Lease{}, &executor.RefusedError{Refuse: placer.Refuse{
+			Code: codeGroupUnavailable, Message: "the engines cannot hold the prompt together now: " + err.Error(), RetryAfter: time.Second,
+		}}
 	}
 	all.mu.Lock()
 	defer all.mu.Unlock()
-	lea := all.lease(pars[0].Endpoint, pars[0].Address, req.PromptTokens, time.Now())
-	lea.ReservationID = resID
-	lea.Group = pars
+	lea := all.lease(gro.Parts[0].Endpoint, gro.Parts[0].Address, req.PromptTokens, time.Now())
+	lea.ReservationID = gro.ReservationID
+	lea.Group = gro.Parts
 	rel := lea.Release
-	lea.Release = sync.OnceFunc(func() { free(); rel() })
+	lea.Release = sync.OnceFunc(func() { gro.Release(); rel() })
 	return lea, nil
 }
-
-func (all *Allocator) free(ctx context.Context, pars []invoker.Part) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer stop()
-	for _, par := range pars {
-		_ = all.Invoker.Release(ctx, par.Address, par.ReservationID)
-	}
-}
--- a/request/attempter/attempter.go
+++ b/request/attempter/attempter.go
@@ -18,6 +18,7 @@
 	MinBudget = 5 * time.Millisecond
 
 	roundPause       = 100 * time.Millisecond
+	maxGroupPause    = 2 * time.Second
 	minProgressLimit = time.Second
 	maxProgressLimit = 20 * time.Second
 	// progressShare of the time left is given to one engine without progress,
@@ -38,6 +39,10 @@
 	Excluded []string
 	// Rounds counts how often the exclusions were lifted.
 	Rounds int
+	// Waits counts the refusals by groups of engines that were busy.
+	Waits int
+	// Jitter, 0 to 1, spreads the pauses of different requests.
+	Jitter float64
 	// Resumed marks that the current endpoint was already given a second try.
 	Resumed bool
 }
@@ -85,7 +90,7 @@
 type Action interface{ action() }
 
 // Dispatch places the request again after a pause and goes on at the next
-// token. It spends one retry.
+// token. It spends one retry, unless nothing was dispatched before.
 type Dispatch struct{ After time.Duration }
 
 // Resume dispatches to the same endpoint over a new connection. It spends one
@@ -167,7 +172,18 @@
 	}
 }
 
+// groupPause doubles with each refusal, so that hosts which race for the same
+// engines don't meet again.
+func (sta State) groupPause() time.Duration {
+	dur := min(maxGroupPause, roundPause<<min(sta.Waits, 10))
+	return time.Duration(float64(dur) * (0.5 + sta.Jitter))
+}
+
 func (sta State) afterRefusal(ref Refused, now time.Time) (State, Action) {
+	if pau := sta.groupPause(); ref.Code == "group_unavailable" && sta.left(now) > pau+MinBudget {
+		sta.Waits++
+		return sta, Dispatch{After: pau}
+	}
 	again := ref.Code == "no_endpoint" && len(sta.Excluded) > 0
 	if !again || sta.Rounds >= MaxRounds || sta.left(now) < roundPause+MinBudget {
 		return sta, Fail{Code: ref.Code, Message: ref.Message, Ran: sta.ran(), RetryAfter: ref.RetryAfter}
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -57,7 +58,7 @@
 	gen := &generation{
 		request:   req,
 		prompt:    pro,
-		state:     attempter.State{Deadline: req.deadline},
+		state:     attempter.State{Deadline: req.deadline, Jitter: rand.Float64()},
 		assembler: assembler.Assembler{RequestID: req.id, MaxTokens: pro.MaxTokens},
 		blocks:    hasher.Blocks(pro.Text),
 		answer: &responder.Answer{
@@ -97,10 +98,13 @@
 	ret := exe.Retries.Take(now)
 	sta, act := gen.state.Next(eve, ret, now)
 	gen.state = sta
+	_, refused := eve.(attempter.Refused)
 	switch act.(type) {
 	case attempter.Dispatch, attempter.Resume:
-		exe.counters().resumed.Inc(1)
-		return act
+		if !refused {
+			exe.counters().resumed.Inc(1)
+			return act
+		}
 	}
 	if ret {
 		exe.Retries.Return()
--- a/standin/generator/batch.go
+++ b/standin/generator/batch.go
@@ -6,17 +6,21 @@
 	"hemlockpin/request/hasher"
 )
 
-// admit starts waiting sequences by urgency while memory lasts.
+// admit starts waiting sequences by urgency while memory lasts. Those that live
+// in reserved memory need none, so they never wait behind one that does.
 func (gen *Generator) admit(now time.Time) {
-	for len(gen.waiting) > 0 && len(gen.running) < gen.set.MaxBatch {
-		seq := gen.waiting[0]
-		if !gen.occupy(seq, now) {
-			return
+	var left []*sequence
+	blocked := false
+	for _, seq := range gen.waiting {
+		if len(gen.running) >= gen.set.MaxBatch || blocked && !seq.reserved() || !gen.occupy(seq, now) {
+			blocked = true
+			left = append(left, seq)
+			continue
 		}
-		gen.waiting = gen.waiting[1:]
 		gen.running = append(gen.running, seq)
 		seq.movedAt = now
 	}
+	gen.waiting = left
 }
 
 // prefill spends one chunk on the prompts, by urgency, and returns the tokens
@@ -131,7 +135,7 @@
 	mat := gen.cache.match(seq.blocks)
 	gen.cache.pin(mat, now)
 	need := seq.total() - int64(len(mat))*hasher.BlockTokens
-	if !gen.makeRoom(need, now) {
+	if !gen.makeRoom(need+gen.promisedBefore(seq), now) {
 		gen.cache.unpin(mat)
 		return false
 	}
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -83,6 +83,7 @@
 	waiting   []*sequence
 	running   []*sequence
 	holds     map[string]hold
+	waiters   []*waiter
 	cache     cache
 	arrivals  uint64
 	leaving   bool
@@ -143,6 +144,7 @@
 		return gen.set.Step
 	}
 	gen.dropDetached(now)
+	gen.grantWaiters(now)
 	gen.admit(now)
 	if len(gen.running) == 0 {
 		return 0
--- a/standin/generator/hold.go
+++ b/standin/generator/hold.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"hemlockpin/connection/invoker"
@@ -41,27 +42,116 @@
 	if !ok {
 		return
 	}
+	if res.Tokens > gen.set.MemoryTokens {
+		refuse(wri, http.StatusBadRequest, "too_large", "the reservation exceeds the engine's memory")
+		return
+	}
+	bud := time.Duration(res.BudgetMs) * time.Millisecond
+	if bud == 0 {
+		bud = defaultHold
+	}
+	now := time.Now()
+	wai := &waiter{reservation: res, at: now, expiresAt: now.Add(bud), ready: make(chan *refusal, 1)}
+	gen.mu.Lock()
+	gen.addWaiter(wai)
+	gen.grantWaiters(wai.at)
+	gen.mu.Unlock()
+	if ref := gen.awaitHold(htr.Context(), wai); ref != nil {
+		refuse(wri, ref.status, ref.code, ref.message)
+	}
+}
+
+// waiter is a reservation that waits for memory.
+type waiter struct {
+	reservation invoker.Reservation
+	at          time.Time
+	expiresAt   time.Time
+	ready       chan *refusal
+}
+
+// addWaiter queues a reservation by its deadline, so that one which keeps coming
+// back gets its turn.
+func (gen *Generator) addWaiter(wai *waiter) {
+	ind, _ := slices.BinarySearchFunc(gen.waiters, wai, func(one, two *waiter) int {
+		return one.expiresAt.Compare(two.expiresAt)
+	})
+	gen.waiters = slices.Insert(gen.waiters, ind, wai)
+}
+
+func (gen *Generator) awaitHold(ctx context.Context, wai *waiter) *refusal {
+	tim := time.NewTimer(time.Duration(wai.reservation.WaitMs) * time.Millisecond)
+	defer tim.Stop()
+	select {
+	case ref := <-wai.ready:
+		return ref
+	case <-tim.C:
+	case <-ctx.Done():
+	}
 	gen.mu.Lock()
 	defer gen.mu.Unlock()
-	now := time.Now()
+	gen.waiters = slices.DeleteFunc(gen.waiters, func(oth *waiter) bool { return oth == wai })
+	select {
+	case ref := <-wai.ready:
+		return ref
+	default:
+		gen.kick()
+		return &refusal{http.StatusServiceUnavailable, "no_memory", "the engine has not enough free memory"}
+	}
+}
+
+// grantWaiters serves the waiting reservations in the order of their arrival.
+func (gen *Generator) grantWaiters(now time.Time) {
+	for len(gen.waiters) > 0 {
+		wai := gen.waiters[0]
+		ref, done := gen.tryHold(wai, now)
+		if !done {
+			return
+		}
+		gen.waiters = gen.waiters[1:]
+		wai.ready <- ref
+	}
+}
+
+// tryHold reports whether a reservation is decided, and how.
+func (gen *Generator) tryHold(wai *waiter, now time.Time) (*refusal, bool) {
+	res := wai.reservation
 	if hol, held := gen.holds[res.ReservationID]; held {
 		if hol.owner != res.Owner || hol.requestID != res.RequestID || hol.tokens != res.Tokens {
-			refuse(wri, http.StatusConflict, "held", "the reservation is held for something else")
+			return &refusal{http.StatusConflict, "held", "the reservation is held for something else"}, true
 		}
-		return
+		return nil, true
 	}
-	if gen.isLeaving() || gen.faults.Refuse || !gen.makeRoom(res.Tokens, now) {
-		refuse(wri, http.StatusServiceUnavailable, "no_memory", "the engine has not enough free memory")
-		return
+	if gen.isLeaving() || gen.faults.Refuse {
+		return &refusal{http.StatusServiceUnavailable, "overloaded", "the engine takes no work"}, true
 	}
-	bud := time.Duration(res.BudgetMs) * time.Millisecond
-	if bud == 0 {
-		bud = defaultHold
+	if !gen.makeRoom(res.Tokens+gen.owedBefore(wai), now) {
+		return nil, false
 	}
 	gen.holds[res.ReservationID] = hold{
 		id: res.ReservationID, kind: kindReservation, requestID: res.RequestID, owner: res.Owner,
-		tokens: res.Tokens, at: now, expiresAt: now.Add(bud),
+		tokens: res.Tokens, at: now, expiresAt: wai.expiresAt,
+	}
+	return nil, true
+}
+
+// promisedBefore is the memory that a sequence leaves to a reservation which
+// has waited longer.
+func (gen *Generator) promisedBefore(seq *sequence) int64 {
+	if len(gen.waiters) == 0 || seq.queuedAt.Before(gen.waiters[0].at) {
+		return 0
+	}
+	return gen.waiters[0].reservation.Tokens
+}
+
+// owedBefore is the memory that a reservation leaves to the most urgent
+// sequence if that has waited longer.
+func (gen *Generator) owedBefore(wai *waiter) int64 {
+	for _, seq := range gen.waiting {
+		if !seq.reserved() && seq.queuedAt.Before(wai.at) {
+			return seq.total()
+		}
 	}
+	return 0
 }
 
 func (gen *Generator) release(wri http.ResponseWriter, htr *http.Request) {
@@ -77,6 +167,7 @@
 func (gen *Generator) dropHold(id string) {
 	gen.cache.unpin(gen.holds[id].blocks)
 	delete(gen.holds, id)
+	gen.grantWaiters(time.Now())
 	gen.kick()
 }
 
