--- a/process/server/server.go
+++ b/process/server/server.go
@@ -19,6 +19,7 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/reclaimer"
 	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
@@ -52,6 +53,7 @@
 	admitter    *admitter.Admitter
 	allocator   *allocator.Allocator
 	executor    *executor.Executor
+	reclaimer   *reclaimer.Runner
 	meter       *meter
 	bodies      receiver.Budget
 	scheduler   *scheduler.Scheduler
@@ -86,6 +88,7 @@
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
 		Allocator: tracedAllocator{ser.allocator},
 	}
+	ser.reclaimer = ser.newReclaimer(own)
 	return ser
 }
 
@@ -103,6 +106,7 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
+	gro.Go(func() { ser.reclaimer.Run(work, reclaimInterval) })
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
