Decode a prompt in one pass

Cause: each nested raw message was checked and scanned again; a prompt of a million tokens took 159 ms to parse, which adds to its first token. Ruled out: a JSON library of its own for the edge; a hand-written scanner, which would have to repeat the checks of the standard one. What is left is the standard library's check and unquoting.

--- a/request/receiver/prompt.go
+++ b/request/receiver/prompt.go
@@ -40,19 +40,28 @@
 
 // wirePrompt is the body of both kinds of completions.
 type wirePrompt struct {
-	Model               string            `json:"model"`
-	Prompt              json.RawMessage   `json:"prompt"`
-	Messages            []json.RawMessage `json:"messages"`
-	Stream              bool              `json:"stream"`
-	StreamOptions       *streamOptions    `json:"stream_options"`
-	MaxTokens           *int64            `json:"max_tokens"`
-	MaxCompletionTokens *int64            `json:"max_completion_tokens"`
-	Seed                int64             `json:"seed"`
-	N                   *int64            `json:"n"`
+	Model string `json:"model"`
+	// Prompt and contents are decoded in the same pass as the rest, since each
+	// pass over a long prompt counts.
+	Prompt              any            `json:"prompt"`
+	Messages            []wireMessage  `json:"messages"`
+	Stream              bool           `json:"stream"`
+	StreamOptions       *streamOptions `json:"stream_options"`
+	MaxTokens           *int64         `json:"max_tokens"`
+	MaxCompletionTokens *int64         `json:"max_completion_tokens"`
+	Seed                int64          `json:"seed"`
+	N                   *int64         `json:"n"`
 	wireSampling
 	wireUnsupported
 }
 
+// wireMessage is one chat message.
+type wireMessage struct {
+	Role      string          `json:"role"`
+	Content   any             `json:"content"`
+	ToolCalls json.RawMessage `json:"tool_calls"`
+}
+
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
 }
@@ -217,10 +226,10 @@
 	return slices.Contains([]string{"null", "[]", "{}", `""`, "false"}, buf.String()) || slices.Contains(also, buf.String())
 }
 
-func promptText(chat bool, pro json.RawMessage, mess []json.RawMessage) (string, error) {
+func promptText(chat bool, pro any, mess []wireMessage) (string, error) {
 	if !chat {
-		var txt string
-		if err := json.Unmarshal(pro, &txt); err != nil || txt == "" {
+		txt, _ := pro.(string)
+		if txt == "" {
 			return "", bad("invalid_prompt", "prompt", "prompt must be a non-empty string")
 		}
 		return txt, nil
@@ -229,12 +238,13 @@
 		return "", bad("missing_messages", "messages", "messages is empty")
 	}
 	var bui strings.Builder
-	for ind, raw := range mess {
-		rol, con, err := message(raw)
+	for ind, mes := range mess {
+		con, err := mes.text()
 		if err != nil {
 			return "", bad("invalid_message", fmt.Sprintf("messages[%d]", ind), err.Error())
 		}
-		bui.WriteString(rol)
+		bui.Grow(len(mes.Role) + len(con) + len(": \n"))
+		bui.WriteString(mes.Role)
 		bui.WriteString(": ")
 		bui.WriteString(con)
 		bui.WriteByte('\n')
@@ -242,48 +252,41 @@
 	return bui.String(), nil
 }
 
-// message reads one chat message, whose content is a string or a list of text parts.
-func message(raw json.RawMessage) (rol, con string, err error) {
-	var mes struct {
-		Role      string          `json:"role"`
-		Content   json.RawMessage `json:"content"`
-		ToolCalls json.RawMessage `json:"tool_calls"`
-	}
-	if err := json.Unmarshal(raw, &mes); err != nil {
-		return "", "", eris.New("a message must be an object with role and content")
-	}
+// text checks the message and returns its content.
+func (mes wireMessage) text() (string, error) {
 	switch mes.Role {
 	case "system", "developer", "user", "assistant":
 	case "":
-		return "", "", eris.New("role is missing")
+		return "", eris.New("role is missing")
 	default:
-		return "", "", eris.Errorf("role %q is not supported", mes.Role)
+		return "", eris.Errorf("role %q is not supported", mes.Role)
 	}
 	if !neutral(mes.ToolCalls) {
-		return "", "", eris.New("tool_calls is not supported")
+		return "", eris.New("tool_calls is not supported")
 	}
-	con, err = content(mes.Content)
-	return mes.Role, con, err
-}
-
-func content(raw json.RawMessage) (string, error) {
-	var con *string
-	if json.Unmarshal(raw, &con) == nil && con != nil {
-		return *con, nil
-	}
-	var pars []struct {
-		Type string `json:"type"`
-		Text string `json:"text"`
-	}
-	if json.Unmarshal(raw, &pars) != nil || pars == nil {
+	switch con := mes.Content.(type) {
+	case string:
+		return con, nil
+	case []any:
+		return partsText(con)
+	default:
 		return "", eris.New("content must be a string or a list of parts")
 	}
+}
+
+// partsText joins the text parts of a content.
+func partsText(pars []any) (string, error) {
 	var bui strings.Builder
-	for _, par := range pars {
-		if par.Type != "text" {
-			return "", eris.Errorf("content parts of type %q are not supported", par.Type)
+	for _, one := range pars {
+		par, _ := one.(map[string]any)
+		txt, ok := par["text"].(string)
+		switch {
+		case par["type"] != "text":
+			return "", eris.Errorf("content parts of type %q are not supported", fmt.Sprint(par["type"]))
+		case !ok:
+			return "", eris.New("a text part must have a text")
 		}
-		bui.WriteString(par.Text)
+		bui.WriteString(txt)
 	}
 	return bui.String(), nil
 }
