--- a/operator/editor/editor.go
+++ b/operator/editor/editor.go
@@ -115,7 +115,7 @@
 	dec := json.NewDecoder(bytes.NewReader(doc))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&val); err != nil {
-		return val, eris.Errorf("byte %d: %v", dec.InputOffset(), err)
+		return val, eris.Wrapf(err, "byte %d", dec.InputOffset())
 	}
 	if dec.More() {
 		return val, eris.Errorf("byte %d: text after the document", dec.InputOffset())
--- a/operator/editor/fields.go
+++ b/operator/editor/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -11,6 +12,8 @@
 	"github.com/rotisserie/eris"
 )
 
+var errNoFields = errors.New("the value has no fields")
+
 // Set changes fields of one entry. An assignment is PATH=VALUE, where PATH
 // names a field such as TimeLimit or Match.Model. VALUE is taken as text if the
 // field holds text, else as JSON.
@@ -44,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var las error
+	var fai error
 	for _, raw := range []json.RawMessage{txt, json.RawMessage(value)} {
 		if !json.Valid(raw) {
 			continue
@@ -53,22 +56,30 @@
 		if err != nil {
 			return nil, err
 		}
-		if las = takes(kin, out); las == nil {
+		err = takes(kin, out)
+		if err == nil {
 			return out, nil
 		}
+		// The fault of a text is told unless the field holds no text at all.
+		if fai == nil || errors.As(fai, new(*json.UnmarshalTypeError)) {
+			fai = err
+		}
 	}
-	return nil, las
+	return nil, fai
 }
 
 func replace(doc []byte, path []string, raw json.RawMessage) ([]byte, error) {
 	obj := map[string]json.RawMessage{}
 	if len(doc) > 0 {
 		if err := json.Unmarshal(doc, &obj); err != nil {
-			return nil, eris.Errorf("%s has no fields", path[0])
+			return nil, errNoFields
 		}
 	}
 	if len(path) > 1 {
 		inn, err := replace(obj[path[0]], path[1:], raw)
+		if errors.Is(err, errNoFields) {
+			err = eris.Errorf("%s has no fields", path[0])
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/request/receiver/prompt.go
+++ b/request/receiver/prompt.go
@@ -278,9 +278,11 @@
 func partsText(pars []any) (string, error) {
 	var bui strings.Builder
 	for _, one := range pars {
-		par, _ := one.(map[string]any)
+		par, obj := one.(map[string]any)
 		txt, ok := par["text"].(string)
 		switch {
+		case !obj:
+			return "", eris.New("a part must be an object with type and text")
 		case par["type"] != "text":
 			return "", eris.Errorf("content parts of type %q are not supported", fmt.Sprint(par["type"]))
 		case !ok:
