--- a/process/server/monitor.go
+++ b/process/server/monitor.go
@@ -18,6 +18,7 @@
 		select {
 		case now := <-tic.C:
 			ser.gauge()
+			ser.gaugeTables(now)
 			sta = ser.logChanges(sta, now)
 		case <-ctx.Done():
 			return
