--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 GOLANGCI_VERSION := v2.15.0
 TOOLS := $(CURDIR)/.tools
 
-.PHONY: build run test lint tools
+FUZZTIME := 30s
+
+.PHONY: build run test fuzz lint tools
 
 build:
 	go build -o bin/ ./cmd/... ./tools/...
@@ -12,6 +14,14 @@
 test:
 	go test -race -count=1 -timeout 20m ./...
 
+# fuzz runs each fuzz target for FUZZTIME.
+fuzz:
+	git grep -l '^func Fuzz' -- '*_test.go' | xargs -n1 dirname | sort -u | while read -r dir; do \
+		for fuz in $$(grep -ho '^func Fuzz[A-Za-z]*' $$dir/*_test.go | cut -d' ' -f2); do \
+			go test ./$$dir -run '^$$' -fuzz "^$$fuz$$" -fuzztime $(FUZZTIME) || exit 1; \
+		done; \
+	done
+
 tools:
 	test -x $(TOOLS)/golangci-lint || GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 
