Tell on a request's span what became of it

Cause: a trace could not be found by the identifier that callers are told. Ruled out: log lines for requests; lines are for changes of state only. Before / After: go test -race -count=1 ./internal/traceproof ./process/server passes; the root span now carries RequestID, Route, Team, Run and Outcome. Conclusion: refused requests are not marked as errors, failed and cut ones are.

--- a/internal/traceproof/trace_test.go
+++ b/internal/traceproof/trace_test.go
@@ -28,7 +28,10 @@
 
 const callerSpan = "00f067aa0ba902b7"
 
-type span struct{ id, parent, name, host string }
+type span struct {
+	id, parent, name string
+	attributes       map[string]string
+}
 
 // sink stands in for a collector.
 type sink struct {
@@ -47,19 +50,32 @@
 	sin.mu.Lock()
 	defer sin.mu.Unlock()
 	for _, res := range req.GetResourceSpans() {
-		var hos string
-		for _, att := range res.GetResource().GetAttributes() {
-			if att.GetKey() == "service.instance.id" {
-				hos = att.GetValue().GetStringValue()
-			}
-		}
 		for _, sco := range res.GetScopeSpans() {
 			for _, spa := range sco.GetSpans() {
 				tra := hex.EncodeToString(spa.GetTraceId())
-				sin.spans[tra] = append(sin.spans[tra], span{hex.EncodeToString(spa.GetSpanId()), hex.EncodeToString(spa.GetParentSpanId()), spa.GetName(), hos})
+				one := span{id: hex.EncodeToString(spa.GetSpanId()), parent: hex.EncodeToString(spa.GetParentSpanId()), name: spa.GetName(), attributes: map[string]string{}}
+				for _, att := range spa.GetAttributes() {
+					one.attributes[att.GetKey()] = att.GetValue().GetStringValue()
+				}
+				sin.spans[tra] = append(sin.spans[tra], one)
+			}
+		}
+	}
+}
+
+// root returns attributes of the span that the caller's span is parent of.
+func (sin *sink) root(trace string, names ...string) []string {
+	sin.mu.Lock()
+	defer sin.mu.Unlock()
+	var out []string
+	for _, spa := range sin.spans[trace] {
+		if spa.parent == callerSpan {
+			for _, nam := range names {
+				out = append(out, spa.attributes[nam])
 			}
 		}
 	}
+	return out
 }
 
 // tree prints the spans under a parent, children in the order of their names.
@@ -85,7 +101,8 @@
 	return bui.String()
 }
 
-func post(t *testing.T, url, trace, body string) {
+// post sends a request and returns the identifier that the host gave it.
+func post(t *testing.T, url, trace, body string) string {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewBufferString(body))
 	require.NoError(t, err)
@@ -98,6 +115,7 @@
 	defer res.Body.Close()
 	txt, _ := io.ReadAll(res.Body)
 	require.Equal(t, http.StatusOK, res.StatusCode, string(txt))
+	return res.Header.Get("Hemlockpin-Request-Id")
 }
 
 func traceID(num int) string { return fmt.Sprintf("4bf92f3577b34da6a3ce929d0e0e%04d", num) }
@@ -135,10 +153,11 @@
 	var peers int
 	for ind, hos := range fle.Hosts {
 		prompt, booking := traceID(10+ind), traceID(20+ind)
-		post(t, "http://"+hos.Address+"/v1/completions", prompt, `{"model":"`+testkit.Model+`","prompt":"hum","max_tokens":3}`)
+		id := post(t, "http://"+hos.Address+"/v1/completions", prompt, `{"model":"`+testkit.Model+`","prompt":"hum","max_tokens":3}`)
 		post(t, "http://"+hos.Address+"/bookings", booking, `{}`)
 		require.Contains(t, <-heard, booking)
 		requireTree(t, sin, prompt, "prompt\n  admission\n  engine\n  placement\n")
+		require.Equal(t, []string{id, "questions", "tailors", "whole"}, sin.root(prompt, "RequestID", "Route", "Team", "Outcome"))
 		requireTree(t, sin, booking, "call\n  admission\n  claim\n  placement\n  service\n")
 		peers += strings.Count(sin.tree(prompt)+sin.tree(booking), "peer call\n      peer\n")
 	}
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -47,14 +47,14 @@
 func (ser *Server) prompt(chat bool) http.HandlerFunc {
 	return func(wri http.ResponseWriter, req *http.Request) {
 		ctx, spa := ser.startSpan(req, "prompt")
-		defer spa.End()
+		defer endRequest(spa, wri)
 		ser.executor.Generate(ctx, wri, req, ser.tables(wri), chat)
 	}
 }
 
 func (ser *Server) call(wri http.ResponseWriter, req *http.Request) {
 	ctx, spa := ser.startSpan(req, "call")
-	defer spa.End()
+	defer endRequest(spa, wri)
 	ser.executor.Call(ctx, wri, req, ser.tables(wri))
 }
 
--- a/process/server/trace.go
+++ b/process/server/trace.go
@@ -9,6 +9,7 @@
 	"hemlockpin/connection/messenger"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/placer"
+	"hemlockpin/request/responder"
 	"hemlockpin/version/parser"
 
 	"go.opentelemetry.io/otel"
@@ -38,6 +39,23 @@
 	spa.End()
 }
 
+// endRequest ends the span of a request with what became of it.
+func endRequest(spa trace.Span, wri http.ResponseWriter) {
+	defer spa.End()
+	rec, ok := wri.(*responder.Recorder)
+	if !ok || !spa.IsRecording() {
+		return
+	}
+	spa.SetAttributes(
+		attribute.String("RequestID", rec.Header().Get(responder.RequestIDHeader)), attribute.String("Run", rec.Header().Get(responder.RunHeader)),
+		attribute.String("Route", rec.Labels.Route), attribute.String("Team", rec.Labels.Team), attribute.Int64("PromptTokens", rec.Labels.PromptTokens),
+		attribute.Int("Status", rec.Status), attribute.String("Code", rec.Code), attribute.String("Outcome", outcomeOf(rec)),
+	)
+	if out := outcomeOf(rec); out == outcomeFailed || out == outcomeCut {
+		spa.SetStatus(codes.Error, rec.Code)
+	}
+}
+
 // peerCaller sends a message to another host.
 type peerCaller interface {
 	Call(ctx context.Context, address string, env *messenger.Envelope) (*messenger.Envelope, error)
