Log when the platform is lost and when it is back

Cause: an outage showed only after 30 s, as tables without confirmation. Ruled out: a line for each failed call; calls of requests, which are not regular. Before / After: go test -race -count=1 ./process/server ./internal/docproof ./internal/clitest passes; TestPlatformLog wants one line for each change. Conclusion: three failed reads of the list in a row count as lost; each host judges for itself.

--- a/process/server/server.go
+++ b/process/server/server.go
@@ -75,7 +75,7 @@
 	ser.invoker = &invoker.Invoker{}
 	ser.persister = ser.newPersister()
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
-	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
+	ser.watcher = &watcher.Watcher{Lister: &platformWatch{Lister: ser.persister, log: log, scope: ser.scope}, Loader: ser.invoker}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
 	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.servePeer}
 	ser.joinTables()
