--- a/cmd/hemlockpin/edit.go
+++ b/cmd/hemlockpin/edit.go
@@ -21,7 +21,9 @@
 type editReport struct {
 	Base     uint64
 	Revision uint64 `json:",omitempty"`
-	Changes  []editor.Change
+	// InForce counts the hosts known to have the edit in force.
+	InForce int `json:",omitempty"`
+	Changes []editor.Change
 }
 
 // edit reads the tables in force, changes them and writes them back if nobody
@@ -64,7 +66,8 @@
 	if err != nil {
 		return com.raced(old, err)
 	}
-	rep.Revision = out.Revision
+	rep.Revision = out.Tables.Revision
+	rep.InForce = out.InForce
 	return com.printEdit(rep)
 }
 
@@ -84,7 +87,7 @@
 	}
 	com.printDiff(rep.Changes)
 	if rep.Revision != 0 {
-		fmt.Fprintf(com.out, "revision %d accepted\n", rep.Revision)
+		fmt.Fprintf(com.out, "revision %d accepted, in force on %d hosts so far\n", rep.Revision, rep.InForce)
 		return nil
 	}
 	fmt.Fprintf(com.out, "nothing was changed; revision %d is in force\n", rep.Base)
--- a/cmd/hemlockpin/main.go
+++ b/cmd/hemlockpin/main.go
@@ -61,7 +61,7 @@
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.As(err, new(*usageError)), errors.As(err, new(*flags.Error)):
+	case errors.As(err, new(*usageError)):
 		return exitUsage
 	case errors.As(err, new(*requester.RacedError)):
 		return exitRaced
@@ -93,7 +93,7 @@
 		fmt.Fprintln(os.Stderr, "hemlockpin:", err)
 		return exitFailure
 	}
-	_, err := par.ParseArgs(args)
+	err := execute(par, args)
 	if flags.WroteHelp(err) {
 		fmt.Println(err)
 		return exitOK
@@ -104,6 +104,26 @@
 	return exitCode(err)
 }
 
+// execute parses the whole command line before it runs the command, so that a
+// fault of the former changes nothing.
+func execute(par *flags.Parser, args []string) error {
+	var cho flags.Commander
+	par.CommandHandler = func(cmd flags.Commander, _ []string) error {
+		cho = cmd
+		return nil
+	}
+	lef, err := par.ParseArgs(args)
+	switch {
+	case flags.WroteHelp(err):
+		return err
+	case err != nil:
+		return &usageError{err}
+	case len(lef) > 0:
+		return usage("unexpected argument %q", lef[0])
+	}
+	return cho.Execute(lef)
+}
+
 // subcommand is one command with its help.
 type subcommand struct {
 	name, short, long string
@@ -119,6 +139,7 @@
 		{"rollback", rollbackShort, rollbackLong, &rollbackCommand{command: com}},
 		{"explain", explainShort, explainLong, &explainCommand{command: com}},
 		{"status", statusShort, statusLong, &statusCommand{command: com}},
+		{"usage", usageShort, usageLong, &usageCommand{command: com}},
 		{"endpoints", endpointsShort, endpointsLong, &endpointsCommand{command: com}},
 		{"drain", drainShort, drainLong, &drainCommand{command: com}},
 		{"digest", digestShort, digestLong, &digestCommand{command: com}},
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockpin/connection/counter"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/multiplexer"
 	"hemlockpin/connection/persister"
@@ -60,6 +61,8 @@
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	started     time.Time
+
+	platformTraffic counter.Traffic
 	// requestDrain has the effect of SIGTERM. It is set by Run.
 	requestDrain context.CancelFunc
 }
@@ -72,18 +75,18 @@
 	ser.meter = newMeter(ser.scope)
 	ser.bodies.MaxBytes = set.MaxBodyMemory
 	ser.invoker = &invoker.Invoker{}
-	ser.persister = &persister.Persister{BaseURL: set.Platform}
+	ser.persister = ser.newPersister()
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
-	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
+	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.servePeer}
 	ser.joinTables()
 	ser.journal = ser.newJournal()
 	ser.allocator = ser.newAllocator(own)
 	ser.executor = &executor.Executor{
-		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
+		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: tracedClaims{ser.journal}, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: ser.allocator,
+		Allocator: tracedAllocator{ser.allocator},
 	}
 	ser.reclaimer = ser.newReclaimer(own)
 	return ser
@@ -107,11 +110,10 @@
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
-	gro.Go(func() { ser.gaugeTables(work) })
 	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := ser.callerServer(ser.countRequests(ser.edge(ser.callerRoutes())))
-	ope := &http.Server{Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
+	ope := ser.operatorServer()
 	gro.Go(func() {
 		_ = cal.Serve(&limitedListener{Listener: liss.caller, max: int64(ser.Settings.MaxConns), refused: ser.scope.Counter("connections_refused")})
 	})
--- a/standin/generator/handler.go
+++ b/standin/generator/handler.go
@@ -26,6 +26,8 @@
 	rou.HandleFunc("/v1/kv/export", gen.export).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/kv/import", gen.imports).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/kv/fetch", gen.fetch).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/config", gen.getConfig).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/orders", gen.takeOrder).Methods(http.MethodPost)
 	rou.HandleFunc("/control/faults", gen.putFaults).Methods(http.MethodPut)
 	rou.HandleFunc("/control/memory", gen.memory).Methods(http.MethodGet)
 	return rou
--- a/standin/generator/report.go
+++ b/standin/generator/report.go
@@ -29,7 +29,7 @@
 
 func (gen *Generator) load(now time.Time) invoker.Load {
 	loa := invoker.Load{
-		Engine: gen.set.ID, Incarnation: gen.incarnation, Role: "Serve", Leaving: gen.isLeaving(), Models: gen.set.Models,
+		Engine: gen.set.ID, Incarnation: gen.incarnation, Role: gen.config.roleOr("Serve"), Leaving: gen.isLeaving(), Models: gen.set.Models,
 		Running: len(gen.running), Queued: len(gen.waiting), MemoryTokens: gen.set.MemoryTokens, UsedTokens: gen.used(),
 		CachedTokens: gen.cache.tokens(), PrefillRate: gen.set.PrefillRate, StepMs: gen.set.Step.Seconds() * 1000,
 	}
