--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -14,7 +14,9 @@
 	"strings"
 	"time"
 
+	"hemlockpin/process/publisher"
 	"hemlockpin/process/server"
+	"hemlockpin/request/responder"
 	"hemlockpin/version/parser"
 
 	"github.com/rotisserie/eris"
@@ -114,16 +116,9 @@
 	return read[server.Explanation](ctx, req, http.MethodPost, "/v1/explain", exp)
 }
 
-// HistoryEntry is one accepted revision.
-type HistoryEntry struct {
-	Revision uint64
-	Nonce    string    `json:",omitempty"`
-	Time     time.Time `json:",omitzero"`
-}
-
-// History lists the accepted revisions that are kept.
-func (req *Requester) History(ctx context.Context) ([]HistoryEntry, error) {
-	return read[[]HistoryEntry](ctx, req, http.MethodGet, "/v1/tables/history", nil)
+// History lists the accepted revisions.
+func (req *Requester) History(ctx context.Context) (publisher.History, error) {
+	return read[publisher.History](ctx, req, http.MethodGet, "/v1/tables/history", nil)
 }
 
 // Revision reads an accepted revision of the tables.
@@ -131,12 +126,21 @@
 	return read[parser.Tables](ctx, req, http.MethodGet, "/v1/tables/history/"+strconv.FormatUint(rev, 10), nil)
 }
 
+// Accepted is an accepted edit.
+type Accepted struct {
+	Tables parser.Tables
+	// InForce counts the hosts known to have the edit in force when it was
+	// answered.
+	InForce int
+}
+
 // Put replaces the tables if their revision is still base. Its errors are
 // UnreachableError, RejectedError, RacedError, UnknownError and AnswerError.
-func (req *Requester) Put(ctx context.Context, tab parser.Tables, base uint64) (parser.Tables, error) {
-	var out parser.Tables
+func (req *Requester) Put(ctx context.Context, tab parser.Tables, base uint64) (Accepted, error) {
+	var out Accepted
 	hea := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(base, 10))}}
-	err := req.write(ctx, http.MethodPut, "/v1/tables", hea, tab, &out)
+	ans, err := req.write(ctx, http.MethodPut, "/v1/tables", hea, tab, &out.Tables)
+	out.InForce, _ = strconv.Atoi(ans.Get(responder.InForceHeader))
 	var rac *RacedError
 	if errors.As(err, &rac) {
 		rac.Base = base
@@ -148,7 +152,7 @@
 // returns the name of the draining host.
 func (req *Requester) Drain(ctx context.Context, host string) (string, error) {
 	var out server.DrainRequest
-	err := req.write(ctx, http.MethodPost, "/v1/drain", nil, server.DrainRequest{Host: host}, &out)
+	_, err := req.write(ctx, http.MethodPost, "/v1/drain", nil, server.DrainRequest{Host: host}, &out)
 	return out.Host, err
 }
 
@@ -157,7 +161,7 @@
 	var cau []string
 	for _, hos := range req.Hosts {
 		var out T
-		sen, err := req.exchange(ctx, readTimeout, method, hos, path, nil, in, &out)
+		sen, _, err := req.exchange(ctx, readTimeout, method, hos, path, nil, in, &out)
 		if err == nil || sen && isAnswer(err) {
 			return out, err
 		}
@@ -173,52 +177,52 @@
 	return errors.As(err, &ans) || errors.As(err, &rej)
 }
 
-func (req *Requester) write(ctx context.Context, method, path string, hea http.Header, in, out any) error {
+func (req *Requester) write(ctx context.Context, method, path string, hea http.Header, in, out any) (http.Header, error) {
 	if len(req.Hosts) == 0 {
-		return &UnreachableError{[]string{"no host was named"}}
+		return nil, &UnreachableError{[]string{"no host was named"}}
 	}
 	hos := req.Hosts[0]
-	sen, err := req.exchange(ctx, writeTimeout, method, hos, path, hea, in, out)
+	sen, ans, err := req.exchange(ctx, writeTimeout, method, hos, path, hea, in, out)
 	switch {
 	case err == nil:
-		return nil
+		return ans, nil
 	case !sen:
-		return &UnreachableError{[]string{err.Error() + " (nothing was sent)"}}
+		return nil, &UnreachableError{[]string{err.Error() + " (nothing was sent)"}}
 	case isAnswer(err) || errors.As(err, new(*RacedError)) || errors.As(err, new(*UnknownError)):
-		return err
+		return nil, err
 	default:
-		return &UnknownError{Host: hos, Message: err.Error()}
+		return nil, &UnknownError{Host: hos, Message: err.Error()}
 	}
 }
 
 // exchange reports whether the request may have reached the host.
-func (req *Requester) exchange(ctx context.Context, timeout time.Duration, method, host, path string, hea http.Header, in, out any) (sent bool, err error) {
+func (req *Requester) exchange(ctx context.Context, timeout time.Duration, method, host, path string, hea http.Header, in, out any) (sent bool, ans http.Header, err error) {
 	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
 	buf, err := json.Marshal(in)
 	if err != nil {
-		return false, eris.Wrapf(err, "Requester.exchange: encode %s", path)
+		return false, nil, eris.Wrapf(err, "Requester.exchange: encode %s", path)
 	}
 	htr, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(host, "/")+path, bytes.NewReader(buf))
 	if err != nil {
-		return false, eris.Wrapf(err, "Requester.exchange: host %s", host)
+		return false, nil, eris.Wrapf(err, "Requester.exchange: host %s", host)
 	}
 	for nam, val := range hea {
 		htr.Header[nam] = val
 	}
 	res, err := req.Client.Do(htr)
 	if err != nil {
-		return !notSent(err), eris.Wrapf(err, "Requester.exchange: host %s", host)
+		return !notSent(err), nil, eris.Wrapf(err, "Requester.exchange: host %s", host)
 	}
 	defer res.Body.Close()
 	txt, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
 	if err != nil {
-		return true, eris.Wrapf(err, "Requester.exchange: answer of host %s", host)
+		return true, nil, eris.Wrapf(err, "Requester.exchange: answer of host %s", host)
 	}
 	if res.StatusCode/100 != 2 {
-		return true, answerError(host, res.StatusCode, txt)
+		return true, nil, answerError(host, res.StatusCode, txt)
 	}
-	return true, eris.Wrapf(json.Unmarshal(txt, out), "Requester.exchange: decode answer of host %s", host)
+	return true, res.Header, eris.Wrapf(json.Unmarshal(txt, out), "Requester.exchange: decode answer of host %s", host)
 }
 
 // notSent reports that no connection was made.
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -74,14 +74,14 @@
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
-	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.handlePeer}
+	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.servePeer}
 	ser.joinTables()
 	ser.journal = ser.newJournal()
 	ser.allocator = ser.newAllocator(own)
 	ser.executor = &executor.Executor{
-		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: ser.journal, Clock: time.Now, Scope: ser.scope,
+		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: tracedClaims{ser.journal}, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: ser.allocator,
+		Allocator: tracedAllocator{ser.allocator},
 	}
 	return ser
 }
