Write claims as entries of a log in place of whole shards

Cause: each commit wrote its whole shard, so the bytes a writer sends grew with the claims kept: 129 B x claims of the shard x writes a second passes 14 KB/s a host long before the aim. A batch that failed was also tried again every 25 ms, whatever the store said. Ruled out: one object a batch with deletion of old ones: a writer that was paused could create an entry anew where one was deleted, and each deletion costs a write. A ring of objects under the versions of their old entries needs no deletion. On a scratch copy TestHistories fails (illegal history) when entries are overwritten without a base, when a log that moved on is not noticed, and when an object read late is not checked for a newer entry. Conclusion: what a writer sends follows the changes, with a base whenever the entries outweigh it. Tries of a batch back off from 25 ms to 1 s.

--- a/process/journaler/batch.go
+++ b/process/journaler/batch.go
@@ -17,7 +17,7 @@
 
 	shard   Shard
 	version uint64
-	// loaded says that shard is what the object held at version.
+	// loaded says that shard is what the log held at version.
 	loaded bool
 	// fresh says that shard was read after the batch began.
 	fresh bool
@@ -27,8 +27,8 @@
 	message string
 }
 
-// NewBatch begins a batch with what the writer remembers of the shard. Version
-// 0 with known set stands for an absent object.
+// NewBatch begins a batch with what the writer remembers of the shard. The
+// version counts the entries of its log.
 func NewBatch(changes []*messenger.ClaimCommit, sha Shard, version uint64, known bool) Batch {
 	return Batch{Changes: changes, shard: sha, version: version, loaded: known}
 }
@@ -51,7 +51,7 @@
 // Stored reports a write that took effect.
 type Stored struct{ Version uint64 }
 
-// Conflicted reports that the object has another version.
+// Conflicted reports that another writer wrote first.
 type Conflicted struct{}
 
 // Refused reports a write that certainly had no effect.
@@ -75,10 +75,10 @@
 // Action is what to do next: Load, Store or Answer.
 type Action interface{ action() }
 
-// Load reads the object, after a pause if Pause is set.
+// Load reads the log, after a pause if Pause is set.
 type Load struct{ Pause bool }
 
-// Store writes the shard on the condition that the object has the version.
+// Store writes the shard on the condition that its log ends at the version.
 type Store struct {
 	Shard   Shard
 	Version uint64
@@ -155,10 +155,3 @@
 	}
 	return ress
 }
-
-// Remembered returns what is known of the shard after the answer to a Stored
-// or Loaded event.
-func (bat Batch) Remembered(eve Event) (sha Shard, version uint64, known bool) {
-	_, sto := eve.(Stored)
-	return bat.shard, bat.version, sto || bat.loaded
-}
--- a/process/journaler/bench_test.go
+++ b/process/journaler/bench_test.go
@@ -24,13 +24,25 @@
 	return &persister.Persister{BaseURL: ser.URL}
 }
 
+// countingStore counts what is written.
+type countingStore struct {
+	ObjectStore
+	writes, bytes atomic.Int64
+}
+
+func (cou *countingStore) Put(ctx context.Context, obj persister.Object) (uint64, error) {
+	cou.writes.Add(1)
+	cou.bytes.Add(int64(len(obj.Value)))
+	return cou.ObjectStore.Put(ctx, obj)
+}
+
 // BenchmarkCommit compares one write for each claim with one write for all
 // claims that wait.
 func BenchmarkCommit(b *testing.B) {
 	for _, bat := range []int{1, maxBatch} {
 		b.Run(fmt.Sprintf("batch=%d", bat), func(b *testing.B) {
-			per := benchStore(b)
-			jou := &Journal{Store: per, batch: bat}
+			sto := &countingStore{ObjectStore: benchStore(b)}
+			jou := &Journal{Store: sto, batch: bat}
 			if bat == 1 {
 				// Without batches the store's rate is the only limit.
 				for ind := range jou.writers {
@@ -53,24 +65,32 @@
 			})
 			b.ReportMetric(float64(done.Load())/b.Elapsed().Seconds(), "claims/s")
 			b.ReportMetric(float64(int64(b.N)-done.Load()), "failed")
+			b.ReportMetric(float64(sto.bytes.Load())/float64(done.Load()), "written-B/claim")
+			b.ReportMetric(float64(sto.writes.Load())/b.Elapsed().Seconds(), "writes/s")
 		})
 	}
 }
 
 func BenchmarkShardCodec(b *testing.B) {
 	sha, cou := fill(b, Shard{}, 0)
-	val, err := sha.Encode()
+	val, err := base{shard: sha}.encode()
 	require.NoError(b, err)
 	one := &messenger.ClaimCommit{Key: "team/new", BodyDigest: make([]byte, 16), Nonce: "n", KeyTimeMs: epoch.UnixMilli()}
 	b.Logf("%d claims in %d bytes", cou, len(val))
 	b.Run("encode", func(b *testing.B) {
 		for b.Loop() {
-			_, _ = sha.Encode()
+			_, _ = base{shard: sha}.encode()
 		}
 	})
 	b.Run("decode", func(b *testing.B) {
 		for b.Loop() {
-			_, _ = DecodeShard(val)
+			_, _ = decodeBase(val)
+		}
+	})
+	nex, _, _ := sha.Apply([]*messenger.ClaimCommit{{Step: messenger.ClaimCommit_STEP_RELEASE, Key: "x", KeyTimeMs: epoch.UnixMilli()}}, epoch)
+	b.Run("entry", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = newEntry(1, sha, nex).encode()
 		}
 	})
 	b.Run("apply", func(b *testing.B) {
--- a/process/journaler/history_test.go
+++ b/process/journaler/history_test.go
@@ -26,7 +26,9 @@
 	historyHosts  = 3
 	historyCalls  = 6
 	historyKeys   = 2
-	commitBudget  = 300 * time.Millisecond
+	// A small ring is overwritten many times in a history.
+	historyRing  = 3
+	commitBudget = 300 * time.Millisecond
 )
 
 // shakyStore keeps objects in memory and fails at random.
@@ -217,7 +219,7 @@
 	pee := &shakyPeers{rnd: rand.New(rand.NewPCG(seed, 2)), journals: map[string]*Journal{}}
 	for hos := range historyHosts {
 		id := fmt.Sprintf("host-%d", hos)
-		jou := &Journal{Store: sto, Self: Member{ID: id}, Peers: pee, Members: pee, Clock: func() time.Time { return epoch }}
+		jou := &Journal{Store: sto, Self: Member{ID: id}, Peers: pee, Members: pee, Clock: func() time.Time { return epoch }, ring: historyRing}
 		for ind := range jou.writers {
 			jou.writers[ind] = newWriter(jou, uint32(ind))
 			jou.writers[ind].limiter = rate.NewLimiter(rate.Inf, 1)
--- a/process/journaler/journaler.go
+++ b/process/journaler/journaler.go
@@ -1,9 +1,10 @@
 // Package journaler keeps the claims of calls that must run at most once in
-// shard objects of the platform's store.
+// the platform's store.
 //
 // A key hashes to a shard. Changes of a shard go to its current writer, which
-// commits those that wait with one conditional write. Two writers of one shard
-// are harmless, since only the version of the object decides.
+// commits those that wait as one entry of the shard's log with one conditional
+// write. Two writers of one shard are harmless, since only the versions of the
+// objects decide.
 package journaler
 
 import (
@@ -53,6 +54,8 @@
 
 	// batch bounds the changes of one write; 0 stands for maxBatch.
 	batch int
+	// ring is the number of entry objects of a shard; 0 stands for ringEntries.
+	ring uint64
 
 	mu       sync.Mutex
 	writers  [Shards]*writer
--- a/process/journaler/shard.go
+++ b/process/journaler/shard.go
@@ -75,8 +75,8 @@
 	return &out
 }
 
-// Shard is the state of a shard object. It is an immutable value; its zero
-// value is the shard of an absent object.
+// Shard is the state of a shard. It is an immutable value; its zero value is the
+// shard of an empty log.
 type Shard struct {
 	claims map[string]*Claim
 	// forgottenMs is the newest key time of a dropped claim. Keys up to it are
--- a/process/journaler/shard_test.go
+++ b/process/journaler/shard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -69,6 +70,30 @@
 	return out
 }
 
+// requireCodec checks the base of a shard and the entry that leads to it.
+func requireCodec(t *testing.T, old, nex Shard) {
+	t.Helper()
+	val, err := base{seq: 7, shard: nex}.encode()
+	require.NoError(t, err)
+	bas, err := decodeBase(val)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), bas.seq)
+	val, err = newEntry(8, old, nex).encode()
+	require.NoError(t, err)
+	ent, err := decodeEntry(val)
+	require.NoError(t, err)
+	require.Equal(t, uint64(8), ent.seq)
+	led := Shard{claims: maps.Clone(old.claims), forgottenMs: old.forgottenMs, bytes: old.bytes}
+	if led.claims == nil {
+		led.claims = map[string]*Claim{}
+	}
+	ent.apply(&led)
+	for _, dec := range []Shard{bas.shard, led} {
+		require.Equal(t, formatShard(nex), formatShard(dec))
+		require.Equal(t, nex.Bytes(), dec.Bytes())
+	}
+}
+
 func TestShard(t *testing.T) {
 	datadriven.Walk(t, "testdata/shard", func(t *testing.T, path string) {
 		var sha Shard
@@ -94,12 +119,7 @@
 				require.Equal(t, formatShard(sha), formatShard(nex))
 				return bui.String() + "no write\n"
 			}
-			val, err := nex.Encode()
-			require.NoError(t, err)
-			dec, err := DecodeShard(val)
-			require.NoError(t, err)
-			require.Equal(t, formatShard(nex), formatShard(dec))
-			require.Equal(t, nex.Bytes(), dec.Bytes())
+			requireCodec(t, sha, nex)
 			sha = nex
 			return bui.String() + "write\n" + formatShard(sha)
 		})
@@ -132,7 +152,7 @@
 func TestShardFull(t *testing.T) {
 	sha, cou := fill(t, Shard{}, 2000)
 	require.Greater(t, cou, 5000, "bodies give way to claims")
-	val, err := sha.Encode()
+	val, err := base{shard: sha}.encode()
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(val), sha.Bytes())
 	require.Less(t, len(val), persister.MaxValueBytes)
--- a/process/journaler/writer.go
+++ b/process/journaler/writer.go
@@ -11,6 +11,7 @@
 	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 )
@@ -21,11 +22,14 @@
 	WritesPerShard = 4
 	writeBurst     = 4
 
-	// maxBatch bounds the changes of one write.
-	maxBatch = 4096
+	// maxBatch and maxBatchBytes bound the changes of one write.
+	maxBatch      = 4096
+	maxBatchBytes = 200_000
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 2 * time.Second
-	retryPause   = 25 * time.Millisecond
+	// The pauses between tries of a batch.
+	minRetryPause = 25 * time.Millisecond
+	maxRetryPause = time.Second
 )
 
 // waiter is one change that waits for its result.
@@ -38,8 +42,7 @@
 // writer gathers the changes of one shard and commits them in batches. It runs
 // only while changes wait.
 type writer struct {
-	jou  *Journal
-	path string
+	jou *Journal
 
 	mu      sync.Mutex
 	queue   []*waiter
@@ -47,13 +50,18 @@
 
 	// The fields below belong to the running batch.
 	limiter *rate.Limiter
-	shard   Shard
-	version uint64
-	known   bool
+	log     shardLog
 }
 
 func newWriter(jou *Journal, ind uint32) *writer {
-	return &writer{jou: jou, path: fmt.Sprintf("claims/%02d", ind), limiter: rate.NewLimiter(WritesPerShard, writeBurst)}
+	rin := jou.ring
+	if rin == 0 {
+		rin = ringEntries
+	}
+	return &writer{
+		jou: jou, limiter: rate.NewLimiter(WritesPerShard, writeBurst),
+		log: shardLog{store: jou.Store, path: fmt.Sprintf("claims/%02d", ind), ring: rin},
+	}
 }
 
 // commit waits for the result of one change. A change that was not picked up in
@@ -115,7 +123,11 @@
 	if lim == 0 {
 		lim = maxBatch
 	}
-	cou := min(len(wri.queue), lim)
+	cou, size := 0, 0
+	for cou < min(len(wri.queue), lim) && size < maxBatchBytes {
+		size += newClaim(wri.queue[cou].com, ClaimHeld).size() + len(wri.queue[cou].com.GetOutcome().GetBody())
+		cou++
+	}
 	wais := wri.queue[:cou:cou]
 	wri.queue = wri.queue[cou:]
 	return wais
@@ -133,6 +145,20 @@
 		for ind, wai := range wais {
 			wai.done <- ress[ind]
 		}
+		wri.shorten()
+	}
+}
+
+// shorten writes the base of the log when it is due. A failure leaves the log
+// as it is.
+func (wri *writer) shorten() {
+	if !wri.log.baseDue() {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), storeTimeout)
+	defer stop()
+	if err := wri.log.writeBase(ctx); err != nil {
+		wri.jou.scope().Counter("claim_bases_failed").Inc(1)
 	}
 }
 
@@ -148,17 +174,21 @@
 	}
 	ctx, stop := context.WithDeadline(context.Background(), dea)
 	defer stop()
-	bat := NewBatch(coms, wri.shard, wri.version, wri.known)
+	bat := NewBatch(coms, wri.log.shard, wri.log.seq, wri.log.known)
+	bac := &backoff.ExponentialBackOff{InitialInterval: minRetryPause, MaxInterval: maxRetryPause, Multiplier: 2, RandomizationFactor: 0.5}
+	bac.Reset()
 	var eve Event = Begun{}
 	for {
 		nex, act := bat.Next(eve, wri.jou.now())
 		bat = nex
 		if ans, ok := act.(Answer); ok {
-			wri.shard, wri.version, wri.known = bat.Remembered(eve)
 			wri.jou.scope().Counter("claim_batches").Inc(1)
 			wri.jou.scope().Counter("claim_changes").Inc(int64(len(coms)))
 			return ans.Results
 		}
+		if loa, ok := act.(Load); ok && loa.Pause {
+			pause(ctx, bac.NextBackOff())
+		}
 		eve = wri.carryOut(ctx, act)
 	}
 }
@@ -169,9 +199,6 @@
 	}
 	switch act := act.(type) {
 	case Load:
-		if act.Pause {
-			pause(ctx, retryPause)
-		}
 		return wri.load(ctx)
 	case Store:
 		return wri.store(ctx, act)
@@ -190,35 +217,26 @@
 func (wri *writer) load(ctx context.Context) Event {
 	ctx, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	obj, err := wri.jou.Store.Get(ctx, wri.path)
-	if eris.Is(err, persister.ErrNotFound) {
-		return Loaded{}
-	}
-	if err != nil {
-		return LoadFailed{err.Error()}
+	if err := wri.log.load(ctx); err != nil {
+		return LoadFailed{eris.Wrapf(err, "writer.load: %s", wri.log.path).Error()}
 	}
-	sha, err := DecodeShard(obj.Value)
-	if err != nil {
-		return LoadFailed{eris.Wrapf(err, "writer.load: %s", wri.path).Error()}
-	}
-	return Loaded{Shard: sha, Version: obj.Version}
+	return Loaded{Shard: wri.log.shard, Version: wri.log.seq}
 }
 
 func (wri *writer) store(ctx context.Context, sto Store) Event {
-	val, err := sto.Shard.Encode()
-	if err != nil {
-		return Refused{err.Error()}
+	if sto.Version != wri.log.seq {
+		return Conflicted{}
 	}
 	ctx, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	ver, err := wri.jou.Store.Put(ctx, persister.Object{Path: wri.path, Version: sto.Version, Value: val})
+	err := wri.log.append(ctx, sto.Shard)
 	switch {
 	case err == nil:
-		return Stored{ver}
+		return Stored{wri.log.seq}
 	case eris.Is(err, persister.ErrConflict):
 		wri.jou.scope().Counter("claim_conflicts").Inc(1)
 		return Conflicted{}
-	case eris.Is(err, persister.ErrRateLimited), eris.Is(err, persister.ErrTooLarge), neverSent(err):
+	case eris.Is(err, persister.ErrRateLimited), eris.Is(err, persister.ErrTooLarge), eris.Is(err, errFull), neverSent(err):
 		return Refused{err.Error()}
 	default:
 		wri.jou.scope().Counter("claim_writes_lost").Inc(1)
