Silence established connections in one direction too

Cause: when the multiplexer's tests moved to the shared test links, the cases of one-way silence of established connections were replaced by blocks of all. Ruled out: keeping two fault proxies. Conclusion: the former strictness is back.

--- a/connection/multiplexer/multiplexer_test.go
+++ b/connection/multiplexer/multiplexer_test.go
@@ -67,6 +67,8 @@
 		mend  func(*testkit.Link) error
 	}{
 		{"established connections silent", func(lin *testkit.Link) error { lin.SilenceEstablished(); return nil }, func(*testkit.Link) error { return nil }},
+		{"requests of established connections lost", func(lin *testkit.Link) error { lin.SilenceEstablished(testkit.Requests); return nil }, func(*testkit.Link) error { return nil }},
+		{"answers of established connections lost", func(lin *testkit.Link) error { lin.SilenceEstablished(testkit.Answers); return nil }, func(*testkit.Link) error { return nil }},
 		{"requests lost", block(testkit.Requests), unblock(testkit.Requests)},
 		{"answers lost", block(testkit.Answers), unblock(testkit.Answers)},
 	}
--- a/internal/testkit/link.go
+++ b/internal/testkit/link.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,9 +34,17 @@
 	// Link is the number of the link; toxics are copied by reflection and so
 	// can't hold the mark themselves.
 	Link int64 `json:"link"`
+	// Direction is the direction whose data is dropped.
+	Direction Direction `json:"direction"`
 }
 
-// marks holds the mark of each link by its number.
+// markKey names the mark of one direction of a link.
+type markKey struct {
+	link int64
+	dir  Direction
+}
+
+// marks holds the mark of each direction of each link.
 var (
 	marks     sync.Map
 	linkCount atomic.Int64
@@ -69,7 +76,7 @@
 }
 
 func (sil *silent) mark() int64 {
-	val, ok := marks.Load(sil.Link)
+	val, ok := marks.Load(markKey{sil.Link, sil.Direction})
 	if !ok {
 		return 0
 	}
@@ -80,7 +87,7 @@
 // that made it.
 type Link struct {
 	proxy *toxiproxy.Proxy
-	mark  *atomic.Int64
+	marks map[Direction]*atomic.Int64
 }
 
 var linkServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
@@ -89,13 +96,21 @@
 func NewLink(name, upstream string) (*Link, error) {
 	pro := toxiproxy.NewProxy(linkServer, name, "127.0.0.1:0", upstream)
 	num := linkCount.Add(1)
-	lin := &Link{proxy: pro, mark: &atomic.Int64{}}
-	marks.Store(num, lin.mark)
+	lin := &Link{proxy: pro, marks: map[Direction]*atomic.Int64{}}
+	for _, dir := range []Direction{Requests, Answers} {
+		lin.marks[dir] = &atomic.Int64{}
+		marks.Store(markKey{num, dir}, lin.marks[dir])
+	}
 	if err := pro.Start(); err != nil {
 		return nil, eris.Wrapf(err, "NewLink: %s", name)
 	}
 	// The toxic that marks births must see every connection from its start.
-	return lin, lin.add("silent", "established_silent", "", map[string]any{"link": num})
+	for dir := range lin.marks {
+		if err := lin.add("silent-"+string(dir), "established_silent", dir, map[string]any{"link": num, "direction": dir}); err != nil {
+			return nil, err
+		}
+	}
+	return lin, nil
 }
 
 // Address is where the link listens.
@@ -107,9 +122,17 @@
 // Restore takes connections again after Cut.
 func (lin *Link) Restore() error { return lin.proxy.Start() }
 
-// SilenceEstablished drops all data of the connections that are open now, while
-// later connections work.
-func (lin *Link) SilenceEstablished() { lin.mark.Store(time.Now().UnixNano()) }
+// SilenceEstablished drops the data of the connections that are open now, in the
+// given directions or in both, while later connections work.
+func (lin *Link) SilenceEstablished(dirs ...Direction) {
+	if len(dirs) == 0 {
+		dirs = []Direction{Requests, Answers}
+	}
+	now := time.Now().UnixNano()
+	for _, dir := range dirs {
+		lin.marks[dir].Store(now)
+	}
+}
 
 // Block drops all data in one direction and leaves the connections open.
 func (lin *Link) Block(dir Direction) error {
@@ -130,26 +153,14 @@
 // Close ends the link.
 func (lin *Link) Close() { lin.proxy.Stop() }
 
-// add puts a toxic on one direction, or on both if dir is empty.
+// add puts a toxic on one direction.
 func (lin *Link) add(name, kind string, dir Direction, attrs map[string]any) error {
-	dirs := []Direction{dir}
-	if dir == "" {
-		dirs = []Direction{Requests, Answers}
-	}
-	for _, one := range dirs {
-		nam := name
-		if dir == "" {
-			nam = fmt.Sprintf("%s-%s", name, one)
-		}
-		buf, err := json.Marshal(map[string]any{"name": nam, "type": kind, "stream": one, "toxicity": 1, "attributes": attrs})
-		if err != nil {
-			return err
-		}
-		if _, err := lin.proxy.Toxics.AddToxicJson(bytes.NewReader(buf)); err != nil {
-			return eris.Wrapf(err, "Link.add: %s on %s", nam, lin.proxy.Name)
-		}
+	buf, err := json.Marshal(map[string]any{"name": name, "type": kind, "stream": dir, "toxicity": 1, "attributes": attrs})
+	if err != nil {
+		return err
 	}
-	return nil
+	_, err = lin.proxy.Toxics.AddToxicJson(bytes.NewReader(buf))
+	return eris.Wrapf(err, "Link.add: %s on %s", name, lin.proxy.Name)
 }
 
 func (lin *Link) remove(name string) error {
--- a/internal/testkit/link_test.go
+++ b/internal/testkit/link_test.go
@@ -59,6 +59,19 @@
 	require.True(t, answers(t, dial(t, lin.Address())))
 }
 
+func TestSilenceEstablishedOneWay(t *testing.T) {
+	for _, dir := range []testkit.Direction{testkit.Requests, testkit.Answers} {
+		lin, err := testkit.NewLink("echo", echo(t))
+		require.NoError(t, err)
+		t.Cleanup(lin.Close)
+		old := dial(t, lin.Address())
+		require.True(t, answers(t, old))
+		lin.SilenceEstablished(dir)
+		require.False(t, answers(t, old), "%s", dir)
+		require.True(t, answers(t, dial(t, lin.Address())))
+	}
+}
+
 func TestBlockOneWay(t *testing.T) {
 	lin, err := testkit.NewLink("echo", echo(t))
 	require.NoError(t, err)
