--- a/request/attempter/attempter.go
+++ b/request/attempter/attempter.go
@@ -18,6 +18,7 @@
 	MinBudget = 5 * time.Millisecond
 
 	roundPause       = 100 * time.Millisecond
+	maxGroupPause    = 2 * time.Second
 	minProgressLimit = time.Second
 	maxProgressLimit = 20 * time.Second
 	// progressShare of the time left is given to one engine without progress,
@@ -38,6 +39,12 @@
 	Excluded []string
 	// Rounds counts how often the exclusions were lifted.
 	Rounds int
+	// Waits counts the refusals by groups of engines that were busy.
+	Waits int
+	// Jitter, 0 to 1, spreads the pauses of different requests.
+	Jitter float64
+	// Pending marks a dispatch whose end is not known.
+	Pending bool
 	// Resumed marks that the current endpoint was already given a second try.
 	Resumed bool
 }
@@ -85,7 +92,7 @@
 type Action interface{ action() }
 
 // Dispatch places the request again after a pause and goes on at the next
-// token. It spends one retry.
+// token. It spends one retry, unless nothing was dispatched before.
 type Dispatch struct{ After time.Duration }
 
 // Resume dispatches to the same endpoint over a new connection. It spends one
@@ -112,9 +119,11 @@
 func (Abandon) action()  {}
 func (Fail) action()     {}
 
-// WithAttempt returns the state after a dispatch was begun.
+// WithAttempt returns the state after a dispatch was begun. Until that has
+// failed, an engine may run it.
 func (sta State) WithAttempt() State {
 	sta.Attempt++
+	sta.Pending = true
 	return sta
 }
 
@@ -155,6 +164,7 @@
 	case Refused:
 		return sta.afterRefusal(eve, now)
 	case Failed:
+		sta.Pending = false
 		return sta.afterFailure(eve, retry, now)
 	case Stalled:
 		return sta.afterStall(eve, retry, now)
@@ -167,7 +177,18 @@
 	}
 }
 
+// groupPause doubles with each refusal, so that hosts which race for the same
+// engines don't meet again.
+func (sta State) groupPause() time.Duration {
+	dur := min(maxGroupPause, roundPause<<min(sta.Waits, 10))
+	return time.Duration(float64(dur) * (0.5 + sta.Jitter))
+}
+
 func (sta State) afterRefusal(ref Refused, now time.Time) (State, Action) {
+	if pau := sta.groupPause(); ref.Code == "group_unavailable" && sta.left(now) > pau+MinBudget {
+		sta.Waits++
+		return sta, Dispatch{After: pau}
+	}
 	again := ref.Code == "no_endpoint" && len(sta.Excluded) > 0
 	if !again || sta.Rounds >= MaxRounds || sta.left(now) < roundPause+MinBudget {
 		return sta, Fail{Code: ref.Code, Message: ref.Message, Ran: sta.ran(), RetryAfter: ref.RetryAfter}
@@ -207,6 +228,7 @@
 	if !retry || sta.Attempt >= MaxAttempts || sta.left(now) < MinBudget {
 		return sta, Stay{}
 	}
+	sta.Pending = false
 	return sta.withFailure(eve.Endpoint, invoker.Unknown), Dispatch{}
 }
 
@@ -217,8 +239,8 @@
 }
 
 func (sta State) ran() invoker.Execution {
-	if sta.Ran == "" {
-		return invoker.NotRun
+	if sta.Pending {
+		return worse(sta.Ran, invoker.Unknown)
 	}
-	return sta.Ran
+	return worse(sta.Ran, invoker.NotRun)
 }
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -61,7 +62,7 @@
 	gen := &generation{
 		request:   req,
 		prompt:    pro,
-		state:     attempter.State{Deadline: req.deadline},
+		state:     attempter.State{Deadline: req.deadline, Jitter: rand.Float64()},
 		assembler: assembler.Assembler{RequestID: req.id, MaxTokens: pro.MaxTokens},
 		blocks:    hasher.Blocks(pro.Text),
 		answer: &responder.Answer{
@@ -101,10 +102,13 @@
 	ret := exe.Retries.Take(now)
 	sta, act := gen.state.Next(eve, ret, now)
 	gen.state = sta
+	_, refused := eve.(attempter.Refused)
 	switch act.(type) {
 	case attempter.Dispatch, attempter.Resume:
-		exe.counters().resumed.Inc(1)
-		return act
+		if !refused {
+			exe.counters().resumed.Inc(1)
+			return act
+		}
 	}
 	if ret {
 		exe.Retries.Return()
@@ -175,6 +179,7 @@
 
 func (exe *Executor) open(ctx context.Context, gen *generation) error {
 	gen.state = gen.state.WithAttempt()
+	exe.note(gen.id, gen.state.Attempt)
 	gen.assembler = gen.assembler.WithAttempt(gen.state.Attempt)
 	gen.progress = progress{at: exe.Clock()}
 	str, err := exe.Invoker.Generate(ctx, gen.lease.Address, exe.dispatch(gen))
