Let explain end with code 1 when a request would be refused

Cause: explain ended with 0 for a prompt that no engine could ever hold. Ruled out: reading the text of the decision in the command; the answer says it. Conclusion: code 0 means that the host asked would take the request now.

--- a/cmd/hemlockpin/explain.go
+++ b/cmd/hemlockpin/explain.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -13,7 +14,7 @@
 	explainShort = "say which way a request would take"
 	explainLong  = `Says which route, pool and endpoint would take a request now on the host asked,
 and for every other route and endpoint why it would not. Nothing is sent to an
-endpoint. Exit code 1 if no route takes the request.`
+endpoint. Exit code 1 if the request would be refused.`
 )
 
 type explainCommand struct {
@@ -41,8 +42,8 @@
 	} else {
 		err = com.print(exp)
 	}
-	if err == nil && exp.Route == nil {
-		return fmt.Errorf("no route takes the request")
+	if err == nil && exp.Refused {
+		return errors.New(exp.Decision)
 	}
 	return err
 }
--- a/process/server/explain.go
+++ b/process/server/explain.go
@@ -35,7 +35,9 @@
 	Scheduler string `json:",omitempty"`
 	// Decision is what this host would do now by itself. A scheduler that knows
 	// more of its cell may choose another endpoint.
-	Decision  string
+	Decision string
+	// Refused says that no route or no endpoint would take the request.
+	Refused   bool
 	Endpoint  string `json:",omitempty"`
 	Endpoints []EndpointView
 }
@@ -79,6 +81,7 @@
 	exp := Explanation{Host: ser.Settings.HostID, Explanation: explainer.Explain(mat, que), Endpoints: []EndpointView{}}
 	if exp.Pool == nil {
 		exp.Decision = "Refuse: no route takes the request"
+		exp.Refused = true
 		return exp
 	}
 	vie := ser.watcher.Pool(*exp.Pool)
@@ -89,7 +92,9 @@
 	}
 	exp.Cell, exp.Scheduler = ser.allocator.Scheduler(pla, *exp.Pool, now)
 	seed := uint64(now.UnixNano())
-	exp.Decision, exp.Endpoint = describe(placer.Decide(placer.Policy(ser.Settings.Placement), pla, vie, now, rand.New(rand.NewPCG(seed, seed))))
+	dec := placer.Decide(placer.Policy(ser.Settings.Placement), pla, vie, now, rand.New(rand.NewPCG(seed, seed)))
+	_, exp.Refused = dec.(placer.Refuse)
+	exp.Decision, exp.Endpoint = describe(dec)
 	return exp
 }
 
