Give orders to engines from the command line

Cause: orders had an operator API and no command. Trying it showed that LoadModel without a version waits its whole time for weights that no path can name, and ends with "the weight store granted no read in time" (status 409 after 15 s). Ruled out: a default version; only the platform knows one. Conclusion: a version that the store does not know still waits the whole time: process/orderer takes every error of the store for a busy one.

--- a/cmd/hemlockpin/apply.go
+++ b/cmd/hemlockpin/apply.go
@@ -46,7 +46,7 @@
 	}
 	fil, err := editor.Decode(doc)
 	if err != nil {
-		return fil, &requester.RejectedError{Host: "this command", Faults: []string{name + ": " + err.Error()}}
+		return fil, &requester.RejectedError{Host: "this command", Message: rejection, Faults: []string{name + ": " + err.Error()}}
 	}
 	return fil, nil
 }
--- a/cmd/hemlockpin/edit.go
+++ b/cmd/hemlockpin/edit.go
@@ -11,6 +11,8 @@
 	"hemlockpin/version/parser"
 )
 
+const rejection = "the tables would have faults; nothing was changed"
+
 // editOptions are shared by the commands that change the tables.
 type editOptions struct {
 	DryRun bool   `long:"dry-run" description:"show the difference and the faults, and change nothing"`
@@ -57,7 +59,7 @@
 	var fas *parser.FaultsError
 	if err := cur.Validate(); errors.As(err, &fas) {
 		com.printDiff(rep.Changes)
-		return &requester.RejectedError{Host: "this command", Faults: fas.Faults}
+		return &requester.RejectedError{Host: "this command", Message: rejection, Faults: fas.Faults}
 	}
 	if opt.DryRun || len(rep.Changes) == 0 {
 		return com.printEdit(rep)
--- a/cmd/hemlockpin/main.go
+++ b/cmd/hemlockpin/main.go
@@ -141,6 +141,7 @@
 		{"status", statusShort, statusLong, &statusCommand{command: com}},
 		{"usage", usageShort, usageLong, &usageCommand{command: com}},
 		{"endpoints", endpointsShort, endpointsLong, &endpointsCommand{command: com}},
+		{"order", orderShort, orderLong, &orderCommand{command: com}},
 		{"drain", drainShort, drainLong, &drainCommand{command: com}},
 		{"digest", digestShort, digestLong, &digestCommand{command: com}},
 		{"completion", completionShort, completionLong, &completionCommand{command: com}},
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -60,15 +60,17 @@
 	return fmt.Sprintf("host %s: the edit was based on revision %d, but revision %d is in force; nothing was changed", err.Host, err.Base, err.Current.Revision)
 }
 
-// RejectedError lists every fault of a refused edit.
+// RejectedError lists every fault of a refused edit or order.
 type RejectedError struct {
-	Host   string
-	Faults []string
+	// Host says who found the faults.
+	Host    string
+	Message string
+	Faults  []string
 }
 
 // Error lists the faults.
 func (err *RejectedError) Error() string {
-	return fmt.Sprintf("host %s: the tables have faults; nothing was changed:\n  %s", err.Host, strings.Join(err.Faults, "\n  "))
+	return fmt.Sprintf("%s: %s:\n  %s", err.Host, err.Message, strings.Join(err.Faults, "\n  "))
 }
 
 // AnswerError is any other refusal of a host.
@@ -161,6 +163,17 @@
 	return out.Host, err
 }
 
+// Order gives an order to an engine. An order with the same ID may be repeated.
+func (req *Requester) Order(ctx context.Context, ord server.OrderRequest) (server.OrderReply, error) {
+	var out server.OrderReply
+	_, err := req.write(ctx, http.MethodPost, "/v1/orders", nil, ord, &out)
+	var ans *AnswerError
+	if errors.As(err, &ans) && ans.Status == http.StatusGatewayTimeout {
+		err = &UnknownError{Host: ans.Host, Message: ans.Code + ": " + ans.Message}
+	}
+	return out, err
+}
+
 // read tries one host after the other.
 func read[T any](ctx context.Context, req *Requester, method, path string, in any) (T, error) {
 	var cau []string
@@ -245,7 +258,7 @@
 	case bod.Code == "raced" && bod.Current != nil:
 		return &RacedError{Host: host, Current: *bod.Current}
 	case bod.Code == "rejected":
-		return &RejectedError{Host: host, Faults: bod.Faults}
+		return &RejectedError{Host: "host " + host, Message: bod.Message, Faults: bod.Faults}
 	case bod.Code == "unknown":
 		return &UnknownError{Host: host, Message: bod.Message}
 	default:
--- a/process/server/orders.go
+++ b/process/server/orders.go
@@ -61,9 +61,9 @@
 	need(ord.TimeMs >= 0 && ord.TimeMs <= maxOrderTime.Milliseconds(), "TimeMs must be 0 to 300000")
 	switch ord.Kind {
 	case invoker.LoadModel:
-		need(ord.Model != "", "Model is missing")
+		need(ord.Model != "" && ord.Version != "", "Model or Version is missing")
 	case invoker.LoadAdapter:
-		need(ord.Model != "" && ord.Adapter != "", "Model or Adapter is missing")
+		need(ord.Model != "" && ord.Version != "" && ord.Adapter != "", "Model, Version or Adapter is missing")
 	case invoker.LoadVersion:
 		need(ord.Model != "" && ord.Version != "", "Model or Version is missing")
 	case invoker.ChangeRole:
