Use one constant for the copies of a body

Cause: the settings and the reader each had their own. Ruled out: nothing. Before / After: go test -race -count=1 ./process/configurer ./request/receiver passes before and after. Conclusion: no behaviour changed.

--- a/process/configurer/validator.go
+++ b/process/configurer/validator.go
@@ -8,15 +8,12 @@
 	"strings"
 
 	"hemlockpin/request/placer"
+	"hemlockpin/request/receiver"
 
 	"github.com/rs/zerolog"
 )
 
-const (
-	maxNameBytes = 63
-	// bodyCopies is how often a body counts towards --max-body-memory.
-	bodyCopies = 3
-)
+const maxNameBytes = 63
 
 // Validate returns a FaultsError with every fault, or nil.
 func (set Settings) Validate() error {
@@ -70,8 +67,8 @@
 		number{"--write-timeout", int64(lim.WriteTimeout)},
 		number{"--idle-timeout", int64(lim.IdleTimeout)},
 	)
-	if lim.MaxBodyMemory > 0 && lim.MaxBodyMemory/bodyCopies < lim.MaxBodyBytes {
-		fas = append(fas, fmt.Sprintf("--max-body-memory %d is less than %d times --max-body-bytes", lim.MaxBodyMemory, bodyCopies))
+	if lim.MaxBodyMemory > 0 && lim.MaxBodyMemory/receiver.BodyCopies < lim.MaxBodyBytes {
+		fas = append(fas, fmt.Sprintf("--max-body-memory %d is less than %d times --max-body-bytes", lim.MaxBodyMemory, receiver.BodyCopies))
 	}
 	return fas
 }
--- a/request/receiver/body.go
+++ b/request/receiver/body.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// bodyCopies is how often a body stands in memory at a time: as received,
+	// BodyCopies is how often a body stands in memory at a time: as received,
 	// as decoded, and as sent to the endpoint.
-	bodyCopies = 3
+	BodyCopies = 3
 	// reserveStep is the least reservation for a body of unknown length.
 	reserveStep      = 64 << 10
 	memoryRetryAfter = time.Second
@@ -77,7 +77,7 @@
 	if err := bod.reserve(); err != nil {
 		return 0, err
 	}
-	num, err := bod.ReadCloser.Read(buf[:min(int64(len(buf)), max(bod.reserved/bodyCopies-bod.read, 1))])
+	num, err := bod.ReadCloser.Read(buf[:min(int64(len(buf)), max(bod.reserved/BodyCopies-bod.read, 1))])
 	bod.read += int64(num)
 	return num, err
 }
@@ -86,9 +86,9 @@
 	want := bod.reserved
 	switch {
 	case bod.reserved == 0 && bod.length >= 0:
-		want = bod.length * bodyCopies
-	case bod.length < 0 && bod.read >= bod.reserved/bodyCopies:
-		want = max(2*bod.reserved, reserveStep*bodyCopies)
+		want = bod.length * BodyCopies
+	case bod.length < 0 && bod.read >= bod.reserved/BodyCopies:
+		want = max(2*bod.reserved, reserveStep*BodyCopies)
 	}
 	if !bod.budget.take(want - bod.reserved) {
 		return &BadRequestError{
--- a/request/receiver/receiver_test.go
+++ b/request/receiver/receiver_test.go
@@ -109,7 +109,7 @@
 		buf, err := ReadBody(bod, 1<<20)
 		require.NoError(t, err)
 		require.Len(t, buf, siz)
-		require.GreaterOrEqual(t, bud.Used(), int64(siz*bodyCopies))
+		require.GreaterOrEqual(t, bud.Used(), int64(siz*BodyCopies))
 	}
 }
 
