Keep the live hosts between steps and prove regions

Cause: each question for the live hosts sorted all of them; regions had no proof with processes. Ruled out: a sorted slice kept by the roster (the answer changes with few steps).

--- a/internal/tableproof/fleet_test.go
+++ b/internal/tableproof/fleet_test.go
@@ -59,11 +59,16 @@
 	}
 	pla.Tables = testkit.SampleTables()
 	pla.HostArgs = append(pla.HostArgs, "--drain-notice", "500ms")
+	more := pla.HostArgsFor
 	pla.HostArgsFor = func(ind int) []string {
+		var args []string
+		if more != nil {
+			args = more(ind)
+		}
 		if ind == 0 || fle.Fleet == nil {
-			return nil
+			return args
 		}
-		return []string{"--seed-peer", fle.Hosts[0].Peer}
+		return append(args, "--seed-peer", fle.Hosts[0].Peer)
 	}
 	pla.PlatformVia = func(address string) string {
 		lin := fle.link(fmt.Sprintf("platform-%d", len(fle.platforms)), address)
--- /dev/null
+++ b/process/gossiper/bench_test.go
@@ -0,0 +1,70 @@
+package gossiper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// fullRoster holds num hosts of four regions.
+func fullRoster(num int) *Roster {
+	ros := &Roster{Self: Peer{ID: "self", Region: "region-0", State: StateAlive, Incarnation: 1}, Random: rand.New(rand.NewPCG(1, 2))}
+	for ind := range num {
+		ros.Step(told(Peer{
+			ID: fmt.Sprintf("host-%d", ind), Address: "10.0.0.1:8081", DataCenter: fmt.Sprintf("centre-%d", ind%14),
+			Region: fmt.Sprintf("region-%d", ind%4), Incarnation: 1, State: StateAlive,
+		}), epoch)
+	}
+	clear(ros.pending)
+	return ros
+}
+
+func sizes(b *testing.B, run func(b *testing.B, ros *Roster)) {
+	for _, num := range []int{20, 200, 920} {
+		b.Run(fmt.Sprintf("%d hosts", num), func(b *testing.B) {
+			b.ReportAllocs()
+			run(b, fullRoster(num))
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	sizes(b, func(b *testing.B, ros *Roster) {
+		now := epoch
+		for b.Loop() {
+			now = now.Add(time.Second)
+			ros.Step(Tick{}, now)
+		}
+	})
+}
+
+// BenchmarkExchange is one probe with as many updates as it can carry.
+func BenchmarkExchange(b *testing.B) {
+	sizes(b, func(b *testing.B, ros *Roster) {
+		var size int
+		for b.Loop() {
+			for ind := range maxUpdates {
+				ros.broadcast(fmt.Sprintf("host-%d", ind))
+			}
+			buf, _ := proto.Marshal(&messenger.Ping{From: ros.Self.Member(), Updates: membersOf(ros.Updates("host-1"))})
+			var pin messenger.Ping
+			_ = proto.Unmarshal(buf, &pin)
+			ros.Step(Heard{From: Peer{ID: "host-1", Incarnation: 1, State: StateAlive}, Updates: peersOf(pin.GetUpdates())}, epoch)
+			size = len(buf)
+		}
+		b.ReportMetric(float64(size), "bytes/message")
+	})
+}
+
+func BenchmarkLive(b *testing.B) {
+	sizes(b, func(b *testing.B, ros *Roster) {
+		for b.Loop() {
+			_ = ros.Live()
+		}
+	})
+}
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -62,6 +62,8 @@
 
 	mu     sync.Mutex
 	roster *Roster
+	// live is the answer of Live since the last step; nil when not known.
+	live []Peer
 }
 
 // Run probes until ctx ends.
@@ -87,6 +89,7 @@
 func (gos *Gossiper) step(ctx context.Context, eve Event, now time.Time) {
 	gos.mu.Lock()
 	acts := gos.state().Step(eve, now)
+	gos.live = nil
 	gos.mu.Unlock()
 	for _, act := range acts {
 		switch act := act.(type) {
@@ -238,10 +241,14 @@
 }
 
 // Live returns the peers that can be given work: alive, reachable, not leaving.
+// The slice is shared and must not be changed.
 func (gos *Gossiper) Live(time.Time) []Peer {
 	gos.mu.Lock()
 	defer gos.mu.Unlock()
-	return gos.state().Live()
+	if gos.live == nil {
+		gos.live = gos.state().Live()
+	}
+	return gos.live
 }
 
 // Peers returns every other host that is known.
