Join from several peers before being ready

Ruled out: waiting for the platform (it is out in that case). Before / After: go test -race -run Join ./process/gossiper passes; asking one peer only fails TestJoinAsksSeveralPeers (trial). go test -run 'Outage|Rolling|Regions' ./internal/tableproof passes. Conclusion: a host is ready once three peers, or all that answer, have been asked.

--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -27,7 +27,6 @@
 	probeTimeout    = 500 * time.Millisecond
 	indirectTimeout = 3 * probeTimeout
 	syncTimeout     = 2 * time.Second
-	syncInterval    = 2 * time.Minute
 	// fanOut is the number of peers of the own region to which a host forwards
 	// news at once; one of each other region is added.
 	fanOut = 4
@@ -62,6 +61,7 @@
 
 	mu     sync.Mutex
 	roster *Roster
+	joined bool
 	// live is the answer of Live since the last step; nil when not known.
 	live []Peer
 }
@@ -183,57 +183,6 @@
 	return gos.Multiplexer.Call(ctx, address, env)
 }
 
-// runSync learns all members from a peer at the start, and again rarely, to
-// make up for changes that were not heard of.
-func (gos *Gossiper) runSync(ctx context.Context, every time.Duration) {
-	for {
-		wait := every
-		if gos.sync(ctx) {
-			wait = syncInterval/2 + rand.N(syncInterval)
-		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (gos *Gossiper) sync(ctx context.Context) bool {
-	env := &messenger.Envelope{Body: &messenger.Envelope_MembersPull{MembersPull: &messenger.MembersPull{From: gos.self()}}}
-	for _, add := range gos.contacts() {
-		rep, err := gos.call(ctx, syncTimeout, add, env)
-		if err != nil {
-			continue
-		}
-		gos.step(ctx, Heard{Updates: peersOf(rep.GetMembersPush().GetMembers())}, time.Now())
-		gos.Pull(ctx, add)
-		return true
-	}
-	return false
-}
-
-// contacts returns addresses to learn the members from: a live peer, else the
-// listed ones, else the seeds.
-func (gos *Gossiper) contacts() []string {
-	gos.mu.Lock()
-	defer gos.mu.Unlock()
-	var out []string
-	pers := gos.state().Pick(1, func(Peer) bool { return true })
-	if len(pers) == 0 {
-		pers = gos.state().All()
-	}
-	for _, per := range pers {
-		out = append(out, per.Address)
-	}
-	for _, add := range gos.Seeds {
-		if add != gos.Self.GetAddress() {
-			out = append(out, add)
-		}
-	}
-	return out
-}
-
 func (gos *Gossiper) self() *messenger.Member {
 	gos.mu.Lock()
 	defer gos.mu.Unlock()
--- /dev/null
+++ b/process/gossiper/join_test.go
@@ -0,0 +1,92 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/multiplexer"
+	"hemlockpin/connection/persister"
+	"hemlockpin/process/publisher"
+	"hemlockpin/version/parser"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startPeer starts a gossiper with a revision of the tables in force and returns
+// it with its address. seeds are the peers that it is told of.
+func startPeer(t *testing.T, id string, revision uint64, seeds []string) (*Gossiper, string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	pub := &publisher.Publisher{}
+	if revision > 0 {
+		_, err = pub.Accept(parser.Tables{}.WithRevision(revision, "n"))
+		require.NoError(t, err)
+	}
+	gos := &Gossiper{
+		Self:      &messenger.Member{Id: id, Address: lis.Addr().String(), Incarnation: 1},
+		Publisher: pub, Seeds: seeds, Entries: func() []persister.Entry { return nil },
+	}
+	gos.Multiplexer = &multiplexer.Multiplexer{Handler: func(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
+		switch bod := env.GetBody().(type) {
+		case *messenger.Envelope_Ping:
+			return gos.HandlePing(ctx, bod.Ping, time.Now())
+		case *messenger.Envelope_MembersPull:
+			return gos.HandleMembersPull(ctx, bod.MembersPull, time.Now())
+		case *messenger.Envelope_TablesPull:
+			return gos.HandlePull(bod.TablesPull)
+		default:
+			return messenger.NewFailure("unknown", "unknown")
+		}
+	}}
+	go func() { _ = gos.Multiplexer.Serve(lis) }()
+	t.Cleanup(func() {
+		lis.Close()
+		gos.Multiplexer.Close()
+	})
+	return gos, lis.Addr().String()
+}
+
+// A starting host takes the tables of several peers before it has joined, so
+// that it does not serve with those of one that lags.
+func TestJoinAsksSeveralPeers(t *testing.T) {
+	for newest := range joinPeers {
+		t.Run(fmt.Sprintf("the newest is seed %d", newest), func(t *testing.T) {
+			var seeds []string
+			for ind := range joinPeers {
+				rev := uint64(1)
+				if ind == newest {
+					rev = 2
+				}
+				_, add := startPeer(t, fmt.Sprintf("peer-%d", ind), rev, nil)
+				seeds = append(seeds, add)
+			}
+			gos, _ := startPeer(t, "new", 0, seeds)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			don := make(chan struct{})
+			go func() {
+				defer close(don)
+				gos.runSync(ctx, time.Hour)
+			}()
+			require.Eventually(t, gos.Joined, 10*time.Second, time.Millisecond)
+			require.Equal(t, uint64(2), gos.Publisher.Current().Revision())
+			stop()
+			<-don
+		})
+	}
+}
+
+// A host without any peer has joined after a while.
+func TestJoinAlone(t *testing.T) {
+	gos, _ := startPeer(t, "alone", 0, []string{"127.0.0.1:1"})
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	require.False(t, gos.Joined())
+	go gos.runSync(ctx, 100*time.Millisecond)
+	require.Eventually(t, gos.Joined, 10*time.Second, 10*time.Millisecond)
+}
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -42,7 +42,7 @@
 }
 
 func (ser *Server) ready(wri http.ResponseWriter, _ *http.Request) {
-	if ser.draining.Load() || ser.publisher.Current().Revision() == 0 {
+	if ser.draining.Load() || ser.publisher.Current().Revision() == 0 || !ser.gossiper.Joined() {
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
