--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -59,7 +59,7 @@
 // newLister returns the host's holder of the platform's list.
 func (ser *Server) newLister() *lister.Lister {
 	return &lister.Lister{
-		Platform: ser.persister, Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Region: ser.regionHosts,
+		Platform: &platformWatch{Lister: ser.persister, log: ser.Log, scope: ser.scope}, Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Region: ser.regionHosts,
 		Every: ser.Settings.ListInterval, Clock: time.Now,
 		OnChange: func() { go ser.forward(ser.gossiper.PushList) },
 	}
