Pass on what a cell's scheduler reads of leaving engines

Cause: only the scheduler of a cell reads its engines' reports often, and it told nobody; a copied view was not renewed by a notice. Ruled out: reading more reports on each host (grows with hosts and endpoints). Before / After: go test -race ./process/watcher passes; without notices in the view TestNoticeOfAnotherHost fails (trial). go test -run 'Leaving|Keeps' ./internal/tableproof passes.

--- a/internal/tableproof/tables_test.go
+++ b/internal/tableproof/tables_test.go
@@ -210,3 +210,20 @@
 		fle.waitLive(3)
 	}
 }
+
+// A request keeps the tables with which it began, also when an edit takes its
+// route away meanwhile.
+func TestRequestKeepsItsTables(t *testing.T) {
+	fle := start(t, testkit.Plan{Hosts: 2, Engines: 1, PlatformArgs: []string{"--list-lag", "200ms"}})
+	res := make(chan error, 1)
+	go func() { res <- ask(context.Background(), fle.Hosts[1].Address, "long", 400) }()
+	require.NoError(t, testkit.Poll(t.Context(), settleBound, func() bool { return fle.status(fle.Hosts[1]).Requests > 0 }))
+	tab := testkit.SampleTables()
+	tab.Routes = tab.Routes[1:]
+	out, err := fle.Edit(t.Context(), 0, tab, 1)
+	require.NoError(t, err)
+	fle.waitRevision(out.Revision, inForceBound, fle.Hosts...)
+	require.Positive(t, fle.status(fle.Hosts[1]).Requests, "the request is in progress still")
+	require.Error(t, ask(t.Context(), fle.Hosts[1].Address, "new", 2), "a new request finds no route")
+	require.NoError(t, <-res)
+}
--- a/process/server/schedule.go
+++ b/process/server/schedule.go
@@ -21,7 +21,7 @@
 func (ser *Server) newAllocator(own invoker.Owner) *allocator.Allocator {
 	all := &allocator.Allocator{Policy: placer.Policy(ser.Settings.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own}
 	ser.scheduler = &scheduler.Scheduler{
-		Loader:   ser.invoker,
+		Loader:   noticingLoader{ser.invoker, ser.watcher},
 		Engines:  func(poo parser.Pool) []placer.Endpoint { return ser.watcher.Pool(poo).Endpoints },
 		Pool:     func(nam string) (parser.Pool, bool) { return ser.publisher.Current().Pool(nam) },
 		Interval: ser.Settings.LoadInterval, Clock: time.Now, Scope: ser.scope,
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"hemlockpin/connection/counter"
+	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/lister"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/watcher"
 	"hemlockpin/request/responder"
 )
 
@@ -111,3 +113,19 @@
 	}
 	return &persister.Persister{BaseURL: ser.Settings.Platform, Client: http.Client{Transport: tra}}
 }
+
+// noticingLoader passes on what the engines of a cell say of themselves, for
+// most hosts do not read their reports.
+type noticingLoader struct {
+	*invoker.Invoker
+	watcher *watcher.Watcher
+}
+
+// Load reads an engine's load report.
+func (loa noticingLoader) Load(ctx context.Context, address string) (invoker.Load, error) {
+	rep, err := loa.Invoker.Load(ctx, address)
+	if err == nil {
+		loa.watcher.Report(rep, time.Now())
+	}
+	return rep, err
+}
--- a/process/watcher/notices.go
+++ b/process/watcher/notices.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
 )
 
@@ -58,6 +59,14 @@
 	mu      sync.Mutex
 	known   map[string]Notice
 	pending map[string]int
+	version uint64
+}
+
+// changes counts the notices that were news.
+func (nots *Notices) changes() uint64 {
+	nots.mu.Lock()
+	defer nots.mu.Unlock()
+	return nots.version
 }
 
 // Leaving reports whether an endpoint is known to be leaving.
@@ -122,6 +131,7 @@
 	}
 	nots.known[not.Endpoint] = not
 	nots.pending[not.Endpoint] = noticeTransmits
+	nots.version++
 	return true
 }
 
@@ -168,5 +178,10 @@
 	}
 }
 
+// Report takes a load report that another part of the host has read.
+func (wat *Watcher) Report(loa invoker.Load, now time.Time) {
+	wat.notice(Notice{Endpoint: loa.Engine, Incarnation: loa.Incarnation, Leaving: loa.Leaving, At: now}, now)
+}
+
 // Relist takes the list at once.
 func (wat *Watcher) Relist(ctx context.Context) { wat.list(ctx, time.Now()) }
--- a/process/watcher/notices_test.go
+++ b/process/watcher/notices_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+	"hemlockpin/version/parser"
 
 	"github.com/stretchr/testify/require"
 )
@@ -74,3 +77,18 @@
 	require.True(t, one.Leaving("engine", now.Add(noticeLife)))
 	require.Empty(t, one.Take([]*messenger.EndpointNotice{{Endpoint: "late", Leaving: true, AgeMs: noticeLife.Milliseconds()}}, now))
 }
+
+// A host that reads no report of an engine leaves it out because another did.
+func TestNoticeOfAnotherHost(t *testing.T) {
+	poo := parser.Pool{Kind: parser.PoolEngine, Selector: parser.Selector{Service: "s"}}
+	ents := []persister.Entry{{ID: "engine", Kind: persister.KindEngine, Service: "s", Address: "10.0.0.1:1"}}
+	one, two := &Watcher{entries: ents}, &Watcher{entries: ents}
+	one.Noticed = func(nots []*messenger.EndpointNotice) { two.Notices.Take(nots, time.Now()) }
+	require.False(t, two.Pool(poo).Endpoints[0].Leaving)
+	version := two.Version()
+	one.Report(invoker.Load{Engine: "engine", Incarnation: 1, Leaving: true}, time.Now())
+	require.Greater(t, two.Version(), version, "copies of the view are renewed")
+	require.True(t, two.Pool(poo).Endpoints[0].Leaving)
+	one.Report(invoker.Load{Engine: "engine", Incarnation: 2}, time.Now())
+	require.False(t, two.Pool(poo).Endpoints[0].Leaving)
+}
--- a/process/watcher/watcher.go
+++ b/process/watcher/watcher.go
@@ -138,7 +138,7 @@
 func (wat *Watcher) Version() uint64 {
 	wat.mu.Lock()
 	defer wat.mu.Unlock()
-	return wat.version
+	return wat.version + wat.Notices.changes()
 }
 
 // Listed returns when the list was last read.
