--- a/process/server/server.go
+++ b/process/server/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockpin/connection/counter"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/multiplexer"
 	"hemlockpin/connection/persister"
@@ -18,6 +19,7 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/reclaimer"
 	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
@@ -51,6 +53,7 @@
 	admitter    *admitter.Admitter
 	allocator   *allocator.Allocator
 	executor    *executor.Executor
+	reclaimer   *reclaimer.Runner
 	meter       *meter
 	bodies      receiver.Budget
 	scheduler   *scheduler.Scheduler
@@ -58,6 +61,8 @@
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	started     time.Time
+
+	platformTraffic counter.Traffic
 	// requestDrain has the effect of SIGTERM. It is set by Run.
 	requestDrain context.CancelFunc
 }
@@ -70,7 +75,7 @@
 	ser.meter = newMeter(ser.scope)
 	ser.bodies.MaxBytes = set.MaxBodyMemory
 	ser.invoker = &invoker.Invoker{}
-	ser.persister = &persister.Persister{BaseURL: set.Platform}
+	ser.persister = ser.newPersister()
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.watcher = &watcher.Watcher{Lister: ser.persister, Loader: ser.invoker}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
@@ -83,6 +88,7 @@
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
 		Allocator: tracedAllocator{ser.allocator},
 	}
+	ser.reclaimer = ser.newReclaimer(own)
 	return ser
 }
 
@@ -100,14 +106,14 @@
 	gro.Go(func() { ser.watcher.RunList(work, ser.Settings.ListInterval) })
 	gro.Go(func() { ser.watcher.RunLoads(work, ser.Settings.LoadInterval) })
 	gro.Go(func() { ser.gossiper.Run(work, ser.Settings.Heartbeat) })
+	gro.Go(func() { ser.reclaimer.Run(work, reclaimInterval) })
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
-	gro.Go(func() { ser.gaugeTables(work) })
 	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := ser.callerServer(ser.countRequests(ser.edge(ser.callerRoutes())))
-	ope := &http.Server{Handler: ser.operatorRoutes(), ReadHeaderTimeout: headerTimeout}
+	ope := ser.operatorServer()
 	gro.Go(func() {
 		_ = cal.Serve(&limitedListener{Listener: liss.caller, max: int64(ser.Settings.MaxConns), refused: ser.scope.Counter("connections_refused")})
 	})
