Prove claims over restarts of hosts under load

Cause: the proof with processes had no graceful restart while calls were under way. Ruled out: checking only the exit code: the callers' answers and the service's counts are compared as in the other cases.

--- a/internal/claimproof/claimproof_test.go
+++ b/internal/claimproof/claimproof_test.go
@@ -252,6 +252,16 @@
 			time.Sleep(faultTime / 30)
 			platformFault(t, fle, keeper.Faults{Down: true}, faultTime/2)
 		}},
+		{"hosts restarted one after another", func(t *testing.T) {
+			for _, hos := range fle.Hosts[:2] {
+				require.NoError(t, hos.Signal(syscall.SIGTERM))
+				cod, err := hos.Wait(quietTime)
+				require.NoError(t, err)
+				require.Zero(t, cod, hos.ID)
+				require.NoError(t, hos.Start())
+				time.Sleep(faultTime / 3)
+			}
+		}},
 		{"host killed, platform down", func(t *testing.T) {
 			require.NoError(t, fle.Fault(t.Context(), fle.Platform, keeper.Faults{Down: true, SlowMs: 50}))
 			killAndRestart(t, fle.Hosts[3])
