Choose the writers of a shard without sorting the fleet

Cause: each commit sorted all live hosts, and a forward got a third of the time at most 1 s, so that a writer behind a slow store lost its callers to a second writer and both then raced. Ruled out: asking one writer only: it may be frozen, and the host must still write itself. TestWriters: hosts agree, 64 shards over 20 hosts, a lost host moves its shards only. Conclusion: the cost of a claim on the host that asks does not grow with the fleet but for the choice of writers twice a second and shard.

--- a/process/journaler/bench_test.go
+++ b/process/journaler/bench_test.go
@@ -71,31 +71,42 @@
 	}
 }
 
-func BenchmarkShardCodec(b *testing.B) {
-	sha, cou := fill(b, Shard{}, 0)
-	val, err := base{shard: sha}.encode()
-	require.NoError(b, err)
-	one := &messenger.ClaimCommit{Key: "team/new", BodyDigest: make([]byte, 16), Nonce: "n", KeyTimeMs: epoch.UnixMilli()}
-	b.Logf("%d claims in %d bytes", cou, len(val))
-	b.Run("encode", func(b *testing.B) {
-		for b.Loop() {
-			_, _ = base{shard: sha}.encode()
+// BenchmarkShard gives the cost of one commit of a writer at sizes of the shard.
+func BenchmarkShard(b *testing.B) {
+	for _, cou := range []int{100, 1000, 7000} {
+		sha := filled(b, cou)
+		val, err := base{shard: sha}.encode()
+		require.NoError(b, err)
+		one := &messenger.ClaimCommit{Key: "team/new", BodyDigest: make([]byte, 16), Nonce: "n", KeyTimeMs: epoch.UnixMilli()}
+		nex, _, _ := sha.Apply([]*messenger.ClaimCommit{one}, epoch)
+		works := []struct {
+			name string
+			fun  func()
+		}{
+			{"apply", func() { sha.Apply([]*messenger.ClaimCommit{one}, epoch) }},
+			{"entry", func() { _, _ = newEntry(1, sha, nex).encode() }},
+			{"base", func() { _, _ = base{shard: sha}.encode() }},
+			{"load", func() { _, _ = decodeBase(val) }},
 		}
-	})
-	b.Run("decode", func(b *testing.B) {
-		for b.Loop() {
-			_, _ = decodeBase(val)
-		}
-	})
-	nex, _, _ := sha.Apply([]*messenger.ClaimCommit{{Step: messenger.ClaimCommit_STEP_RELEASE, Key: "x", KeyTimeMs: epoch.UnixMilli()}}, epoch)
-	b.Run("entry", func(b *testing.B) {
-		for b.Loop() {
-			_, _ = newEntry(1, sha, nex).encode()
-		}
-	})
-	b.Run("apply", func(b *testing.B) {
-		for b.Loop() {
-			sha.Apply([]*messenger.ClaimCommit{one}, epoch)
+		for _, wor := range works {
+			b.Run(fmt.Sprintf("claims=%d/%s", cou, wor.name), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					wor.fun()
+				}
+				b.ReportMetric(float64(len(val))/float64(cou), "stored-B/claim")
+			})
 		}
-	})
+	}
+}
+
+func BenchmarkWriters(b *testing.B) {
+	var liv []Member
+	for num := range 920 {
+		liv = append(liv, Member{ID: fmt.Sprintf("host-%03d", num)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Writers(7, liv, liv[40])
+	}
 }
--- a/process/journaler/journaler.go
+++ b/process/journaler/journaler.go
@@ -21,10 +21,12 @@
 
 const (
 	// forwardShare is the part of the time left that one peer gets.
-	forwardShare      = 3
-	maxForwardTimeout = time.Second
+	forwardShare      = 2
+	maxForwardTimeout = 2 * time.Second
 	// shunPeriod is how long a peer that failed a forward is passed over.
 	shunPeriod = 5 * time.Second
+	// routePeriod is how long the writers of a shard are remembered.
+	routePeriod = 500 * time.Millisecond
 	// defaultBudget bounds a commit whose context has no deadline.
 	defaultBudget = 5 * time.Second
 )
@@ -59,10 +61,17 @@
 
 	mu       sync.Mutex
 	writers  [Shards]*writer
+	routes   [Shards]route
 	shunned  map[string]time.Time
 	settling atomic.Int64
 }
 
+// route is the writers of a shard as chosen at a time.
+type route struct {
+	at      time.Time
+	writers []Member
+}
+
 func (jou *Journal) now() time.Time {
 	if jou.Clock == nil {
 		return time.Now()
@@ -141,15 +150,29 @@
 	now := jou.now()
 	jou.mu.Lock()
 	defer jou.mu.Unlock()
-	var liv []Member
-	for _, mem := range jou.Members.Live() {
+	rou := &jou.routes[ind]
+	if rou.writers == nil || now.Sub(rou.at) > routePeriod {
+		*rou = route{at: now, writers: Writers(ind, jou.unshunned(now), jou.Self)}
+	}
+	return rou.writers
+}
+
+// unshunned returns the live hosts that did not fail a forward of late. The
+// caller holds the lock.
+func (jou *Journal) unshunned(now time.Time) []Member {
+	liv := jou.Members.Live()
+	if len(jou.shunned) == 0 {
+		return liv
+	}
+	var out []Member
+	for _, mem := range liv {
 		if unt, ok := jou.shunned[mem.ID]; ok && now.Before(unt) {
 			continue
 		}
 		delete(jou.shunned, mem.ID)
-		liv = append(liv, mem)
+		out = append(out, mem)
 	}
-	return Writers(ind, liv, jou.Self)
+	return out
 }
 
 func (jou *Journal) forward(ctx context.Context, mem Member, com *messenger.ClaimCommit) *messenger.ClaimResult {
@@ -178,6 +201,7 @@
 		jou.shunned = map[string]time.Time{}
 	}
 	jou.shunned[mem.ID] = jou.now().Add(shunPeriod)
+	jou.routes = [Shards]route{}
 }
 
 func withBudgetMs(com *messenger.ClaimCommit, bud time.Duration) *messenger.ClaimCommit {
--- a/process/journaler/route.go
+++ b/process/journaler/route.go
@@ -1,7 +1,6 @@
 package journaler
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 
@@ -34,24 +33,34 @@
 // Writers returns the hosts that a change of a shard is offered to, best first,
 // by rendezvous hashing. It ends with self, since any host may write a shard.
 func Writers(shard uint32, live []Member, self Member) []Member {
-	type scored struct {
-		mem   Member
-		score uint64
-	}
-	scos := make([]scored, 0, len(live)+1)
+	out := make([]Member, 0, maxForwards+1)
+	var scos [maxForwards]uint64
 	pre := strconv.FormatUint(uint64(shard), 10) + "/"
-	for _, mem := range append(slices.Clip(live), self) {
-		scos = append(scos, scored{mem, xxhash.Sum64String(pre + mem.ID)})
-	}
-	slices.SortFunc(scos, func(one, two scored) int {
-		return cmp.Or(cmp.Compare(two.score, one.score), cmp.Compare(one.mem.ID, two.mem.ID))
-	})
-	var out []Member
-	for _, sco := range scos {
-		if len(out) == maxForwards || sco.mem.ID == self.ID {
-			break
+	own := score(pre, self)
+	for _, mem := range live {
+		sco := score(pre, mem)
+		if mem.ID == self.ID || sco < own {
+			continue
+		}
+		ind := len(out)
+		for ind > 0 && sco > scos[ind-1] {
+			ind--
 		}
-		out = append(out, sco.mem)
+		if ind == maxForwards {
+			continue
+		}
+		out = slices.Insert(out, ind, mem)
+		copy(scos[ind+1:], scos[ind:])
+		scos[ind] = sco
+		out = out[:min(len(out), maxForwards)]
 	}
 	return append(out, self)
 }
+
+func score(pre string, mem Member) uint64 {
+	var dig xxhash.Digest
+	dig.Reset()
+	_, _ = dig.WriteString(pre)
+	_, _ = dig.WriteString(mem.ID)
+	return dig.Sum64()
+}
--- a/process/journaler/shard_test.go
+++ b/process/journaler/shard_test.go
@@ -126,16 +126,32 @@
 	})
 }
 
+// finishedClaim returns the changes that claim and finish a numbered key.
+func finishedClaim(num, body int) []*messenger.ClaimCommit {
+	non := fmt.Sprintf("0193a000-0000-7000-8000-%012d", num)
+	one := &messenger.ClaimCommit{Key: "team/" + non, BodyDigest: make([]byte, 16), Host: "host-000", Nonce: non, KeyTimeMs: epoch.UnixMilli() + int64(num)}
+	fin := &messenger.ClaimCommit{Step: messenger.ClaimCommit_STEP_FINISH, Key: one.GetKey(), Nonce: non, Outcome: &messenger.Outcome{Status: 200, ContentType: "application/json", Body: make([]byte, body)}}
+	return []*messenger.ClaimCommit{one, fin}
+}
+
+// filled returns a shard with a number of finished claims.
+func filled(t testing.TB, cou int) Shard {
+	var coms []*messenger.ClaimCommit
+	for num := range cou {
+		coms = append(coms, finishedClaim(num, 0)...)
+	}
+	sha, _, _ := Shard{}.Apply(coms, epoch)
+	require.Equal(t, cou, sha.Len())
+	return sha
+}
+
 // fill adds finished claims until the shard refuses one, and returns their number.
 func fill(t testing.TB, sha Shard, body int) (Shard, int) {
 	const step = 100
 	for cou := 0; ; {
 		var coms []*messenger.ClaimCommit
 		for num := cou; num < cou+step; num++ {
-			non := fmt.Sprintf("0193a000-0000-7000-8000-%012d", num)
-			one := &messenger.ClaimCommit{Key: "team/" + non, BodyDigest: make([]byte, 16), Host: "host-000", Nonce: non, KeyTimeMs: epoch.UnixMilli() + int64(num)}
-			fin := &messenger.ClaimCommit{Step: messenger.ClaimCommit_STEP_FINISH, Key: one.GetKey(), Nonce: non, Outcome: &messenger.Outcome{Status: 200, ContentType: "application/json", Body: make([]byte, body)}}
-			coms = append(coms, one, fin)
+			coms = append(coms, finishedClaim(num, body)...)
 		}
 		nex, ress, _ := sha.Apply(coms, epoch)
 		sha = nex
@@ -165,3 +181,31 @@
 	require.Equal(t, messenger.ClaimResult_STATE_FINISHED, ress[0].GetState())
 	require.True(t, ress[0].GetOutcome().GetTruncated())
 }
+
+// TestWriters checks that hosts agree on the writer of a shard, that shards are
+// spread, and that the loss of a host moves its shards only.
+func TestWriters(t *testing.T) {
+	var liv []Member
+	for num := range 20 {
+		liv = append(liv, Member{ID: fmt.Sprintf("host-%02d", num)})
+	}
+	owned := map[string]int{}
+	for sha := range uint32(Shards) {
+		best := Writers(sha, liv, liv[0])[0]
+		owned[best.ID]++
+		for _, self := range liv {
+			wris := Writers(sha, liv, self)
+			require.Equal(t, best, wris[0], "all hosts name the same writer")
+			require.Equal(t, self, wris[len(wris)-1])
+			require.LessOrEqual(t, len(wris), maxForwards+1)
+		}
+		for ind, mem := range liv {
+			if mem == best {
+				continue
+			}
+			rest := append(slices.Clone(liv[:ind]), liv[ind+1:]...)
+			require.Equal(t, best, Writers(sha, rest, rest[0])[0])
+		}
+	}
+	require.Greater(t, len(owned), 14, "shards are spread")
+}
