--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -44,9 +44,9 @@
 	ChunkTokens  int64         `long:"chunk-tokens" default:"4096" description:"prompt tokens a step"`
 	Step         time.Duration `long:"step" default:"10ms" description:"time of a step that decodes"`
 	LoadLag      time.Duration `long:"load-lag" default:"200ms" description:"lag of the load report"`
+	ChecksFence  bool          `long:"checks-fencing" description:"refuse orders with an old fencing number"`
 	EventLag     time.Duration `long:"event-lag" default:"100ms" description:"lag of the cache events"`
 	EventGap     uint64        `long:"event-gap" default:"0" description:"lose every such cache event; 0 loses none"`
-	ChecksFence  bool          `long:"checks-fencing" description:"refuse orders with an old fencing number"`
 	IdleEvery    time.Duration `long:"idle-every" default:"500ms" description:"interval of signs of life on a waiting stream"`
 	DetachGrace  time.Duration `long:"detach-grace" default:"2s" description:"time for which a sequence without a connection is kept"`
 	TransferRate float64       `long:"transfer-rate" default:"2000000" description:"tokens of KV cache imported a second"`
