--- a/internal/streamproof/stream_test.go
+++ b/internal/streamproof/stream_test.go
@@ -11,6 +11,7 @@
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/internal/testkit"
+	"hemlockpin/request/budgeter"
 	"hemlockpin/standin/generator"
 
 	"github.com/stretchr/testify/require"
@@ -210,3 +211,30 @@
 	requireCounted(t, fle.Hosts[0], "callers_slow", 0)
 	requireFreed(t, fle.Engines, 30*time.Second)
 }
+
+// TestRetriesDoNotMultiply breaks every stream of every engine and counts the
+// dispatches beyond the first.
+func TestRetriesDoNotMultiply(t *testing.T) {
+	fle := startFleet(t, testkit.Plan{Hosts: 1, Engines: 2, EngineArgs: slowSteps})
+	for _, eng := range fle.Engines {
+		require.NoError(t, fle.Fault(t.Context(), eng, generator.Faults{GapAfter: 1}))
+	}
+	const requests = 200
+	ques := questions(requests, 30)
+	for ind := range ques {
+		ques[ind].limit = 6 * time.Second
+	}
+	sta := time.Now()
+	refused := 0
+	for ind, ans := range askMany(t.Context(), fle.Hosts, ques, nil) {
+		requireTruthful(t, ques[ind], ans)
+		if ans.code == "retry_budget" {
+			refused++
+		}
+	}
+	requireCounted(t, fle.Hosts[0], "attempts_resumed", 0)
+	lim := budgeter.Burst + budgeter.Share*requests + budgeter.FloorRate*time.Since(sta).Seconds()
+	require.LessOrEqual(t, counter(t, fle.Hosts[0], "attempts_resumed"), lim)
+	require.Positive(t, refused)
+	requireFreed(t, fle.Engines, 20*time.Second)
+}
