Hold teams' rates over all hosts and give tokens after their prefill

Cause: TokensPerSecond of a team was in the tables but held nowhere. The engine stand-in sent a prompt's first token before the time of its prefill had passed, so times to first token were too short by a chunk. A replaced host's grants are given back.

--- a/process/allocator/remote.go
+++ b/process/allocator/remote.go
@@ -13,7 +13,7 @@
 
 const (
 	// noticeInterval collects notices, so that many travel in one message.
-	noticeInterval = 20 * time.Millisecond
+	noticeInterval = 10 * time.Millisecond
 	noticeTimeout  = time.Second
 	// maxNotices bounds the notices kept for one host. What is lost beyond is
 	// made up for by load reports and by the grants' expiry.
--- a/process/scheduler/asker.go
+++ b/process/scheduler/asker.go
@@ -14,6 +14,9 @@
 	// demandPeriod is the time over which the work of short prompts is
 	// averaged.
 	demandPeriod = 20 * time.Second
+	// headroom sets how many engines short prompts get beyond their mean work,
+	// in square roots of it.
+	headroom = 1.2
 	// minShortShare is the least share of the engines left to short prompts.
 	minShortShare = 0.15
 	// CodeInfeasible refuses a prompt whose prefill alone exceeds its time.
@@ -158,8 +161,8 @@
 func (cel *Cell) wait(tea *team, long bool) time.Duration {
 	var all, sha float64
 	for _, oth := range cel.queue.active {
-		all += oth.tokens[classOf(long)]
-		if oth.tokens[classOf(long)] > 0 && oth != tea {
+		all += oth.waitingTokens(long)
+		if oth.waitingTokens(long) > 0 && oth != tea {
 			sha += oth.share
 		}
 	}
@@ -173,7 +176,7 @@
 	} else if n > lim {
 		rat *= (n - lim) / n
 	}
-	own := tea.tokens[classOf(long)] * (sha + tea.share) / tea.share
+	own := tea.waitingTokens(long) * (sha + tea.share) / tea.share
 	return time.Duration(min(all, own) / rat * float64(time.Second))
 }
 
@@ -208,6 +211,6 @@
 	if cel.limits.LongShare > 0 {
 		return max(1, int(cel.limits.LongShare*float64(cou)))
 	}
-	lef := cel.demand.engines + math.Sqrt(cel.demand.engines)/2
+	lef := cel.demand.engines + headroom*math.Sqrt(cel.demand.engines)
 	return max(1, cou-int(math.Ceil(max(lef, minShortShare*float64(cou)))))
 }
--- a/process/scheduler/dispatcher.go
+++ b/process/scheduler/dispatcher.go
@@ -12,6 +12,10 @@
 // lookahead bounds the asks that one pass tries after the first that must wait.
 const lookahead = 8
 
+// promiseLife is the time for which a promise lasts. An ask whose memory has
+// not become free by then lets others go first for as long.
+const promiseLife = 10 * time.Second
+
 // shortFill is the part of an engine's memory that short prompts may use beside
 // a promise.
 const shortFill = 0.2
@@ -33,7 +37,9 @@
 // overtaken for ever by smaller ones. There is one at a time, so promises
 // cannot block each other. Other asks still use what is not promised.
 type promise struct {
-	ask    *ask
+	ask *ask
+	// until bounds the time for which the ask may hold others up.
+	until  time.Time
 	shares map[*engine]int64
 }
 
@@ -49,18 +55,23 @@
 			cel.unpromiseOn(eng)
 		}
 	}
-	cel.pass(false, now)
-	cel.pass(true, now)
+	if cel.promise != nil && !now.Before(cel.promise.until) {
+		cel.promise.ask.patient = now.Add(promiseLife)
+		cel.unpromise()
+	}
+	cel.pass(classShort, now)
+	cel.pass(classGroup, now)
+	cel.pass(classLong, now)
 }
 
-func (cel *Cell) pass(long bool, now time.Time) {
+func (cel *Cell) pass(cla class, now time.Time) {
 	var over []*team
 	for len(over) < lookahead {
-		tea := cel.queue.next(long, over)
+		tea := cel.queue.next(cla, over)
 		if tea == nil {
 			return
 		}
-		one := (*tea.heap(long))[0]
+		one := tea.heaps[cla][0]
 		if cel.expired(one, now) {
 			continue
 		}
@@ -70,7 +81,7 @@
 			cel.drop(one)
 			cel.refuse(one.id, CodeNoEndpoint, "no engine of the pool can take the request", minRetryAfter)
 		case lacksMemory:
-			if long {
+			if cla != classShort {
 				cel.keepFree(one, now)
 			}
 			over = append(over, tea)
@@ -183,15 +194,15 @@
 
 // tryGroup grants memory on several engines or on none.
 func (cel *Cell) tryGroup(one *ask, now time.Time) verdict {
-	shas := cel.groupShares(one, now)
+	shas, all := cel.groupShares(one, now)
 	if shas == nil {
-		return noEngine
+		if all < one.req.Need() {
+			return noEngine
+		}
+		return mustWait
 	}
 	var lea *engine
 	for _, sha := range shas {
-		if cel.othersShare(one, sha.eng) > 0 {
-			return mustWait
-		}
 		if sha.eng.free() < sha.tokens {
 			return lacksMemory
 		}
@@ -225,11 +236,16 @@
 }
 
 // groupShares divides a prompt over the engines of its promise, or else over
-// those with the most free memory.
-func (cel *Cell) groupShares(one *ask, now time.Time) []groupShare {
+// those with the most free memory that are not promised to another ask. It also
+// returns the memory of all engines that the ask could have.
+func (cel *Cell) groupShares(one *ask, now time.Time) (shas []groupShare, all int64) {
 	var engs []*engine
 	for _, eng := range cel.engines {
-		if one.takes(eng) && eng.live(now) {
+		if !one.takes(eng) || !eng.live(now) {
+			continue
+		}
+		all += eng.memory
+		if cel.othersShare(one, eng) == 0 {
 			engs = append(engs, eng)
 		}
 	}
@@ -242,23 +258,23 @@
 	})
 	mems := make([]int64, len(engs))
 	for ind, eng := range engs {
-		mems[ind] = eng.memory
+		mems[ind] = max(0, eng.memory-eng.foreign)
 	}
-	var out []groupShare
 	for ind, tok := range placer.Split(one.req.Need(), mems) {
-		out = append(out, groupShare{engs[ind], tok})
+		shas = append(shas, groupShare{engs[ind], tok})
 	}
-	return out
+	return shas, all
 }
 
 // keepFree promises memory to an ask, unless another one has a promise.
 func (cel *Cell) keepFree(one *ask, now time.Time) {
-	if cel.promise != nil {
+	if cel.promise != nil || now.Before(one.patient) {
 		return
 	}
-	pro := &promise{ask: one, shares: map[*engine]int64{}}
+	pro := &promise{ask: one, until: now.Add(promiseLife), shares: map[*engine]int64{}}
 	if one.group {
-		for _, sha := range cel.groupShares(one, now) {
+		shas, _ := cel.groupShares(one, now)
+		for _, sha := range shas {
 			pro.shares[sha.eng] = sha.tokens
 		}
 	} else if eng := cel.mostFree(one, now); eng != nil {
@@ -272,7 +288,7 @@
 func (cel *Cell) mostFree(one *ask, now time.Time) *engine {
 	var bes *engine
 	for _, eng := range cel.engines {
-		if !one.takes(eng) || !eng.live(now) || eng.memory < one.req.Need() {
+		if !one.takes(eng) || !eng.live(now) || eng.memory-eng.foreign < one.req.Need() {
 			continue
 		}
 		if bes == nil || eng.free() > bes.free() {
--- a/process/scheduler/engine.go
+++ b/process/scheduler/engine.go
@@ -14,7 +14,11 @@
 	chunkTime = 20 * time.Millisecond
 	// backlogWindow is the prefill work that a cell keeps on an engine. More
 	// would wait in the engine's queue, where it can't be put in order anew.
-	backlogWindow = 40 * time.Millisecond
+	backlogWindow = 15 * time.Millisecond
+	// overdueFactor and overdueGrace give the time after which the notice of a
+	// first token counts as lost, from the expected time.
+	overdueFactor = 2
+	overdueGrace  = 200 * time.Millisecond
 	// reportTimeout is the age at which an engine without a new load report
 	// gets no more grants.
 	reportTimeout = 3 * time.Second
@@ -66,6 +70,9 @@
 	// left counts the prompt tokens that the engine still has to prefill. It
 	// is estimated from the rate and stays at 1 until the first token arrives.
 	left int64
+	// overdue is when the first token should long have arrived, so that its
+	// notice may be lost.
+	overdue time.Time
 }
 
 // grant is an ask that has been granted.
@@ -99,7 +106,7 @@
 		return
 	}
 	eng.advanced = now
-	bud := int64(gap.Seconds() * eng.prefillRate())
+	bud := int64(gap.Seconds() * eng.prefillRate() * eng.efficiency())
 	eng.foreignQueued = max(0, eng.foreignQueued-bud)
 	for _, par := range eng.prefills {
 		tak := min(bud, par.left-1)
@@ -108,6 +115,15 @@
 	}
 }
 
+// efficiency is the part of the prefill rate that the engine reaches: while it
+// decodes, a step of decoding follows each chunk.
+func (eng *engine) efficiency() float64 {
+	if eng.running == len(eng.prefills) {
+		return 1
+	}
+	return chunkTime.Seconds() / (chunkTime + eng.step).Seconds()
+}
+
 // ahead returns the prompt tokens that the engine prefills before a new prompt
 // of the priority.
 func (eng *engine) ahead(priority int) int64 {
@@ -122,10 +138,22 @@
 	return same + min(lower, eng.chunkTokens()) + eng.foreignQueued
 }
 
-// longBusy reports whether the engine prefills a long prompt.
+// longBusy reports whether the engine prefills a long prompt that it does not
+// finish within the backlog window, so that another one would wait.
 func (eng *engine) longBusy() bool {
 	for _, par := range eng.prefills {
-		if par.left > eng.chunkTokens() && par.gra.ask.long {
+		if par.gra.ask.long && eng.prefillTime(par.left) > backlogWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// sharesChunks reports whether the engine may still prefill a long prompt: its
+// first token has not been seen, nor is it overdue.
+func (eng *engine) sharesChunks() bool {
+	for _, par := range eng.prefills {
+		if par.gra.ask.long && eng.advanced.Before(par.overdue) {
 			return true
 		}
 	}
@@ -147,6 +175,7 @@
 	if par.left <= 0 {
 		return
 	}
+	par.overdue = eng.advanced.Add(overdueFactor*eng.prefillTime(eng.ahead(par.gra.ask.req.Priority)+par.left) + overdueGrace)
 	pos := len(eng.prefills)
 	for pos > 0 && eng.prefills[pos-1].gra.ask.req.Priority < par.gra.ask.req.Priority {
 		pos--
@@ -202,5 +231,10 @@
 // small penalty for the sequences that share the engine.
 func (eng *engine) estimate(ask *ask, cachedBlocks int) time.Duration {
 	own := max(1, ask.req.PromptTokens-int64(cachedBlocks)*hasher.BlockTokens)
-	return eng.prefillTime(eng.ahead(ask.req.Priority)+own) + time.Duration(eng.running)*runningPenalty
+	est := eng.prefillTime(eng.ahead(ask.req.Priority)+own) + time.Duration(eng.running)*runningPenalty
+	if eng.sharesChunks() {
+		// The engine fills the ask's own chunk up with the long prompt.
+		est += chunkTime
+	}
+	return est
 }
--- a/process/scheduler/queue.go
+++ b/process/scheduler/queue.go
@@ -16,7 +16,7 @@
 	// each step of priority.
 	priorityHeadStart = 100 * time.Millisecond
 	// longPrefill is the prefill time from which a prompt counts as long.
-	longPrefill = 100 * time.Millisecond
+	longPrefill = 25 * time.Millisecond
 	// answerWeight weighs an answer's tokens against a prompt's in a team's
 	// account.
 	answerWeight = 1
@@ -33,6 +33,8 @@
 	// engines.
 	long  bool
 	group bool
+	// patient is when the ask may have a promise of memory again.
+	patient time.Time
 	// key orders the asks of a team: the arrival, later for long prompts and
 	// earlier for a higher priority. It does not change while the ask waits,
 	// so every ask is first at some time.
@@ -50,27 +52,48 @@
 	share float64
 	// served is the virtual time of the team: granted tokens by share.
 	served float64
-	short  askHeap
-	long   askHeap
-	// tokens counts the waiting prompt tokens by class.
-	tokens [2]float64
+	// heaps and tokens hold the waiting asks and count their prompt tokens by
+	// class, so that an ask of one class does not hold up another.
+	heaps  [classes]askHeap
+	tokens [classes]float64
 }
 
-// classOf is the index of a class of lengths.
-func classOf(long bool) int {
-	if long {
-		return 1
+// class tells asks apart by what they wait for.
+type class int
+
+const (
+	classShort class = iota
+	classLong
+	classGroup
+	classes
+)
+
+func (one *ask) class() class {
+	switch {
+	case one.group:
+		return classGroup
+	case one.long:
+		return classLong
+	default:
+		return classShort
 	}
-	return 0
 }
 
-func (tea *team) waiting() int { return len(tea.short) + len(tea.long) }
+func (tea *team) waiting() int {
+	sum := 0
+	for _, hea := range tea.heaps {
+		sum += len(hea)
+	}
+	return sum
+}
 
-func (tea *team) heap(long bool) *askHeap {
+// waitingTokens counts the prompt tokens that wait for engines of short or of
+// long prompts.
+func (tea *team) waitingTokens(long bool) float64 {
 	if long {
-		return &tea.long
+		return tea.tokens[classLong] + tea.tokens[classGroup]
 	}
-	return &tea.short
+	return tea.tokens[classShort]
 }
 
 // askHeap is a heap of asks, the lowest key first.
@@ -143,16 +166,16 @@
 		tea.served = max(tea.served, que.floor)
 		que.active = append(que.active, tea)
 	}
-	heap.Push(tea.heap(one.long), one)
-	tea.tokens[classOf(one.long)] += float64(one.req.PromptTokens)
+	heap.Push(&tea.heaps[one.class()], one)
+	tea.tokens[one.class()] += float64(one.req.PromptTokens)
 	que.count++
 	que.tokens += one.req.PromptTokens
 }
 
 func (que *queue) remove(one *ask) {
 	tea := one.team
-	heap.Remove(tea.heap(one.long), one.index)
-	tea.tokens[classOf(one.long)] -= float64(one.req.PromptTokens)
+	heap.Remove(&tea.heaps[one.class()], one.index)
+	tea.tokens[one.class()] -= float64(one.req.PromptTokens)
 	que.count--
 	que.tokens -= one.req.PromptTokens
 	if tea.waiting() == 0 {
@@ -185,10 +208,10 @@
 
 // next returns the team with the least service that has an ask of the class and
 // is not among those passed over.
-func (que *queue) next(long bool, over []*team) *team {
+func (que *queue) next(cla class, over []*team) *team {
 	var bes *team
 	for _, tea := range que.active {
-		if len(*tea.heap(long)) == 0 || slices.Contains(over, tea) {
+		if len(tea.heaps[cla]) == 0 || slices.Contains(over, tea) {
 			continue
 		}
 		if bes == nil || tea.served < bes.served {
@@ -212,7 +235,7 @@
 // last returns the waiting ask of a team that would go last.
 func (tea *team) last() *ask {
 	var bes *ask
-	for _, hea := range []askHeap{tea.short, tea.long} {
+	for _, hea := range tea.heaps {
 		for _, one := range hea {
 			if bes == nil || bes.key.Before(one.key) {
 				bes = one
--- a/process/scheduler/starvation_test.go
+++ b/process/scheduler/starvation_test.go
@@ -79,3 +79,27 @@
 	require.GreaterOrEqual(t, got["small"], 4000/22*9/10)
 	require.Greater(t, got["large"], 200)
 }
+
+// TestPromiseIsBounded promises memory on every engine to a group and then
+// lets some of it never become free. Long prompts still go on.
+func TestPromiseIsBounded(t *testing.T) {
+	cel := newCell(4, epoch)
+	promised := false
+	got := flood(cel, epoch, 50*time.Second, time.Second, func(num int) placer.Request {
+		if cel.promise != nil && !promised {
+			promised = true
+			for _, eng := range cel.engines {
+				eng.foreign = 200_000
+			}
+		}
+		if num == 100 {
+			return placer.Request{Team: "ledger", PromptTokens: 1_200_000, MaxTokens: 10}
+		}
+		if num%40 == 0 {
+			return placer.Request{Team: "history", PromptTokens: 20_000, MaxTokens: 10}
+		}
+		return placer.Request{Team: "short", PromptTokens: 1000, MaxTokens: 4000}
+	})
+	require.True(t, promised)
+	require.Greater(t, got["history"], 100)
+}
--- a/process/server/schedule.go
+++ b/process/server/schedule.go
@@ -8,6 +8,7 @@
 	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/allocator"
+	"hemlockpin/process/limiter"
 	"hemlockpin/process/scheduler"
 	"hemlockpin/request/placer"
 	"hemlockpin/version/parser"
@@ -17,6 +18,9 @@
 // when schedulers of cells place. It keeps the view for placing without them.
 const cellPollLimit = 2
 
+// ownerInterval is the interval at which replaced hosts are looked for.
+const ownerInterval = time.Second
+
 // newAllocator joins placement with the scheduling of cells.
 func (ser *Server) newAllocator(own invoker.Owner) *allocator.Allocator {
 	all := &allocator.Allocator{Policy: placer.Policy(ser.Settings.Placement), Watcher: ser.watcher, Invoker: ser.invoker, Owner: own}
@@ -37,6 +41,45 @@
 	return all
 }
 
+// newExchanger joins the limits of the teams' rates over all hosts.
+func (ser *Server) newExchanger() *limiter.Exchanger {
+	lim := &limiter.Limiter{}
+	ser.admitter.Limiter = lim
+	return &limiter.Exchanger{
+		Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Limiter: lim, Keeper: &limiter.Keeper{},
+		Live: ser.liveHosts, Call: ser.multiplexer.Call,
+	}
+}
+
+func (ser *Server) liveHosts() []limiter.Host {
+	var out []limiter.Host
+	for _, per := range ser.gossiper.Live(time.Now()) {
+		out = append(out, limiter.Host{ID: per.ID, Address: per.Address})
+	}
+	return out
+}
+
+// watchOwners tells the scheduler when a host has been replaced, so that what
+// its last process held is given back.
+func (ser *Server) watchOwners(ctx context.Context) {
+	tic := time.NewTicker(ownerInterval)
+	defer tic.Stop()
+	las := map[string]uint64{}
+	for {
+		for _, per := range ser.gossiper.Peers() {
+			if old, ok := las[per.ID]; ok && per.Incarnation > old {
+				ser.scheduler.OwnerGone(scheduler.OwnerGone{Host: per.ID, Incarnation: old})
+			}
+			las[per.ID] = per.Incarnation
+		}
+		select {
+		case <-tic.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // handleSchedule answers the calls of other hosts to the scheduler, or returns
 // nil for any other call.
 func (ser *Server) handleSchedule(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
@@ -45,6 +88,8 @@
 		return ser.cells.HandleRequest(ctx, bod.GrantRequest, time.Now())
 	case *messenger.Envelope_GrantNotices:
 		return ser.cells.HandleNotices(bod.GrantNotices)
+	case *messenger.Envelope_DemandReport:
+		return ser.exchanger.HandleReport(bod.DemandReport, time.Now())
 	default:
 		return nil
 	}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -18,6 +18,7 @@
 	"hemlockpin/process/configurer"
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/journaler"
+	"hemlockpin/process/limiter"
 	"hemlockpin/process/publisher"
 	"hemlockpin/process/reclaimer"
 	"hemlockpin/process/scheduler"
@@ -58,6 +59,7 @@
 	bodies      receiver.Budget
 	scheduler   *scheduler.Scheduler
 	cells       *allocator.Cells
+	exchanger   *limiter.Exchanger
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	started     time.Time
@@ -83,6 +85,7 @@
 	ser.joinTables()
 	ser.journal = ser.newJournal()
 	ser.allocator = ser.newAllocator(own)
+	ser.exchanger = ser.newExchanger()
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: tracedClaims{ser.journal}, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
@@ -109,6 +112,8 @@
 	gro.Go(func() { ser.reclaimer.Run(work, reclaimInterval) })
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
+	gro.Go(func() { ser.exchanger.Run(work) })
+	gro.Go(func() { ser.watchOwners(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
 	gro.Go(func() { ser.monitor(work) })
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
--- /dev/null
+++ b/request/admitter/admitter_test.go
@@ -0,0 +1,54 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+)
+
+// fixed admits up to a number of tokens.
+type fixed struct{ left int64 }
+
+func (fix *fixed) Take(_ parser.Team, tokens int64, _ time.Time) (time.Duration, bool) {
+	if fix.left < tokens {
+		return 3 * time.Second, false
+	}
+	fix.left -= tokens
+	return 0, true
+}
+
+func TestAdmit(t *testing.T) {
+	datadriven.RunTest(t, "testdata/admit", func(t *testing.T, dat *datadriven.TestData) string {
+		var reqs, rate, tokens, calls int
+		dat.MaybeScanArgs(t, "requests", &reqs)
+		dat.MaybeScanArgs(t, "rate", &rate)
+		dat.MaybeScanArgs(t, "tokens", &tokens)
+		dat.MaybeScanArgs(t, "calls", &calls)
+		adm := &Admitter{MaxRequests: reqs}
+		if rate > 0 {
+			adm.Limiter = &fixed{int64(rate)}
+		}
+		out := ""
+		var dones []func()
+		for range calls {
+			don, ref := adm.Admit(placer.Request{PromptTokens: int64(tokens)}, parser.Team{}, parser.Pool{}, time.Time{})
+			if ref != nil {
+				out += ref.Code + " after " + ref.RetryAfter.String() + "\n"
+				continue
+			}
+			out += "admitted\n"
+			dones = append(dones, don)
+		}
+		for _, don := range dones {
+			don()
+			don()
+		}
+		require.Zero(t, adm.Current())
+		return out
+	})
+}
--- a/standin/generator/generator.go
+++ b/standin/generator/generator.go
@@ -151,8 +151,10 @@
 	if len(gen.running) == 0 {
 		return 0
 	}
-	pre := gen.prefill(now)
+	// A prompt that this step finishes has its first token with the next one,
+	// when the time of the prefill has passed.
 	dec := gen.decode(now)
+	pre := gen.prefill(now)
 	dur := time.Duration(float64(pre) / gen.set.PrefillRate * float64(time.Second))
 	if dec || pre == 0 {
 		dur += gen.set.Step
--- a/tools/experimenter/experiment.go
+++ b/tools/experimenter/experiment.go
@@ -24,19 +24,20 @@
 	engineChunk  = 4096
 	// decodeStep is the time that a step with decoding adds to the prefill of
 	// a chunk in the engine stand-in.
-	decodeStep    = 2500 * time.Microsecond
+	decodeStep    = 10 * time.Millisecond
 	capacityDraws = 20_000
 	capacitySeed  = 99
-	// groupSlack is the part of an engine's memory that one prompt of a group takes.
-	percent   = 100
-	pauseTime = 2 * time.Second
+	percent       = 100
+	// seedStride keeps the seeds of the runs of two seeds apart.
+	seedStride = 1000
+	pauseTime  = 2 * time.Second
 
 	faultCalm     = "calm"
 	faultEngine   = "engine-killed"
 	faultHost     = "host-killed"
 	faultPlatform = "platform-out"
 	faultLedgers  = "ledgers"
-	// ledgerShare is the part of the run in which only the longest prompts come.
+	// ledgerCount is the number of the longest prompts that come at once.
 	ledgerCount = 12
 )
 
@@ -50,6 +51,9 @@
 	mix     mixer.Mix
 	logs    io.WriteCloser
 	reports []summarizer.Report
+	// runs counts the runs. Each has a seed of its own, as engines hold the
+	// prefixes of the prompts of earlier ones.
+	runs uint64
 }
 
 func newExperiment(set settings) (*experiment, error) {
@@ -158,8 +162,9 @@
 // one does one run with a fault in its middle.
 func (exp *experiment) one(ctx context.Context, fle *testkit.Fleet, nam string, mix mixer.Mix, rate float64, fau string) (*result, error) {
 	res := newResult(exp)
+	exp.runs++
 	run := &driver.Run{
-		Mix: mix, Rate: rate, Seed: exp.set.Seed, Duration: exp.set.Duration, WarmUp: exp.set.WarmUp,
+		Mix: mix, Rate: rate, Seed: exp.set.Seed*seedStride + exp.runs, Duration: exp.set.Duration, WarmUp: exp.set.WarmUp,
 		Sender: &sender.Sender{Model: mix.Model, Verify: true}, Observe: res.observe,
 	}
 	for _, hos := range fle.Hosts {
@@ -208,7 +213,7 @@
 	mix := exp.mix
 	mix.Classes = mix.Classes[len(mix.Classes)-1:]
 	mix.CallShare = 0
-	mi := mixer.New(mix, 1, exp.set.Seed)
+	mi := mixer.New(mix, 1, exp.set.Seed*seedStride)
 	var gro sync.WaitGroup
 	for range ledgerCount {
 		req := mi.Next()
