--- a/internal/clitest/cli_test.go
+++ b/internal/clitest/cli_test.go
@@ -3,6 +3,7 @@
 package clitest
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,9 +31,10 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			fle, err := testkit.Start(context.Background(), testkit.Plan{Bin: bin, Hosts: 2, Engines: 1, Services: 1, Model: testkit.Model, Tables: testkit.SampleTables()})
+			var logs lockedBuffer
+			fle, err := testkit.Start(context.Background(), testkit.Plan{Bin: bin, Logs: &logs, Hosts: 2, Engines: 1, Services: 1, Model: testkit.Model, Tables: testkit.SampleTables()})
 			if err != nil {
-				return err
+				return fmt.Errorf("%w\n%s", err, logs.String())
 			}
 			env.Defer(fle.Stop)
 			env.Values["fleet"] = fle
@@ -50,6 +53,26 @@
 	})
 }
 
+// lockedBuffer takes the output of several processes.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write takes output.
+func (buf *lockedBuffer) Write(out []byte) (int, error) {
+	buf.mu.Lock()
+	defer buf.mu.Unlock()
+	return buf.buf.Write(out)
+}
+
+// String returns the output so far.
+func (buf *lockedBuffer) String() string {
+	buf.mu.Lock()
+	defer buf.mu.Unlock()
+	return buf.buf.String()
+}
+
 // exits runs a program that must end with the given code, with its output in
 // the files out and err.
 func exits(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/testkit/fleet.go
+++ b/internal/testkit/fleet.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -83,16 +82,6 @@
 	Hosts    []*Process
 }
 
-// FreeAddress returns a loopback address that nothing listens on.
-func FreeAddress() string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
 // Start starts a fleet and waits until its hosts are ready.
 func Start(ctx context.Context, pla Plan) (*Fleet, error) {
 	fle := &Fleet{Plan: pla}
