--- a/process/lister/lister.go
+++ b/process/lister/lister.go
@@ -99,6 +99,9 @@
 	// Clock returns the present time.
 	Clock func() time.Time
 
+	// reading is held during a read of the platform.
+	reading sync.Mutex
+
 	mu    sync.Mutex
 	held  reading
 	reads uint64
@@ -130,6 +133,8 @@
 		defer lis.mu.Unlock()
 		return lis.held.entries, nil
 	}
+	lis.reading.Lock()
+	defer lis.reading.Unlock()
 	ents, err := lis.Platform.Entries(ctx)
 	if err != nil {
 		return nil, eris.Wrap(err, "Lister.Entries")
