Say why a host is not ready

Cause: /readyz answered 503 for three reasons and named none. Ruled out: a log line for each check of the balancer. Before / After: go test -race -count=1 ./process/server ./internal/wholepath ./internal/clitest ./internal/docproof passes, with TestReady and TestKeptConnection (a write deadline does not outlive its request; net/http sees to it, the test holds it to that). Conclusion: the body of the 503 names the first reason.

--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -41,12 +41,29 @@
 	return rou
 }
 
+// ready tells the balancer, and a person who asks why, whether the host takes
+// requests.
 func (ser *Server) ready(wri http.ResponseWriter, _ *http.Request) {
-	if ser.draining.Load() || ser.publisher.Current().Revision() == 0 || !ser.gossiper.Joined() {
-		wri.WriteHeader(http.StatusServiceUnavailable)
+	why := ser.unready()
+	if why == "" {
+		wri.WriteHeader(http.StatusOK)
 		return
 	}
-	wri.WriteHeader(http.StatusOK)
+	responder.WriteJSON(wri, http.StatusServiceUnavailable, struct{ NotReady string }{why})
+}
+
+// unready returns why the host takes no requests, or nothing.
+func (ser *Server) unready() string {
+	switch {
+	case ser.draining.Load():
+		return "the host drains"
+	case ser.publisher.Current().Revision() == 0:
+		return "the host has no tables yet"
+	case !ser.gossiper.Joined():
+		return "the host has not joined the others yet"
+	default:
+		return ""
+	}
 }
 
 // tables pins the version of the tables that a request begins with.
--- a/process/server/edge_test.go
+++ b/process/server/edge_test.go
@@ -238,3 +238,46 @@
 	require.Equal(t, "401 authentication_error invalid_api_key NotRun\n", answer(t, rea))
 	require.Zero(t, ser.bodies.Used())
 }
+
+// TestKeptConnection lets the write deadline of a request pass on an idle
+// connection: it must not hold for what comes later.
+func TestKeptConnection(t *testing.T) {
+	set := edgeSettings()
+	set.IdleTimeout = time.Minute
+	set.ReadTimeout = time.Minute
+	_, add := startEdge(t, set, nil)
+	con := dial(t, add)
+	rea := bufio.NewReader(con)
+	fmt.Fprint(con, "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.Equal(t, "401 authentication_error invalid_api_key NotRun\n", answer(t, rea))
+	for range 2 {
+		time.Sleep(set.WriteTimeout + set.WriteTimeout/2)
+		fmt.Fprint(con, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		require.Equal(t, "200\n", answer(t, rea))
+	}
+}
+
+// TestReady asks why a host is not ready.
+func TestReady(t *testing.T) {
+	ser, add := startEdge(t, edgeSettings(), nil)
+	tt := []struct {
+		name   string
+		change func()
+		want   string
+	}{
+		{"alone", func() {}, "joined"},
+		{"draining", func() { ser.draining.Store(true) }, "drains"},
+	}
+	for _, tc := range tt {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.change()
+			res, err := http.Get("http://" + add + "/readyz")
+			require.NoError(t, err)
+			defer res.Body.Close()
+			txt, err := io.ReadAll(res.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+			require.Contains(t, string(txt), tc.want)
+		})
+	}
+}
