--- a/internal/tableproof/tables_test.go
+++ b/internal/tableproof/tables_test.go
@@ -227,3 +227,22 @@
 	require.Error(t, ask(t.Context(), fle.Hosts[1].Address, "new", 2), "a new request finds no route")
 	require.NoError(t, <-res)
 }
+
+// The connections between hosts go silent for good while new ones work, and all
+// hosts but one are cut off from the platform. An edit is in force in time.
+func TestSilentPeerConnections(t *testing.T) {
+	fle := start(t, testkit.Plan{Hosts: 4, PlatformArgs: []string{"--list-lag", "200ms"}})
+	defer fle.watchRevisions()()
+	for ind, lin := range fle.platforms {
+		if ind > 0 {
+			lin.Cut()
+		}
+	}
+	for _, lin := range fle.peers {
+		lin.SilenceEstablished()
+	}
+	out, err := fle.Edit(t.Context(), 0, tables(11), 1)
+	require.NoError(t, err)
+	fle.waitRevision(out.Revision, inForceBound, fle.Hosts...)
+	fle.waitLive(4)
+}
