Read the platform's list packed, by region and only when it has changed

Cause: the list comes whole, about 1.6 MB at 920 hosts and 10,000 endpoints, so its reader could read it only every 160 s within its share of traffic, and a host that leaves by the list alone would be seen minutes late. Ruled out: a delta protocol, which few platforms would have; a conditional read, a region parameter and gzip are usual. Conclusion: the pace of reads follows what the last one took. A host sees the endpoints of its own region only.

--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -79,9 +79,13 @@
 	BaseURL string
 	// Client places the calls. A zero client gets a transport of its own.
 	Client http.Client
+	// Region limits the list to the hosts of all regions and the endpoints of
+	// this one, where the platform can; empty for all.
+	Region string
 
 	once  sync.Once
 	calls atomic.Int64
+	list  listed
 }
 
 func (per *Persister) client() *http.Client {
@@ -145,20 +149,13 @@
 	return objs, eris.Wrapf(err, "Persister.Watch: decode answer of platform %s", per.BaseURL)
 }
 
-// Entries reads the lagging list of hosts and endpoints.
-func (per *Persister) Entries(ctx context.Context) ([]Entry, error) {
-	res, err := per.do(ctx, http.MethodGet, "/v1/hosts", nil, nil)
-	if err != nil {
-		return nil, eris.Wrapf(err, "Persister.Entries: platform %s", per.BaseURL)
-	}
-	var ents []Entry
-	err = json.Unmarshal(res.body, &ents)
-	return ents, eris.Wrapf(err, "Persister.Entries: decode answer of platform %s", per.BaseURL)
-}
-
 type response struct {
 	etag string
 	body []byte
+	// received is the length of the body on the wire.
+	received int
+	// unchanged is set where the platform holds what the request named.
+	unchanged bool
 }
 
 func (per *Persister) do(ctx context.Context, method, path string, head http.Header, body []byte) (response, error) {
@@ -181,10 +178,17 @@
 		per.condemn(err)
 		return response{}, eris.Wrap(err, "read answer")
 	}
+	out := response{etag: res.Header.Get("ETag"), body: buf, received: len(buf), unchanged: res.StatusCode == http.StatusNotModified}
+	if out.unchanged {
+		return out, nil
+	}
 	if err := statusError(res.StatusCode); err != nil {
 		return response{}, err
 	}
-	return response{etag: res.Header.Get("ETag"), body: buf}, nil
+	if res.Header.Get("Content-Encoding") == encoding {
+		out.body, err = unpack(buf)
+	}
+	return out, err
 }
 
 // condemn closes the idle connections after a call timed out: what silenced one
--- a/process/lister/lister.go
+++ b/process/lister/lister.go
@@ -96,13 +96,17 @@
 	Every time.Duration
 	// OnChange is called when a new reading came into force; nil for nobody.
 	OnChange func()
+	// Cost returns the bytes that the last read took; nil counts the whole list.
+	Cost func() int
 	// Clock returns the present time.
 	Clock func() time.Time
 
 	// reading is held during a read of the platform.
 	reading sync.Mutex
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// raw is the last reading as the platform's client returned it.
+	raw   []persister.Entry
 	held  reading
 	reads uint64
 	next  time.Time
@@ -139,7 +143,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "Lister.Entries")
 	}
-	if lis.install(ents, now) && lis.OnChange != nil {
+	cha := lis.install(ents, now)
+	lis.pace(now)
+	if cha && lis.OnChange != nil {
 		lis.OnChange()
 	}
 	return ents, nil
@@ -156,7 +162,7 @@
 	case now.Before(lis.next):
 		return false
 	case red:
-		lis.next = now.Add(max(lis.Every/2, time.Duration(lis.held.size)*time.Second/bytesPerSecond))
+		lis.next = now.Add(lis.Every / 2)
 		return true
 	case now.Sub(lis.held.stamp.At) < staleAfter:
 		return false
@@ -166,8 +172,22 @@
 	}
 }
 
+// pace puts the next read off by what the last one took.
+func (lis *Lister) pace(now time.Time) {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	cos := lis.held.size
+	if lis.Cost != nil {
+		cos = lis.Cost()
+	}
+	lis.next = now.Add(max(lis.Every/2, time.Duration(cos)*time.Second/bytesPerSecond))
+}
+
 // install takes this host's own reading and reports whether it changed.
 func (lis *Lister) install(ents []persister.Entry, now time.Time) bool {
+	if lis.confirm(ents, now) {
+		return false
+	}
 	ents = slices.Clone(ents)
 	slices.SortFunc(ents, func(one, two persister.Entry) int { return strings.Compare(one.ID, two.ID) })
 	sum, size := checksum(ents)
@@ -193,6 +213,20 @@
 	return true
 }
 
+// confirm notes a reading that is the very slice of the last one, which tells
+// without a look at the entries that nothing has changed.
+func (lis *Lister) confirm(ents []persister.Entry, now time.Time) bool {
+	lis.mu.Lock()
+	defer lis.mu.Unlock()
+	las := lis.raw
+	lis.raw = ents
+	if len(ents) == 0 || len(las) != len(ents) || &las[0] != &ents[0] || lis.held.stamp.Source != lis.Self {
+		return false
+	}
+	lis.held.stamp.At = now
+	return true
+}
+
 func checksum(ents []persister.Entry) (uint64, int) {
 	buf, _ := json.Marshal(ents)
 	return xxhash.Sum64(buf), len(buf)
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -62,7 +62,7 @@
 func (ser *Server) newLister() *lister.Lister {
 	return &lister.Lister{
 		Platform: &platformWatch{Lister: ser.persister, log: ser.Log, scope: ser.scope}, Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Region: ser.regionHosts,
-		Every: ser.Settings.ListInterval, Clock: time.Now,
+		Every: ser.Settings.ListInterval, Cost: ser.persister.ListCost, Clock: time.Now,
 		OnChange: func() { go ser.forward(ser.gossiper.PushList) },
 	}
 }
@@ -111,7 +111,7 @@
 		DialContext:         ser.platformTraffic.Dialer(platformDialTimeout),
 		MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: platformIdleTimeout, DisableCompression: true,
 	}
-	return &persister.Persister{BaseURL: ser.Settings.Platform, Client: http.Client{Transport: tra}}
+	return &persister.Persister{BaseURL: ser.Settings.Platform, Client: http.Client{Transport: tra}, Region: ser.Settings.Region}
 }
 
 // noticingLoader passes on what the engines of a cell say of themselves, for
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -224,20 +224,6 @@
 	wri.WriteHeader(http.StatusNoContent)
 }
 
-// list serves the newest listing that is at least the lag old.
-func (kee *Keeper) list(wri http.ResponseWriter, _ *http.Request) {
-	kee.mu.Lock()
-	ents := []persister.Entry{}
-	lim := time.Now().Add(-kee.set.ListLag)
-	for _, lis := range kee.history {
-		if lis.at.Before(lim) {
-			ents = lis.entries
-		}
-	}
-	kee.mu.Unlock()
-	_ = json.NewEncoder(wri).Encode(ents)
-}
-
 func (kee *Keeper) putEntry(wri http.ResponseWriter, req *http.Request) {
 	var ent persister.Entry
 	if err := json.NewDecoder(req.Body).Decode(&ent); err != nil {
