Share the reclaim of engines among the hosts of their region

Cause: hosts list only the endpoints of their own region now, while the duty for an engine went to any live host, so an engine could fall to a host that does not list it. Finding the duties also hashed every pair of engine and host: 2,500 engines and 230 hosts every 2 s. Ruled out: lists of all regions, which are over the traffic of a host. The tests of the reclaimer pass. Conclusion: the duty stays within the region.

--- a/process/reclaimer/reclaimer_test.go
+++ b/process/reclaimer/reclaimer_test.go
@@ -129,9 +129,9 @@
 	counts := map[string]int{}
 	for ind := range 1000 {
 		eng := fmt.Sprintf("engine-%d", ind)
-		bef := Duty(eng, hosts)
+		bef := NewDuties(hosts).Of(eng)
 		counts[bef]++
-		if aft := Duty(eng, hosts[:4]); bef != "host-4" {
+		if aft := NewDuties(hosts[:4]).Of(eng); bef != "host-4" {
 			require.Equal(t, bef, aft)
 		}
 	}
@@ -157,3 +157,21 @@
 		rec.Decide(rep, fle, fle, now)
 	}
 }
+
+// BenchmarkDuties finds the duties for the engines of one region at full size.
+func BenchmarkDuties(b *testing.B) {
+	const hosts, engines = 230, 2500
+	var hoss, engs []string
+	for ind := range hosts {
+		hoss = append(hoss, fmt.Sprintf("host-%d", ind))
+	}
+	for ind := range engines {
+		engs = append(engs, fmt.Sprintf("engine-%d", ind))
+	}
+	for b.Loop() {
+		duts := NewDuties(hoss)
+		for _, eng := range engs {
+			duts.Of(eng)
+		}
+	}
+}
--- a/process/reclaimer/runner.go
+++ b/process/reclaimer/runner.go
@@ -29,7 +29,7 @@
 	Members Members
 	Owned   Owned
 	Scope   tally.Scope
-	// Engines lists all engines, Live the other hosts that are alive.
+	// Engines lists the engines of the region, Live its other hosts that are alive.
 	Engines func() []Engine
 	Live    func(now time.Time) []string
 	// Call sends an envelope to a host.
@@ -53,25 +53,52 @@
 	}
 }
 
-// Duty returns the host that looks after an engine: the one with the highest
-// hash among those alive. Two hosts that differ on who is alive may both.
-func Duty(engine string, hosts []string) string {
-	var bes string
+// Duties finds the hosts that look after engines, among those alive. Two hosts
+// that differ on who is alive may both look after one.
+type Duties struct {
+	hosts []string
+	sums  []uint64
+}
+
+// NewDuties prepares the duties of the given hosts.
+func NewDuties(hosts []string) Duties {
+	out := Duties{hosts: hosts, sums: make([]uint64, len(hosts))}
+	for ind, hos := range hosts {
+		out.sums[ind] = xxhash.Sum64String(hos)
+	}
+	return out
+}
+
+// Of returns the host with the highest weight for an engine, or nothing if
+// there are no hosts.
+func (dut Duties) Of(engine string) string {
+	sum := xxhash.Sum64String(engine)
+	bes := -1
 	var top uint64
-	for _, hos := range hosts {
-		if sum := xxhash.Sum64String(engine + "\x00" + hos); bes == "" || sum > top {
-			bes, top = hos, sum
+	for ind, hos := range dut.sums {
+		if wei := mix(sum ^ hos); bes < 0 || wei > top {
+			bes, top = ind, wei
 		}
 	}
-	return bes
+	if bes < 0 {
+		return ""
+	}
+	return dut.hosts[bes]
+}
+
+// mix spreads the bits of a value, as the finalizer of SplitMix64 does.
+func mix(val uint64) uint64 {
+	val = (val ^ (val >> 30)) * 0xbf58476d1ce4e5b9
+	val = (val ^ (val >> 27)) * 0x94d049bb133111eb
+	return val ^ (val >> 31)
 }
 
 func (run *Runner) round(ctx context.Context, now time.Time) {
-	hosts := append(run.Live(now), run.Self.Host)
+	duts := NewDuties(append(run.Live(now), run.Self.Host))
 	reps := make(chan Report)
 	var gro sync.WaitGroup
 	for _, eng := range run.Engines() {
-		if Duty(eng.ID, hosts) == run.Self.Host {
+		if duts.Of(eng.ID) == run.Self.Host {
 			gro.Go(func() { run.read(ctx, eng, reps) })
 		}
 	}
--- a/process/server/reclaim.go
+++ b/process/server/reclaim.go
@@ -23,7 +23,7 @@
 
 // newReclaimer joins the reclaimer to the membership and the engines.
 func (ser *Server) newReclaimer(own invoker.Owner) *reclaimer.Runner {
-	mem := &members{gossiper: ser.gossiper, watcher: ser.watcher}
+	mem := &members{gossiper: ser.gossiper, watcher: ser.watcher, region: ser.Settings.Region}
 	return &reclaimer.Runner{
 		Self: own, Invoker: ser.invoker, Members: mem, Owned: ser.executor, Scope: ser.scope,
 		Engines: ser.engines, Live: mem.live,
@@ -51,6 +51,7 @@
 type members struct {
 	gossiper *gossiper.Gossiper
 	watcher  *watcher.Watcher
+	region   string
 
 	mu    sync.Mutex
 	since map[string]time.Time
@@ -71,10 +72,13 @@
 	return inc, inc > 0
 }
 
+// live returns the live hosts of the region. Only they list its engines.
 func (mem *members) live(now time.Time) []string {
 	var out []string
 	for _, per := range mem.gossiper.Live(now) {
-		out = append(out, per.ID)
+		if per.Region == mem.region {
+			out = append(out, per.ID)
+		}
 	}
 	return out
 }
