--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"hemlockpin/connection/counter"
+	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/gossiper"
+	"hemlockpin/process/lister"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/watcher"
 	"hemlockpin/request/responder"
 )
 
@@ -32,7 +35,7 @@
 			Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Region: set.Region, Incarnation: ser.Incarnation,
 		},
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
-		Seeds: set.SeedPeers, Scope: ser.scope, Log: ser.Log,
+		Lister: ser.lister, ListChanged: ser.relist, Seeds: set.SeedPeers, Scope: ser.scope, Log: ser.Log,
 		Cargo: gossiper.Cargo{Notices: ser.watcher.Notices.Outgoing, TakeNotices: ser.watcher.Notices.Take},
 	}
 	ser.watcher.Noticed = func(nots []*messenger.EndpointNotice) {
@@ -55,6 +58,18 @@
 	fun(ctx)
 }
 
+// newLister returns the host's holder of the platform's list.
+func (ser *Server) newLister() *lister.Lister {
+	return &lister.Lister{
+		Platform: &platformWatch{Lister: ser.persister, log: ser.Log, scope: ser.scope}, Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Region: ser.regionHosts,
+		Every: ser.Settings.ListInterval, Clock: time.Now,
+		OnChange: func() { go ser.forward(ser.gossiper.PushList) },
+	}
+}
+
+// relist takes a list that peers passed on without waiting for the next look.
+func (ser *Server) relist() { go ser.forward(ser.watcher.Relist) }
+
 // regionHosts returns the live peers of the own region.
 func (ser *Server) regionHosts() []string {
 	var out []string
@@ -98,3 +113,19 @@
 	}
 	return &persister.Persister{BaseURL: ser.Settings.Platform, Client: http.Client{Transport: tra}}
 }
+
+// noticingLoader passes on what the engines of a cell say of themselves, for
+// most hosts do not read their reports.
+type noticingLoader struct {
+	*invoker.Invoker
+	watcher *watcher.Watcher
+}
+
+// Load reads an engine's load report.
+func (loa noticingLoader) Load(ctx context.Context, address string) (invoker.Load, error) {
+	rep, err := loa.Invoker.Load(ctx, address)
+	if err == nil {
+		loa.watcher.Report(rep, time.Now())
+	}
+	return rep, err
+}
