Make three proofs of streams fail without their mechanisms

Cause: trials on a scratch copy showed that TestHostFrozenAndWoken passed without the reclaimer (the answers ended by themselves in 40 s), that TestCallerGone passed without the cancel (the reclaimer freed the sequence) and that TestGroupMemberKilled passed without the leader's check of its members. Ruled out: shorter bounds, which would judge speed. Before / After: with the mechanism off they now say 'Poll: not true within 40s', 'Should be zero, but was 1' and 'attempts_resumed did not rise above 0'; with it each passes. A script of the stand-in engine shows that a sequence in reserved memory passes one that lacks memory, and fails without. Conclusion: TestGroupLeaderKilledAndCancelsLost also passes without the reclaimer: it shows the outcome of the pair, not that mechanism.

--- a/internal/streamproof/group_test.go
+++ b/internal/streamproof/group_test.go
@@ -77,6 +77,7 @@
 	vic := member(t, fle)
 	vic.Kill()
 	requireWhole(t, que, <-done)
+	requireCounted(t, fle.Hosts[0], "attempts_resumed", 0)
 	var lef []*testkit.Process
 	for _, eng := range fle.Engines {
 		if eng != vic {
--- a/internal/streamproof/memory_test.go
+++ b/internal/streamproof/memory_test.go
@@ -95,7 +95,8 @@
 func TestHostFrozenAndWoken(t *testing.T) {
 	fle := startFleet(t, testkit.Plan{Hosts: 3, Engines: 2, EngineArgs: slowSteps})
 	keepAll(t, fle)
-	ques := questions(6, 2000)
+	// The answers are too long to end by themselves meanwhile.
+	ques := questions(6, 20_000)
 	for ind := range ques {
 		ques[ind].limit = 8 * time.Second
 	}
--- a/internal/streamproof/stream_test.go
+++ b/internal/streamproof/stream_test.go
@@ -199,7 +199,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ans := ask(ctx, fle.Hosts[0], question{text: "A question nobody waits for", tokens: 5000}, func(string) { cancel() })
 	require.Error(t, ans.err)
-	requireFreed(t, fle.Engines, 5*time.Second)
+	requireFreed(t, fle.Engines, 15*time.Second)
+	// The counters are shown each second. The cancel did it, not the reclaimer.
+	time.Sleep(2 * time.Second)
+	require.Zero(t, counter(t, fle.Hosts[0], "reclaimed"))
 }
 
 func TestCallerDoesNotRead(t *testing.T) {
--- a/standin/generator/generator_test.go
+++ b/standin/generator/generator_test.go
@@ -52,7 +52,8 @@
 		req := invoker.GenerateRequest{
 			RequestID: word("id"), Attempt: int(arg("attempt", 1)), Owner: own, Prompt: prompt(word("text"), arg("prompt", 1024)),
 			PromptTokens: arg("prompt", 1024), MaxTokens: arg("tokens", 4), Priority: int(arg("priority", 0)), BudgetMs: 60_000,
-			StartIndex: arg("start", 0),
+			StartIndex: arg("start", 0), ReservationID: word("reservation"),
+			Group: []invoker.Part{{Tokens: 1 << 20}},
 		}
 		_, _, ref := scr.gen.accept(req, newSequence(req, scr.now))
 		if ref != nil {
