--- a/process/scheduler/engine.go
+++ b/process/scheduler/engine.go
@@ -15,9 +15,6 @@
 	// backlogWindow is the prefill work that a cell keeps on an engine. More
 	// would wait in the engine's queue, where it can't be put in order anew.
 	backlogWindow = 15 * time.Millisecond
-	// efficiency is the part of the prefill rate that an engine reaches while
-	// it also decodes.
-	efficiency = 0.85
 	// overdueFactor and overdueGrace give the time after which the notice of a
 	// first token counts as lost, from the expected time.
 	overdueFactor = 2
@@ -109,7 +106,7 @@
 		return
 	}
 	eng.advanced = now
-	bud := int64(gap.Seconds() * eng.prefillRate() * efficiency)
+	bud := int64(gap.Seconds() * eng.prefillRate() * eng.efficiency())
 	eng.foreignQueued = max(0, eng.foreignQueued-bud)
 	for _, par := range eng.prefills {
 		tak := min(bud, par.left-1)
@@ -118,6 +115,15 @@
 	}
 }
 
+// efficiency is the part of the prefill rate that the engine reaches: while it
+// decodes, a step of decoding follows each chunk.
+func (eng *engine) efficiency() float64 {
+	if eng.running == len(eng.prefills) {
+		return 1
+	}
+	return chunkTime.Seconds() / (chunkTime + eng.step).Seconds()
+}
+
 // ahead returns the prompt tokens that the engine prefills before a new prompt
 // of the priority.
 func (eng *engine) ahead(priority int) int64 {
