--- a/process/reclaimer/runner.go
+++ b/process/reclaimer/runner.go
@@ -53,52 +53,49 @@
 	}
 }
 
-// Duties finds the hosts that look after engines, among those alive. Two hosts
-// that differ on who is alive may both look after one.
+// Duties shares engines over hosts: each goes to the host with the highest
+// mixed hash, so that a lost host's engines spread over the others and no other
+// moves. Two hosts that differ on who is alive may both look after an engine.
 type Duties struct {
 	hosts []string
 	sums  []uint64
 }
 
-// NewDuties prepares the duties of the given hosts.
+// NewDuties prepares the hashes of the hosts.
 func NewDuties(hosts []string) Duties {
-	out := Duties{hosts: hosts, sums: make([]uint64, len(hosts))}
-	for ind, hos := range hosts {
-		out.sums[ind] = xxhash.Sum64String(hos)
+	dut := Duties{hosts: hosts}
+	for _, hos := range hosts {
+		dut.sums = append(dut.sums, xxhash.Sum64String(hos))
 	}
-	return out
+	return dut
 }
 
-// Of returns the host with the highest weight for an engine, or nothing if
-// there are no hosts.
+// Of returns the host that looks after an engine.
 func (dut Duties) Of(engine string) string {
-	sum := xxhash.Sum64String(engine)
-	bes := -1
+	var bes string
 	var top uint64
-	for ind, hos := range dut.sums {
-		if wei := mix(sum ^ hos); bes < 0 || wei > top {
-			bes, top = ind, wei
+	own := xxhash.Sum64String(engine)
+	for ind, sum := range dut.sums {
+		if val := mix(own ^ sum); bes == "" || val > top {
+			bes, top = dut.hosts[ind], val
 		}
 	}
-	if bes < 0 {
-		return ""
-	}
-	return dut.hosts[bes]
+	return bes
 }
 
-// mix spreads the bits of a value, as the finalizer of SplitMix64 does.
+// mix is the finalizer of SplitMix64.
 func mix(val uint64) uint64 {
-	val = (val ^ (val >> 30)) * 0xbf58476d1ce4e5b9
-	val = (val ^ (val >> 27)) * 0x94d049bb133111eb
-	return val ^ (val >> 31)
+	val = (val ^ val>>30) * 0xbf58476d1ce4e5b9
+	val = (val ^ val>>27) * 0x94d049bb133111eb
+	return val ^ val>>31
 }
 
 func (run *Runner) round(ctx context.Context, now time.Time) {
-	duts := NewDuties(append(run.Live(now), run.Self.Host))
+	dut := NewDuties(append(run.Live(now), run.Self.Host))
 	reps := make(chan Report)
 	var gro sync.WaitGroup
 	for _, eng := range run.Engines() {
-		if duts.Of(eng.ID) == run.Self.Host {
+		if dut.Of(eng.ID) == run.Self.Host {
 			gro.Go(func() { run.read(ctx, eng, reps) })
 		}
 	}
@@ -116,7 +113,7 @@
 func (run *Runner) read(ctx context.Context, eng Engine, reps chan<- Report) {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
-	loa, err := run.Invoker.Sequences(ctx, eng.Address, MinAge)
+	loa, err := run.Invoker.Suspects(ctx, eng.Address, suspectIdle)
 	if err != nil {
 		run.Scope.Counter("reclaim_reports_failed").Inc(1)
 		return
