--- a/process/allocator/cells.go
+++ b/process/allocator/cells.go
@@ -35,6 +35,8 @@
 	groupTries           = 5
 	groupPause           = 200 * time.Millisecond
 	codeGroupUnavailable = "group_unavailable"
+	// rankingLife is the time for which the order of schedulers is kept.
+	rankingLife = 250 * time.Millisecond
 	// digestLife is the age at which a cell's digest says nothing any more.
 	digestLife = 2 * time.Second
 )
@@ -64,6 +66,7 @@
 	mu       sync.Mutex
 	suspects map[string]time.Time
 	digests  map[string]digest
+	rankings map[string]ranking
 	notices  map[string][]*messenger.GrantNotice
 }
 
@@ -92,10 +95,10 @@
 func (all *Allocator) fromCellOnce(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
 	now := time.Now()
 	all.mu.Lock()
-	ends := all.view(poo, now).endpoints
+	cou := scheduler.Count(len(all.view(poo, now).endpoints))
 	all.mu.Unlock()
 	cells := all.Cells
-	nam := cells.choose(scheduler.Partition(cells.Region+"/"+poo.Name, ends), req, now)
+	nam := cells.choose(cells.Region+"/"+poo.Name, cou, req, now)
 	ask := scheduler.Ask{
 		ID:   req.ID + "-" + strconv.FormatUint(cells.sequence.Add(1), 10),
 		Host: cells.Self, Incarnation: cells.Incarnation, Request: req,
@@ -145,15 +148,15 @@
 
 // choose takes the cell that the prompt's first block leads to, so that equal
 // prefixes meet, unless another one drawn at random waits clearly less.
-func (cel *Cells) choose(gros []scheduler.Group, req placer.Request, now time.Time) string {
-	if len(gros) == 1 {
-		return gros[0].Name
+func (cel *Cells) choose(scope string, count int, req placer.Request, now time.Time) string {
+	if count == 1 {
+		return scheduler.Name(scope, 0)
 	}
-	one := gros[rand.IntN(len(gros))].Name
+	num := rand.IntN(count)
 	if len(req.Prefix) > 0 {
-		one = gros[req.Prefix[0]%uint64(len(gros))].Name
+		num = int(req.Prefix[0] % uint64(count))
 	}
-	two := gros[rand.IntN(len(gros))].Name
+	one, two := scheduler.Name(scope, num), scheduler.Name(scope, rand.IntN(count))
 	cel.mu.Lock()
 	defer cel.mu.Unlock()
 	if cel.wait(two, now)+prefixGain < cel.wait(one, now) {
@@ -207,12 +210,38 @@
 	address string
 }
 
-// candidates returns the hosts that may schedule a cell, the first choice first.
+// ranking is the order of the hosts for one cell at a time.
+type ranking struct {
+	hosts []host
+	at    time.Time
+}
+
+// candidates returns the hosts that may schedule a cell, the first choice
+// first. The order is kept for a short time, so that a request does not cost
+// what grows with the hosts.
 func (cel *Cells) candidates(nam string, now time.Time) []host {
+	cel.mu.Lock()
+	ran, ok := cel.rankings[nam]
+	cel.mu.Unlock()
+	if ok && now.Sub(ran.at) < rankingLife {
+		return ran.hosts
+	}
+	ran = ranking{cel.rank(nam, now), now}
+	cel.mu.Lock()
+	defer cel.mu.Unlock()
+	if cel.rankings == nil {
+		cel.rankings = map[string]ranking{}
+	}
+	cel.rankings[nam] = ran
+	return ran.hosts
+}
+
+func (cel *Cells) rank(nam string, now time.Time) []host {
+	ents := cel.Entries()
 	adds := map[string]string{cel.Self: ""}
 	ids := []string{cel.Self}
 	cel.mu.Lock()
-	for _, ent := range cel.Entries() {
+	for _, ent := range ents {
 		if ent.Kind != persister.KindEntry || ent.Leaving || ent.ID == cel.Self || ent.Region != cel.Region && ent.Region != "" {
 			continue
 		}
@@ -241,4 +270,5 @@
 		cel.suspects = map[string]time.Time{}
 	}
 	cel.suspects[id] = now.Add(suspectPeriod)
+	cel.rankings = nil
 }
--- a/process/allocator/explain.go
+++ b/process/allocator/explain.go
@@ -20,7 +20,7 @@
 	if len(ends) == 0 {
 		return "", ""
 	}
-	cell = all.Cells.choose(scheduler.Partition(all.Cells.Region+"/"+poo.Name, ends), req, now)
+	cell = all.Cells.choose(all.Cells.Region+"/"+poo.Name, scheduler.Count(len(ends)), req, now)
 	for _, hos := range all.Cells.candidates(cell, now) {
 		return cell, hos.id
 	}
--- a/process/allocator/remote.go
+++ b/process/allocator/remote.go
@@ -15,6 +15,8 @@
 	// noticeInterval collects notices, so that many travel in one message.
 	noticeInterval = 10 * time.Millisecond
 	noticeTimeout  = time.Second
+	// repeatPause is the least time between two calls of an ask.
+	repeatPause = time.Millisecond
 	// maxNotices bounds the notices kept for one host. What is lost beyond is
 	// made up for by load reports and by the grants' expiry.
 	maxNotices = 4096
@@ -32,10 +34,13 @@
 		if err != nil {
 			return nil, err
 		}
-		cel.learn(nam, time.Duration(gra.GetDigest().GetAgeMs())*time.Millisecond, time.Now())
+		cel.learn(nam, time.Duration(gra.GetDigest().GetWaitMs())*time.Millisecond, time.Now())
 		if !gra.GetWaiting() {
 			return actionOf(ask.ID, gra), nil
 		}
+		if !pause(ctx, repeatPause) {
+			return nil, eris.Wrapf(ctx.Err(), "Cells.askHost: scheduler %s", hos.id)
+		}
 		hold, grace = laterHold, laterGrace
 	}
 }
@@ -53,6 +58,17 @@
 	}
 }
 
+// pause keeps a scheduler that does not hold calls from being asked in a spin.
+// It reports whether the request goes on.
+func pause(ctx context.Context, dur time.Duration) bool {
+	select {
+	case <-time.After(dur):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // call places one call. The end of the request cancels it; only a host that
 // does not answer in time lets it time out, which condemns the session.
 func (cel *Cells) call(ctx context.Context, hos host, nam, pool string, ask scheduler.Ask, hold, grace time.Duration) (*messenger.Grant, error) {
@@ -85,7 +101,7 @@
 	}}
 	act, dig := cel.Scheduler.Ask(ctx, req.GetCell(), req.GetPool(), ask, time.Duration(req.GetHoldMs())*time.Millisecond)
 	gra := grantOf(act)
-	gra.Digest = &messenger.LoadDigest{Subject: req.GetCell(), QueuedTokens: dig.QueuedTokens, FreeTokens: dig.FreeTokens, AgeMs: dig.Wait.Milliseconds()}
+	gra.Digest = &messenger.LoadDigest{Subject: req.GetCell(), QueuedTokens: dig.QueuedTokens, FreeTokens: dig.FreeTokens, WaitMs: dig.Wait.Milliseconds()}
 	return &messenger.Envelope{Body: &messenger.Envelope_Grant{Grant: gra}}
 }
 
--- a/process/scheduler/partition.go
+++ b/process/scheduler/partition.go
@@ -25,17 +25,24 @@
 	Engines []placer.Endpoint
 }
 
+// Count returns the number of cells of a pool with a number of engines.
+func Count(engines int) int {
+	if engines <= MaxCellEngines {
+		return 1
+	}
+	return (engines + meanCellEngines - 1) / meanCellEngines
+}
+
+// Name returns the name of a numbered cell.
+func Name(scope string, number int) string { return scope + "/" + strconv.Itoa(number) }
+
 // Partition divides the engines of a pool into cells. Every host comes to the
 // same cells from the same list. An engine goes to the cell with the highest
 // hash that has room, so that few engines move when their number changes.
 func Partition(scope string, engines []placer.Endpoint) []Group {
-	cou := max(1, (len(engines)+meanCellEngines-1)/meanCellEngines)
-	if len(engines) <= MaxCellEngines {
-		cou = 1
-	}
-	gros := make([]Group, cou)
+	gros := make([]Group, Count(len(engines)))
 	for ind := range gros {
-		gros[ind].Name = scope + "/" + strconv.Itoa(ind)
+		gros[ind].Name = Name(scope, ind)
 	}
 	for _, end := range sortedByID(engines) {
 		bes := -1
--- a/tools/experimenter/experiment.go
+++ b/tools/experimenter/experiment.go
@@ -108,9 +108,11 @@
 	if exp.logs != nil {
 		logs = exp.logs
 	}
+	tab := testkit.LoadTables(exp.mix)
+	tab.Pools[0].LongShare = set.Long
 	return testkit.Start(ctx, testkit.Plan{
 		Bin: set.Bin, Logs: logs, Hosts: set.Hosts, Engines: set.Engines, Services: set.Services, Model: exp.mix.Model,
-		Tables: testkit.LoadTables(exp.mix), HostArgs: []string{"--placement", pol},
+		Tables: tab, HostArgs: []string{"--placement", pol},
 		EngineArgs: []string{
 			"--memory-tokens", strconv.Itoa(int(engineMemory / set.Scale)),
 			"--prefill-rate", strconv.FormatFloat(engineRate/set.Scale, 'f', -1, 64),
--- a/tools/experimenter/main.go
+++ b/tools/experimenter/main.go
@@ -40,6 +40,7 @@
 	Engines  int           `long:"engines" default:"14" description:"model engines"`
 	Services int           `long:"services" default:"3" description:"plain services"`
 	Scale    float64       `long:"scale" default:"10" description:"divides lengths, prefill rates and memories"`
+	Long     float64       `long:"long-share" description:"the pool's share of engines for long prompts; 0 follows the work"`
 	Log      string        `long:"log" description:"file for the logs of all processes"`
 }
 
