--- a/process/reclaimer/runner.go
+++ b/process/reclaimer/runner.go
@@ -29,7 +29,7 @@
 	Members Members
 	Owned   Owned
 	Scope   tally.Scope
-	// Engines lists all engines, Live the other hosts that are alive.
+	// Engines lists the engines of the region, Live its other hosts that are alive.
 	Engines func() []Engine
 	Live    func(now time.Time) []string
 	// Call sends an envelope to a host.
@@ -53,49 +53,52 @@
 	}
 }
 
-// Duties shares engines over hosts: each goes to the host with the highest
-// mixed hash, so that a lost host's engines spread over the others and no other
-// moves. Two hosts that differ on who is alive may both look after an engine.
+// Duties finds the hosts that look after engines, among those alive. Two hosts
+// that differ on who is alive may both look after one.
 type Duties struct {
 	hosts []string
 	sums  []uint64
 }
 
-// NewDuties prepares the hashes of the hosts.
+// NewDuties prepares the duties of the given hosts.
 func NewDuties(hosts []string) Duties {
-	dut := Duties{hosts: hosts}
-	for _, hos := range hosts {
-		dut.sums = append(dut.sums, xxhash.Sum64String(hos))
+	out := Duties{hosts: hosts, sums: make([]uint64, len(hosts))}
+	for ind, hos := range hosts {
+		out.sums[ind] = xxhash.Sum64String(hos)
 	}
-	return dut
+	return out
 }
 
-// Of returns the host that looks after an engine.
+// Of returns the host with the highest weight for an engine, or nothing if
+// there are no hosts.
 func (dut Duties) Of(engine string) string {
-	var bes string
+	sum := xxhash.Sum64String(engine)
+	bes := -1
 	var top uint64
-	own := xxhash.Sum64String(engine)
-	for ind, sum := range dut.sums {
-		if val := mix(own ^ sum); bes == "" || val > top {
-			bes, top = dut.hosts[ind], val
+	for ind, hos := range dut.sums {
+		if wei := mix(sum ^ hos); bes < 0 || wei > top {
+			bes, top = ind, wei
 		}
 	}
-	return bes
+	if bes < 0 {
+		return ""
+	}
+	return dut.hosts[bes]
 }
 
-// mix is the finalizer of SplitMix64.
+// mix spreads the bits of a value, as the finalizer of SplitMix64 does.
 func mix(val uint64) uint64 {
-	val = (val ^ val>>30) * 0xbf58476d1ce4e5b9
-	val = (val ^ val>>27) * 0x94d049bb133111eb
-	return val ^ val>>31
+	val = (val ^ (val >> 30)) * 0xbf58476d1ce4e5b9
+	val = (val ^ (val >> 27)) * 0x94d049bb133111eb
+	return val ^ (val >> 31)
 }
 
 func (run *Runner) round(ctx context.Context, now time.Time) {
-	dut := NewDuties(append(run.Live(now), run.Self.Host))
+	duts := NewDuties(append(run.Live(now), run.Self.Host))
 	reps := make(chan Report)
 	var gro sync.WaitGroup
 	for _, eng := range run.Engines() {
-		if dut.Of(eng.ID) == run.Self.Host {
+		if duts.Of(eng.ID) == run.Self.Host {
 			gro.Go(func() { run.read(ctx, eng, reps) })
 		}
 	}
