Read engines' load without the holders of their memory

Cause: the whole report is 41 KB at 180 sequences; a scheduler that reads 16 engines each interval sends far over 14 KB/s at full size, and every host read two whole reports each interval for its own view. Ruled out: counting mismatches of running sequences as the trigger, which lag makes true nearly always; a list of identifiers alone, since foreign memory must be known in tokens. Conclusion: summaries carry placement; holders come packed and paced.

--- a/connection/invoker/engine.go
+++ b/connection/invoker/engine.go
@@ -101,6 +101,8 @@
 	// AgeMs is the age of the report when it was sent.
 	AgeMs     int64
 	Sequences []Sequence
+	// Partial marks a report without sequences.
+	Partial bool `json:"-"`
 }
 
 // Load reads the engine's report.
@@ -110,6 +112,14 @@
 	return loa, err
 }
 
+// Summary reads the engine's report without who holds its memory.
+func (inv *Invoker) Summary(ctx context.Context, address string) (Load, error) {
+	var loa Load
+	err := inv.get(ctx, "Invoker.Summary", address, "/v1/load?Holders=None", &loa)
+	loa.Partial = true
+	return loa, err
+}
+
 // Suspects reads which holders of an engine's memory may be lost, with the lag
 // of the load report: those without a connection, those that did not move for
 // minIdle, and those past their deadline. In plain use there are next to none.
--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -20,6 +21,9 @@
 )
 
 const (
+	// packed is the content encoding that reports may come in.
+	packed = "gzip"
+
 	dialTimeout        = 500 * time.Millisecond
 	idleConnTimeout    = 30 * time.Second
 	maxIdlePerEndpoint = 64
@@ -190,6 +194,9 @@
 		return &Error{Step: step, Peer: address, Ran: NotRun, Err: err}
 	}
 	inject(ctx, req)
+	if method == http.MethodGet {
+		req.Header.Set("Accept-Encoding", packed)
+	}
 	res, err := inv.client(address).Do(req)
 	if err != nil {
 		return &Error{Step: step, Peer: address, Ran: ranAfterSend(err), Err: err}
@@ -198,6 +205,12 @@
 	if res.StatusCode != http.StatusOK {
 		return replyError(step, address, res)
 	}
+	if res.Header.Get("Content-Encoding") == packed {
+		res.Body, err = gzip.NewReader(res.Body)
+		if err != nil {
+			return &Error{Step: step + ": unpack", Peer: address, Ran: Ran, Err: err}
+		}
+	}
 	if out == nil {
 		_, _ = io.Copy(io.Discard, res.Body)
 		return nil
--- a/process/scheduler/cell.go
+++ b/process/scheduler/cell.go
@@ -184,7 +184,7 @@
 // reconcile ends the grants whose requests an engine no longer lists, because
 // the notice of their end was lost.
 func (cel *Cell) reconcile(eng *engine, loa invoker.Load, now time.Time) {
-	if len(loa.Sequences) < loa.Running {
+	if loa.Partial || len(loa.Sequences) < loa.Running {
 		return
 	}
 	listed := make(map[string]bool, len(loa.Sequences))
--- a/process/scheduler/engine.go
+++ b/process/scheduler/engine.go
@@ -213,6 +213,9 @@
 	if len(loa.Models) > 0 {
 		eng.models = loa.Models
 	}
+	if loa.Partial {
+		return
+	}
 	var oth, all int64
 	for _, seq := range loa.Sequences {
 		all += seq.Tokens
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -29,7 +29,9 @@
 
 // Loader reads what engines report.
 type Loader interface {
+	// Load reads the whole report, Summary leaves the holders of memory out.
 	Load(ctx context.Context, address string) (invoker.Load, error)
+	Summary(ctx context.Context, address string) (invoker.Load, error)
 	CacheEvents(ctx context.Context, address string, after uint64) ([]invoker.CacheEvent, error)
 }
 
@@ -62,6 +64,7 @@
 	asked   time.Time
 	polls   int
 	cursors map[string]uint64
+	holders holderPace
 }
 
 // Digest sums up a cell for the hosts that ask it.
@@ -232,7 +235,7 @@
 		gro.Go(func() {
 			ctx, stop := context.WithTimeout(ctx, pollTimeout)
 			defer stop()
-			if loa, err := sch.Loader.Load(ctx, end.Address); err == nil {
+			if loa, err := sch.read(ctx, run, end); err == nil {
 				run.next(Report{end.ID, loa}, sch.Clock())
 			}
 			if rou%eventsEvery == 0 {
@@ -243,6 +246,16 @@
 	gro.Wait()
 }
 
+// read takes the short report of an engine, and the whole one where its holders
+// are due and the traffic allows them.
+func (sch *Scheduler) read(ctx context.Context, run *running, end placer.Endpoint) (invoker.Load, error) {
+	loa, err := sch.Loader.Summary(ctx, end.Address)
+	if err != nil || !run.wantsHolders(end.ID, loa, sch.Clock()) {
+		return loa, err
+	}
+	return sch.Loader.Load(ctx, end.Address)
+}
+
 func (sch *Scheduler) pollEvents(ctx context.Context, run *running, end placer.Endpoint) {
 	run.mu.Lock()
 	aft := run.cursors[end.ID]
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -82,7 +82,7 @@
 	ser.persister = ser.newPersister()
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.lister = ser.newLister()
-	ser.watcher = &watcher.Watcher{Lister: ser.lister, Loader: ser.invoker}
+	ser.watcher = &watcher.Watcher{Lister: ser.lister, Loader: summaryLoader{ser.invoker}}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
 	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.servePeer}
 	ser.joinTables()
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -129,3 +129,20 @@
 	}
 	return rep, err
 }
+
+// Summary reads an engine's load report without the holders of its memory.
+func (loa noticingLoader) Summary(ctx context.Context, address string) (invoker.Load, error) {
+	rep, err := loa.Invoker.Summary(ctx, address)
+	if err == nil {
+		loa.watcher.Report(rep, time.Now())
+	}
+	return rep, err
+}
+
+// summaryLoader reads the short form of load reports.
+type summaryLoader struct{ *invoker.Invoker }
+
+// Load reads an engine's load report without the holders of its memory.
+func (loa summaryLoader) Load(ctx context.Context, address string) (invoker.Load, error) {
+	return loa.Summary(ctx, address)
+}
--- a/standin/generator/report.go
+++ b/standin/generator/report.go
@@ -1,14 +1,19 @@
 package generator
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"hemlockpin/connection/invoker"
 )
 
+// packFrom is the number of sequences from which a report is packed.
+const packFrom = 8
+
 // lagged is a load report that is shown later.
 type lagged struct {
 	at   time.Time
@@ -84,7 +89,22 @@
 	if minIdle, err := strconv.ParseInt(htr.URL.Query().Get("MinIdleMs"), 10, 64); err == nil {
 		loa.Sequences = suspects(rep.load.Sequences, minIdle)
 	}
-	_ = json.NewEncoder(wri).Encode(loa)
+	if htr.URL.Query().Get("Holders") == "None" {
+		loa.Sequences = nil
+	}
+	writePacked(wri, htr, loa)
+}
+
+// writePacked writes a report, packed where it is long and the caller takes it.
+func writePacked(wri http.ResponseWriter, htr *http.Request, loa invoker.Load) {
+	if len(loa.Sequences) < packFrom || !strings.Contains(htr.Header.Get("Accept-Encoding"), "gzip") {
+		_ = json.NewEncoder(wri).Encode(loa)
+		return
+	}
+	wri.Header().Set("Content-Encoding", "gzip")
+	pac := gzip.NewWriter(wri)
+	_ = json.NewEncoder(pac).Encode(loa)
+	_ = pac.Close()
 }
 
 func suspects(seqs []invoker.Sequence, minIdle int64) []invoker.Sequence {
