Count the traffic with endpoints

Cause: the slope of control counted peers and platform only, not the reads of engines' load. Ruled out: counting it as control: most of it is requests; it has gauges of its own. Conclusion: an idle fleet's reads of load can be measured.

--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"hemlockpin/connection/counter"
+
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
@@ -64,6 +66,9 @@
 
 // Invoker calls endpoints by address. Its zero value is ready.
 type Invoker struct {
+	// Traffic counts the bytes of all calls but those that are sent once.
+	Traffic counter.Traffic
+
 	mu      sync.Mutex
 	clients map[string]*client
 	swept   time.Time
@@ -83,7 +88,7 @@
 	defer inv.mu.Unlock()
 	cli := inv.clients[address]
 	if cli == nil {
-		cli = newClient()
+		cli = newClient(&inv.Traffic)
 		if inv.clients == nil {
 			inv.clients = map[string]*client{}
 		}
@@ -94,9 +99,9 @@
 	return &cli.Client
 }
 
-func newClient() *client {
+func newClient(traffic *counter.Traffic) *client {
 	tra := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         traffic.Dialer(dialTimeout),
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/tableproof/slope_test.go
+++ b/internal/tableproof/slope_test.go
@@ -19,14 +19,17 @@
 const (
 	// slopeVariable names the sizes of the fleets to measure, such as 5,10,20,40.
 	slopeVariable = "HEMLOCKPIN_SLOPE"
-	slopeTime     = 30 * time.Second
+	// endpointsVariable is the number of engines beside the hosts; none if it
+	// is not set.
+	endpointsVariable = "HEMLOCKPIN_SLOPE_ENGINES"
+	slopeTime         = 30 * time.Second
 	// ticksPerSecond is the unit of processor times in /proc.
 	ticksPerSecond = 100
 )
 
 // sample is what an idle host has used so far.
 type sample struct {
-	peerBytes, peerOpened, platformBytes, cpuSeconds, residentKB float64
+	peerBytes, peerOpened, platformBytes, endpointBytes, cpuSeconds, residentKB float64
 }
 
 // TestControlSlope measures what control costs an idle host at several sizes of
@@ -36,7 +39,7 @@
 	if sizes == "" {
 		t.Skipf("%s is not set", slopeVariable)
 	}
-	t.Logf("hosts | peer B/s median, max | connections/s | platform B/s median, max | %% of a core median, max | MB median | platform calls/s")
+	t.Logf("hosts | peer B/s median, max | connections/s | platform B/s median, max | endpoint B/s median, max | %% of a core median, max | MB median | platform calls/s")
 	for _, txt := range strings.Split(sizes, ",") {
 		num, err := strconv.Atoi(txt)
 		require.NoError(t, err)
@@ -47,7 +50,8 @@
 func measure(t *testing.T, num int) {
 	bin, err := testkit.Build()
 	require.NoError(t, err)
-	fle, err := testkit.Start(t.Context(), testkit.Plan{Bin: bin, Model: testkit.Model, Hosts: num, Tables: testkit.SampleTables()})
+	engines, _ := strconv.Atoi(os.Getenv(endpointsVariable))
+	fle, err := testkit.Start(t.Context(), testkit.Plan{Bin: bin, Model: testkit.Model, Hosts: num, Engines: engines, Tables: testkit.SampleTables()})
 	require.NoError(t, err)
 	defer fle.Stop()
 	(&fleet{Fleet: fle, t: t}).waitLive(num)
@@ -74,9 +78,10 @@
 	pee, peeMost := per(func(sam sample) float64 { return sam.peerBytes })
 	ope, _ := per(func(sam sample) float64 { return sam.peerOpened })
 	pla, plaMost := per(func(sam sample) float64 { return sam.platformBytes })
+	end, endMost := per(func(sam sample) float64 { return sam.endpointBytes })
 	cpu, cpuMost := per(func(sam sample) float64 { return 100 * sam.cpuSeconds })
-	t.Logf("%d | %.0f, %.0f | %.2f | %.0f, %.0f | %.2f, %.2f | %.1f | %.1f",
-		num, pee, peeMost, ope, pla, plaMost, cpu, cpuMost, aft[num/2].residentKB/1024, calls/slopeTime.Seconds())
+	t.Logf("%d | %.0f, %.0f | %.2f | %.0f, %.0f | %.0f, %.0f | %.2f, %.2f | %.1f | %.1f",
+		num, pee, peeMost, ope, pla, plaMost, end, endMost, cpu, cpuMost, aft[num/2].residentKB/1024, calls/slopeTime.Seconds())
 }
 
 func platformCalls(t *testing.T, fle *testkit.Fleet) float64 {
@@ -94,6 +99,7 @@
 		peerBytes:     met[`control_bytes_sent{with="peer"}`] + met[`control_bytes_received{with="peer"}`],
 		peerOpened:    met[`control_connections_opened{with="peer"}`],
 		platformBytes: met[`control_bytes_sent{with="platform"}`] + met[`control_bytes_received{with="platform"}`],
+		endpointBytes: met["endpoint_bytes_sent"] + met["endpoint_bytes_received"],
 		cpuSeconds:    (use + sys) / ticksPerSecond,
 	}
 	for _, lin := range strings.Split(readProc(t, hos, "status"), "\n") {
