--- a/process/allocator/remote.go
+++ b/process/allocator/remote.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		cel.learn(nam, time.Duration(gra.GetDigest().GetWaitMs())*time.Millisecond, time.Now())
+		cel.learn(nam, time.Duration(gra.GetWaitMs())*time.Millisecond, time.Now())
 		if !gra.GetWaiting() {
 			return actionOf(ask.ID, gra), nil
 		}
@@ -47,8 +47,8 @@
 
 func (cel *Cells) askSelf(ctx context.Context, nam, pool string, ask scheduler.Ask) (scheduler.Action, error) {
 	for {
-		act, dig := cel.Scheduler.Ask(ctx, nam, pool, ask, laterHold)
-		cel.learn(nam, dig.Wait, time.Now())
+		act, wai := cel.Scheduler.Ask(ctx, nam, pool, ask, laterHold)
+		cel.learn(nam, wai, time.Now())
 		if ctx.Err() != nil {
 			return nil, eris.Wrap(ctx.Err(), "Cells.askSelf")
 		}
@@ -99,9 +99,9 @@
 		PromptTokens: req.GetPromptTokens(), MaxTokens: req.GetMaxTokens(), Priority: int(req.GetPriority()),
 		Deadline: now.Add(time.Duration(req.GetBudgetMs()) * time.Millisecond), Prefix: req.GetPrefixHashes(), Excluded: req.GetExcluded(),
 	}}
-	act, dig := cel.Scheduler.Ask(ctx, req.GetCell(), req.GetPool(), ask, time.Duration(req.GetHoldMs())*time.Millisecond)
+	act, wai := cel.Scheduler.Ask(ctx, req.GetCell(), req.GetPool(), ask, time.Duration(req.GetHoldMs())*time.Millisecond)
 	gra := grantOf(act)
-	gra.Digest = &messenger.LoadDigest{Subject: req.GetCell(), QueuedTokens: dig.QueuedTokens, FreeTokens: dig.FreeTokens, WaitMs: dig.Wait.Milliseconds()}
+	gra.WaitMs = wai.Milliseconds()
 	return &messenger.Envelope{Body: &messenger.Envelope_Grant{Grant: gra}}
 }
 
@@ -124,9 +124,9 @@
 func grantOf(act scheduler.Action) *messenger.Grant {
 	switch act := act.(type) {
 	case scheduler.Grant:
-		return &messenger.Grant{GrantId: act.ID, Endpoint: act.Endpoint, Address: act.Address}
+		return &messenger.Grant{Endpoint: act.Endpoint, Address: act.Address}
 	case scheduler.GrantGroup:
-		gra := &messenger.Grant{GrantId: act.ID}
+		gra := &messenger.Grant{}
 		for _, par := range act.Parts {
 			gra.Group = append(gra.Group, &messenger.GroupPart{Endpoint: par.Endpoint, Address: par.Address, Tokens: par.Tokens})
 		}
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -15,7 +15,7 @@
 	rev, age := gos.Publisher.Freshness(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
-		Digests: gos.digests(now), Notices: gos.notices(now), List: gos.listStamp(now),
+		Notices: gos.notices(now), List: gos.listStamp(now),
 	}}}
 }
 
@@ -25,7 +25,7 @@
 	rev, age := gos.Publisher.Freshness(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
-		Digests: gos.digests(now), Notices: gos.notices(now), List: gos.listStamp(now),
+		Notices: gos.notices(now), List: gos.listStamp(now),
 	}}}
 }
 
@@ -36,13 +36,6 @@
 	return membersOf(upds), gos.state().Self.Member()
 }
 
-func (gos *Gossiper) digests(now time.Time) []*messenger.LoadDigest {
-	if gos.Cargo.Digests == nil {
-		return nil
-	}
-	return gos.Cargo.Digests(now)
-}
-
 func (gos *Gossiper) notices(now time.Time) []*messenger.EndpointNotice {
 	if gos.Cargo.Notices == nil {
 		return nil
@@ -58,7 +51,7 @@
 	}
 	fro.TablesRevision = pin.GetTablesRevision()
 	gos.step(ctx, Heard{From: fro, Updates: peersOf(pin.GetUpdates())}, now)
-	gos.takeCargo(ctx, pin.GetDigests(), pin.GetNotices(), now)
+	gos.takeCargo(ctx, pin.GetNotices(), now)
 	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), now.Add(-time.Duration(pin.GetTablesAgeMs())*time.Millisecond))
 	if gos.wantsList(pin.GetList(), now) {
 		go gos.pullList(context.WithoutCancel(ctx), gos.address(fro))
@@ -90,7 +83,7 @@
 
 // HandleNotices takes notices that a peer pushes.
 func (gos *Gossiper) HandleNotices(ctx context.Context, pus *messenger.NoticesPush, now time.Time) *messenger.Envelope {
-	gos.takeCargo(ctx, nil, pus.GetNotices(), now)
+	gos.takeCargo(ctx, pus.GetNotices(), now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
 }
 
@@ -102,7 +95,7 @@
 	}
 	fro.TablesRevision = pon.GetTablesRevision()
 	gos.step(ctx, Heard{From: fro, Reached: reached, Updates: peersOf(pon.GetUpdates())}, now)
-	gos.takeCargo(ctx, pon.GetDigests(), pon.GetNotices(), now)
+	gos.takeCargo(ctx, pon.GetNotices(), now)
 	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), now.Add(-time.Duration(pon.GetTablesAgeMs())*time.Millisecond))
 	if reached != "" && gos.wantsList(pon.GetList(), now) {
 		gos.pullList(ctx, reached)
@@ -112,10 +105,7 @@
 	}
 }
 
-func (gos *Gossiper) takeCargo(ctx context.Context, digs []*messenger.LoadDigest, nots []*messenger.EndpointNotice, now time.Time) {
-	if len(digs) > 0 && gos.Cargo.TakeDigests != nil {
-		gos.Cargo.TakeDigests(digs, now)
-	}
+func (gos *Gossiper) takeCargo(ctx context.Context, nots []*messenger.EndpointNotice, now time.Time) {
 	if len(nots) == 0 || gos.Cargo.TakeNotices == nil {
 		return
 	}
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -34,9 +34,7 @@
 
 // Cargo is what probes carry for other parts of a host. Nil fields carry nothing.
 type Cargo struct {
-	Digests     func(now time.Time) []*messenger.LoadDigest
-	TakeDigests func(digs []*messenger.LoadDigest, now time.Time)
-	Notices     func(now time.Time) []*messenger.EndpointNotice
+	Notices func(now time.Time) []*messenger.EndpointNotice
 	// TakeNotices merges notices and returns those that were news.
 	TakeNotices func(nots []*messenger.EndpointNotice, now time.Time) []*messenger.EndpointNotice
 }
--- a/process/scheduler/cell.go
+++ b/process/scheduler/cell.go
@@ -92,26 +92,24 @@
 // Granted returns the number of grants that have not ended.
 func (cel *Cell) Granted() int { return len(cel.grants) }
 
-// Load sums up the cell: the prompt tokens that wait, the free memory and the
-// expected wait of a new prompt.
-func (cel *Cell) Load(now time.Time) (queued, free int64, wait time.Duration) {
-	queued = cel.queue.tokens
+// Wait returns the expected wait of a new prompt.
+func (cel *Cell) Wait(now time.Time) time.Duration {
+	queued := cel.queue.tokens
 	var rat float64
 	for _, eng := range cel.engines {
 		eng.advance(now)
 		if !eng.live(now) {
 			continue
 		}
-		free += max(0, eng.free())
 		rat += eng.prefillRate()
 		for _, par := range eng.prefills {
 			queued += par.left
 		}
 	}
 	if rat == 0 {
-		return queued, free, maxRetryAfter
+		return maxRetryAfter
 	}
-	return queued, free, time.Duration(float64(queued) / rat * float64(time.Second))
+	return time.Duration(float64(queued) / rat * float64(time.Second))
 }
 
 func (cel *Cell) refuse(id, code, message string, retry time.Duration) {
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -67,25 +67,19 @@
 	holders holderPace
 }
 
-// Digest sums up a cell for the hosts that ask it.
-type Digest struct {
-	QueuedTokens int64
-	FreeTokens   int64
-	Wait         time.Duration
-}
-
 // Ask queues a request in a cell and waits for the answer at most for hold. It
-// returns a nil action while the ask waits; the host then repeats it. When ctx
+// returns a nil action while the ask waits; the host then repeats it. With the
+// action comes the expected wait of a new request in the cell. When ctx
 // ends, the ask is cancelled, or its grant released.
-func (sch *Scheduler) Ask(ctx context.Context, cell, pool string, eve Ask, hold time.Duration) (Action, Digest) {
+func (sch *Scheduler) Ask(ctx context.Context, cell, pool string, eve Ask, hold time.Duration) (Action, time.Duration) {
 	run := sch.running(ctx, cell, pool)
 	if run == nil {
-		return Refuse{ID: eve.ID, Refuse: placer.Refuse{Code: CodeUnavailable, Message: "this host does not know the cell", RetryAfter: minRetryAfter}}, Digest{}
+		return Refuse{ID: eve.ID, Refuse: placer.Refuse{Code: CodeUnavailable, Message: "this host does not know the cell", RetryAfter: minRetryAfter}}, 0
 	}
 	act, wai := run.ask(eve, sch.Clock())
 	if act != nil {
 		sch.count(act)
-		return act, run.digest(sch.Clock())
+		return act, run.wait(sch.Clock())
 	}
 	tim := time.NewTimer(hold)
 	defer tim.Stop()
@@ -98,7 +92,7 @@
 		_ = run.leave(eve.ID, wai)
 		run.next(Cancel{eve.ID}, sch.Clock())
 	}
-	return act, run.digest(sch.Clock())
+	return act, run.wait(sch.Clock())
 }
 
 func (sch *Scheduler) count(act Action) {
@@ -295,11 +289,10 @@
 	return now.Sub(run.asked) > cellIdleTimeout && run.cell.Granted() == 0 && run.cell.Waiting() == 0
 }
 
-func (run *running) digest(now time.Time) Digest {
+func (run *running) wait(now time.Time) time.Duration {
 	run.mu.Lock()
 	defer run.mu.Unlock()
-	que, fre, wai := run.cell.Load(now)
-	return Digest{QueuedTokens: que, FreeTokens: fre, Wait: wai}
+	return run.cell.Wait(now)
 }
 
 // ask returns the action for the ask, or the channel that will carry it.
