Let the load command send under given keys

Cause: the mixes' own teams are unknown to the tables of make run, so the load page's example was refused there. Ruled out: the mixes' keys in the sample tables, which would hide the example.

--- a/cmd/hemlockload/run.go
+++ b/cmd/hemlockload/run.go
@@ -35,6 +35,7 @@
 type runCommand struct {
 	Hosts     []string      `long:"host" required:"true" description:"caller address of a host, as IP:port; may be repeated"`
 	Operators []string      `long:"operator" description:"operator address of a host whose usage is reported; may be repeated"`
+	Keys      []string      `long:"key" description:"bearer key to send with in place of the mix's teams; may be repeated"`
 	Mix       string        `long:"mix" default:"wijesinghe" description:"name of the mix"`
 	Rate      float64       `long:"rate" default:"20" description:"requests a second"`
 	Duration  time.Duration `long:"duration" default:"30s" description:"time during which requests start"`
@@ -83,6 +84,9 @@
 		mix = short
 		rate *= shr
 	}
+	if len(com.Keys) > 0 {
+		mix = mix.WithTeams(teams(com.Keys))
+	}
 	run := &driver.Run{
 		Mix: mix.WithScale(com.Scale), Rate: rate, Seed: com.Seed, Duration: com.Duration, WarmUp: com.WarmUp,
 		Sender: &sender.Sender{Hosts: com.Hosts, Model: mix.Model, Verify: true}, Operators: com.Operators,
@@ -100,6 +104,14 @@
 	return run, nil
 }
 
+func teams(keys []string) []mixer.Team {
+	var teas []mixer.Team
+	for _, key := range keys {
+		teas = append(teas, mixer.Team{Key: key, Weight: 1})
+	}
+	return teas
+}
+
 func parseFault(txt string) (driver.Fault, error) {
 	pars := strings.SplitN(txt, "=", 3)
 	if len(pars) != 3 {
