Wait for the writers before the late writes of a history

The clients of a history end at their time limit while writers still run; such a writer began a late write (WaitGroup.Go) while the test already waited for the late writes. Conclusion: the test waits until no writer runs. What it checks is unchanged.

--- a/process/journaler/history_test.go
+++ b/process/journaler/history_test.go
@@ -117,6 +117,23 @@
 	return out
 }
 
+// settle waits until no writer begins another write of its own.
+func (sho *shakyPeers) settle() {
+	for _, jou := range sho.journals {
+		for _, wri := range jou.writers {
+			for wri.isRunning() {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+}
+
+func (wri *writer) isRunning() bool {
+	wri.mu.Lock()
+	defer wri.mu.Unlock()
+	return wri.running
+}
+
 type claimInput struct {
 	key   string
 	step  messenger.ClaimCommit_Step
@@ -233,6 +250,7 @@
 		gro.Go(func() { his.client(jou, num, rand.New(rand.NewPCG(seed, uint64(10+num)))) })
 	}
 	gro.Wait()
+	pee.settle()
 	sto.late.Wait()
 	return his.opes
 }
