Lay the seam for moving an answer to another engine

Cause: engines slow each prefill down by the steps of the answers that they decode beside it, and nothing could move an answer away once its prompt was read. Ruled out: naming the second engine in the grant: its memory would be taken for the whole prefill, and the choice would rest on an old state. Before / After: no change of behavior, a cell answers every move with Stay. Conclusion: the messages, events and the lease's Move are fixed, so that the cell and the executor can be built side by side.

--- a/process/allocator/cells.go
+++ b/process/allocator/cells.go
@@ -112,7 +112,8 @@
 	case scheduler.Grant:
 		all.mu.Lock()
 		defer all.mu.Unlock()
-		return withNotices(all.lease(act.Endpoint, act.Address, req.PromptTokens, time.Now()), notify), nil
+		lea := all.lease(act.Endpoint, act.Address, req.PromptTokens, time.Now())
+		return withNotices(all.withMove(lea, hos, nam, ask.ID), notify), nil
 	case scheduler.GrantGroup:
 		lea, err := all.group(ctx, req, placer.PlaceGroup{Parts: act.Parts})
 		if err != nil {
--- a/process/allocator/remote.go
+++ b/process/allocator/remote.go
@@ -94,6 +94,10 @@
 
 // HandleRequest answers another host's ask as the scheduler of the cell.
 func (cel *Cells) HandleRequest(ctx context.Context, req *messenger.GrantRequest, now time.Time) *messenger.Envelope {
+	if req.GetMove() {
+		gra := moveOf(cel.Scheduler.Move(req.GetCell(), req.GetAskId()))
+		return &messenger.Envelope{Body: &messenger.Envelope_Grant{Grant: gra}}
+	}
 	ask := scheduler.Ask{ID: req.GetAskId(), Host: req.GetHost(), Incarnation: req.GetIncarnation(), Request: placer.Request{
 		ID: req.GetRequestId(), Team: req.GetTeam(), Share: req.GetShare(), Model: req.GetModel(), Pool: req.GetPool(),
 		PromptTokens: req.GetPromptTokens(), MaxTokens: req.GetMaxTokens(), Priority: int(req.GetPriority()),
@@ -114,13 +118,28 @@
 }
 
 func (cel *Cells) apply(not *messenger.GrantNotice) {
-	var eve scheduler.Event = scheduler.Release{ID: not.GetAskId()}
-	if not.GetKind() == messenger.GrantNotice_KIND_PREFILLED {
-		eve = scheduler.Prefilled{ID: not.GetAskId()}
+	var eve scheduler.Event
+	switch id := not.GetAskId(); not.GetKind() {
+	case messenger.GrantNotice_KIND_PREFILLED:
+		eve = scheduler.Prefilled{ID: id}
+	case messenger.GrantNotice_KIND_MOVED:
+		eve = scheduler.Moved{ID: id}
+	case messenger.GrantNotice_KIND_STAYED:
+		eve = scheduler.Stayed{ID: id}
+	default:
+		eve = scheduler.Release{ID: id}
 	}
 	cel.Scheduler.Notify(not.GetCell(), eve)
 }
 
+// moveOf has no endpoint where the request stays.
+func moveOf(act scheduler.Action) *messenger.Grant {
+	if mov, ok := act.(scheduler.MoveTo); ok {
+		return &messenger.Grant{Endpoint: mov.Endpoint, Address: mov.Address}
+	}
+	return &messenger.Grant{}
+}
+
 func grantOf(act scheduler.Action) *messenger.Grant {
 	switch act := act.(type) {
 	case scheduler.Grant:
--- a/process/scheduler/cell.go
+++ b/process/scheduler/cell.go
@@ -59,6 +59,9 @@
 		cel.prefilled(eve.ID)
 	case Release:
 		cel.end(eve.ID, now)
+	case Move:
+		cel.move(eve.ID, now)
+	case Moved, Stayed:
 	case Report:
 		cel.report(eve, now)
 	case Listing:
@@ -150,6 +153,11 @@
 	}
 }
 
+// move answers whether the answer of a grant goes on elsewhere.
+func (cel *Cell) move(id string, _ time.Time) {
+	cel.actions = append(cel.actions, Stay{ID: id})
+}
+
 // prefilled notes that the lead engine is done with the prompt and holds its
 // prefix. It makes the cell's own work known before the engine's events do.
 func (cel *Cell) prefilled(id string) {
--- a/process/scheduler/event.go
+++ b/process/scheduler/event.go
@@ -7,8 +7,8 @@
 	"hemlockpin/request/placer"
 )
 
-// Event is what a cell decides on: Ask, Cancel, Prefilled, Release, Report,
-// Listing, OwnerGone, Limits or Tick.
+// Event is what a cell decides on: Ask, Cancel, Prefilled, Move, Moved, Stayed,
+// Release, Report, Listing, OwnerGone, Limits or Tick.
 type Event interface{ event() }
 
 // Ask wants an endpoint for a request. A repeated ask with the same identifier
@@ -30,6 +30,16 @@
 // Release ends a grant.
 type Release struct{ ID string }
 
+// Move asks for an engine that goes on with the answer of a prefilled grant. A
+// repeated one gets the same answer.
+type Move struct{ ID string }
+
+// Moved reports that a grant's request runs on the engine of its move alone.
+type Moved struct{ ID string }
+
+// Stayed reports that a grant's request stays where it was prefilled.
+type Stayed struct{ ID string }
+
 // Report is an engine's load report.
 type Report struct {
 	Endpoint string
@@ -65,13 +75,16 @@
 func (Cancel) event()    {}
 func (Prefilled) event() {}
 func (Release) event()   {}
+func (Move) event()      {}
+func (Moved) event()     {}
+func (Stayed) event()    {}
 func (Report) event()    {}
 func (Listing) event()   {}
 func (OwnerGone) event() {}
 func (Limits) event()    {}
 func (Tick) event()      {}
 
-// Action answers an ask: Grant, GrantGroup or Refuse.
+// Action answers an ask: Grant, GrantGroup or Refuse; or a Move: MoveTo or Stay.
 type Action interface{ action() }
 
 // Grant gives an endpoint to an ask.
@@ -93,6 +106,18 @@
 	placer.Refuse
 }
 
+// MoveTo gives memory on another engine to a prefilled grant.
+type MoveTo struct {
+	ID       string
+	Endpoint string
+	Address  string
+}
+
+// Stay leaves a grant where it is.
+type Stay struct{ ID string }
+
+func (MoveTo) action()     {}
+func (Stay) action()       {}
 func (Grant) action()      {}
 func (GrantGroup) action() {}
 func (Refuse) action()     {}
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -104,6 +104,18 @@
 	}
 }
 
+// Move asks where the answer of a prefilled grant goes on. The action is MoveTo
+// or Stay; a host that does not schedule the cell answers Stay.
+func (sch *Scheduler) Move(cell, id string) Action {
+	sch.mu.Lock()
+	run := sch.cells[cell]
+	sch.mu.Unlock()
+	if run == nil {
+		return Stay{ID: id}
+	}
+	return run.move(id, sch.Clock())
+}
+
 // Notify passes a notice of a grant on to its cell.
 func (sch *Scheduler) Notify(cell string, eve Event) {
 	sch.mu.Lock()
@@ -326,6 +338,21 @@
 	}
 }
 
+func (run *running) move(id string, now time.Time) Action {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	var out Action = Stay{ID: id}
+	acts := run.cell.Next(Move{id}, now)
+	for _, act := range acts {
+		switch act.(type) {
+		case MoveTo, Stay:
+			out = act
+		}
+	}
+	run.deliver(acts)
+	return out
+}
+
 func (run *running) next(eve Event, now time.Time) {
 	run.mu.Lock()
 	defer run.mu.Unlock()
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -36,6 +36,10 @@
 	// Prefilled tells the allocator that the first token has arrived. It is
 	// idempotent and never nil.
 	Prefilled func()
+	// Move finds an engine to go on with the answer after the first token. It
+	// reports false where the request stays; nil stands for always. It may be
+	// called once.
+	Move func(ctx context.Context) (Target, bool)
 	// Report tells the allocator whether the endpoint served the request or
 	// failed it; nil for nobody.
 	Report func(healthy bool, now time.Time)
@@ -47,6 +51,15 @@
 	}
 }
 
+// Target is an engine that has memory for a request that moves to it.
+type Target struct {
+	Endpoint string
+	Address  string
+	// Done tells the allocator whether the request runs there alone now, or
+	// stays where it was. It is idempotent and never nil.
+	Done func(moved bool)
+}
+
 // RefusedError reports that no endpoint could be had.
 type RefusedError struct{ Refuse placer.Refuse }
 
