Count the control traffic with endpoints by itself

Cause: the traffic of load reports was counted together with that of prompts, so the load tool could not show what a scheduling host spends under load. Ruled out: estimating it from the number of reads, as it hid the cache events. Before: no figure under load. The operators' port also serves profiles, and tokens found in the engines' prefix caches are counted.

--- a/connection/counter/counter.go
+++ b/connection/counter/counter.go
@@ -25,6 +25,9 @@
 	Opened int64
 }
 
+// Bytes sums both directions.
+func (tot Totals) Bytes() int64 { return tot.Sent + tot.Received }
+
 // Totals returns the counts.
 func (tra *Traffic) Totals() Totals {
 	if tra == nil {
--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -66,14 +66,22 @@
 
 // Invoker calls endpoints by address. Its zero value is ready.
 type Invoker struct {
-	// Traffic counts the bytes of all calls but those that are sent once.
+	// Traffic counts the bytes of prompts and of calls that may be repeated,
+	// Control those of all other calls, such as load reports.
 	Traffic counter.Traffic
+	Control counter.Traffic
 
 	mu      sync.Mutex
-	clients map[string]*client
+	clients map[peer]*client
 	swept   time.Time
 }
 
+// peer is an endpoint by its address and by what the connections to it are for.
+type peer struct {
+	address string
+	control bool
+}
+
 // client holds the connections to one endpoint, so that those of a silent one
 // can be closed without touching the others.
 type client struct {
@@ -82,23 +90,30 @@
 	used      time.Time
 }
 
-func (inv *Invoker) client(address string) *http.Client {
+func (inv *Invoker) client(pee peer) *http.Client {
 	now := time.Now()
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
-	cli := inv.clients[address]
+	cli := inv.clients[pee]
 	if cli == nil {
-		cli = newClient(&inv.Traffic)
+		cli = newClient(inv.trafficOf(pee))
 		if inv.clients == nil {
-			inv.clients = map[string]*client{}
+			inv.clients = map[peer]*client{}
 		}
-		inv.clients[address] = cli
+		inv.clients[pee] = cli
 	}
 	cli.used = now
 	inv.sweep(now)
 	return &cli.Client
 }
 
+func (inv *Invoker) trafficOf(pee peer) *counter.Traffic {
+	if pee.control {
+		return &inv.Control
+	}
+	return &inv.Traffic
+}
+
 func newClient(traffic *counter.Traffic) *client {
 	tra := &http.Transport{
 		DialContext:         traffic.Dialer(dialTimeout),
@@ -116,10 +131,10 @@
 		return
 	}
 	inv.swept = now
-	for add, cli := range inv.clients {
+	for pee, cli := range inv.clients {
 		if now.Sub(cli.used) > clientRetention {
 			cli.transport.CloseIdleConnections()
-			delete(inv.clients, add)
+			delete(inv.clients, pee)
 		}
 	}
 }
@@ -140,17 +155,18 @@
 	if cal.Once {
 		return onceClient
 	}
-	return inv.client(address)
+	return inv.client(peer{address: address})
 }
 
 // Condemn closes the idle connections to an endpoint, so that later calls dial
 // anew. Connections in use are judged by their own progress.
 func (inv *Invoker) Condemn(address string) {
 	inv.mu.Lock()
-	cli := inv.clients[address]
-	inv.mu.Unlock()
-	if cli != nil {
-		cli.transport.CloseIdleConnections()
+	defer inv.mu.Unlock()
+	for _, con := range []bool{false, true} {
+		if cli := inv.clients[peer{address, con}]; cli != nil {
+			cli.transport.CloseIdleConnections()
+		}
 	}
 }
 
@@ -202,7 +218,7 @@
 	if method == http.MethodGet {
 		req.Header.Set("Accept-Encoding", packed)
 	}
-	res, err := inv.client(address).Do(req)
+	res, err := inv.client(peer{address, true}).Do(req)
 	if err != nil {
 		return &Error{Step: step, Peer: address, Ran: ranAfterSend(err), Err: err}
 	}
--- a/connection/invoker/stream.go
+++ b/connection/invoker/stream.go
@@ -104,7 +104,7 @@
 		return nil, &Error{Step: "Invoker.Generate: build", Peer: address, Ran: NotRun, Err: err}
 	}
 	inject(ctx, req)
-	res, err := inv.client(address).Do(req)
+	res, err := inv.client(peer{address: address}).Do(req)
 	if err != nil {
 		defer str.Close()
 		return nil, str.openError(err)
--- a/internal/tableproof/slope_test.go
+++ b/internal/tableproof/slope_test.go
@@ -99,7 +99,7 @@
 		peerBytes:     met[`control_bytes_sent{with="peer"}`] + met[`control_bytes_received{with="peer"}`],
 		peerOpened:    met[`control_connections_opened{with="peer"}`],
 		platformBytes: met[`control_bytes_sent{with="platform"}`] + met[`control_bytes_received{with="platform"}`],
-		endpointBytes: met["endpoint_bytes_sent"] + met["endpoint_bytes_received"],
+		endpointBytes: met[`control_bytes_sent{with="endpoint"}`] + met[`control_bytes_received{with="endpoint"}`],
 		cpuSeconds:    (use + sys) / ticksPerSecond,
 	}
 	for _, lin := range strings.Split(readProc(t, hos, "status"), "\n") {
--- a/load/driver/usage.go
+++ b/load/driver/usage.go
@@ -50,11 +50,13 @@
 			continue
 		}
 		out = append(out, summarizer.HostUsage{
-			Host:                 hos,
-			CorePercent:          100 * (las.CPUSeconds - fir.CPUSeconds) / sec,
-			MemoryBytes:          las.MemoryBytes,
-			PeerBytesPerSecond:   float64(las.PeerBytes-fir.PeerBytes) / sec,
-			PlatformCallsPerHour: float64(las.PlatformCalls-fir.PlatformCalls) / sec * 3600,
+			Host:                   hos,
+			CorePercent:            100 * (las.CPUSeconds - fir.CPUSeconds) / sec,
+			MemoryBytes:            las.MemoryBytes,
+			PeerBytesPerSecond:     float64(las.PeerBytes-fir.PeerBytes) / sec,
+			EndpointBytesPerSecond: float64(las.EndpointBytes-fir.EndpointBytes) / sec,
+			PlatformBytesPerSecond: float64(las.PlatformBytes-fir.PlatformBytes) / sec,
+			PlatformCallsPerHour:   float64(las.PlatformCalls-fir.PlatformCalls) / sec * 3600,
 		})
 	}
 	return out
--- a/load/reporter/reporter.go
+++ b/load/reporter/reporter.go
@@ -96,8 +96,8 @@
 {{end}}</table>
 {{if .Codes}}<table><tr><th>outcome and code</th><th>requests</th></tr>
 {{range $code, $count := .Codes}}<tr><td>{{$code}}</td><td>{{$count}}</td></tr>{{end}}</table>{{end}}
-{{if .Hosts}}<table><tr><th>host</th><th>% of a core</th><th>memory MB</th><th>peer bytes a second</th><th>platform calls an hour</th></tr>
-{{range .Hosts}}<tr><td>{{.Host}}</td><td>{{printf "%.2f" .CorePercent}}</td><td>{{printf "%.1f" (mega .MemoryBytes)}}</td><td>{{printf "%.0f" .PeerBytesPerSecond}}</td><td>{{printf "%.0f" .PlatformCallsPerHour}}</td></tr>{{end}}</table>{{end}}
+{{if .Hosts}}<table><tr><th>host</th><th>% of a core</th><th>memory MB</th><th>peer bytes a second</th><th>endpoint bytes a second</th><th>platform bytes a second</th><th>platform calls an hour</th></tr>
+{{range .Hosts}}<tr><td>{{.Host}}</td><td>{{printf "%.2f" .CorePercent}}</td><td>{{printf "%.1f" (mega .MemoryBytes)}}</td><td>{{printf "%.0f" .PeerBytesPerSecond}}</td><td>{{printf "%.0f" .EndpointBytesPerSecond}}</td><td>{{printf "%.0f" .PlatformBytesPerSecond}}</td><td>{{printf "%.0f" .PlatformCallsPerHour}}</td></tr>{{end}}</table>{{end}}
 {{end}}
 </body></html>
 `
--- a/load/summarizer/summarizer.go
+++ b/load/summarizer/summarizer.go
@@ -52,11 +52,14 @@
 
 // HostUsage is what one host used during a run.
 type HostUsage struct {
-	Host                 string
-	CorePercent          float64
-	MemoryBytes          int64
-	PeerBytesPerSecond   float64
-	PlatformCallsPerHour float64
+	Host               string
+	CorePercent        float64
+	MemoryBytes        int64
+	PeerBytesPerSecond float64
+	// EndpointBytesPerSecond leaves requests out.
+	EndpointBytesPerSecond float64
+	PlatformBytesPerSecond float64
+	PlatformCallsPerHour   float64
 }
 
 // Second counts the requests that started within one second of a run.
--- a/process/server/operator.go
+++ b/process/server/operator.go
@@ -3,6 +3,7 @@
 import (
 	"log"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"hemlockpin/connection/persister"
@@ -56,6 +57,8 @@
 	rou.HandleFunc("/v1/status/teams", ser.statusTeams).Methods(http.MethodGet)
 	rou.HandleFunc("/v1/explain", ser.explain).Methods(http.MethodPost)
 	rou.HandleFunc("/v1/drain", ser.postDrain).Methods(http.MethodPost)
+	rou.HandleFunc("/debug/pprof/profile", pprof.Profile).Methods(http.MethodGet)
+	rou.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index).Methods(http.MethodGet)
 	ser.tablesRoutes(rou)
 	ser.orderRoutes(rou)
 	return rou
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -89,11 +89,9 @@
 	ser.scope.Gauge("tables_age_seconds").Update(age.Seconds())
 	ser.scope.Gauge("peers_live").Update(float64(len(ser.gossiper.Live(now))))
 	ser.scope.Gauge("peer_sessions").Update(float64(ser.multiplexer.Sessions()))
-	// The traffic with endpoints is that of requests for the most part.
-	end := ser.invoker.Traffic.Totals()
-	ser.scope.Gauge("endpoint_bytes_sent").Update(float64(end.Sent))
-	ser.scope.Gauge("endpoint_bytes_received").Update(float64(end.Received))
-	for kin, tra := range map[string]*counter.Traffic{"peer": &ser.multiplexer.Traffic, "platform": &ser.platformTraffic} {
+	for kin, tra := range map[string]*counter.Traffic{
+		"peer": &ser.multiplexer.Traffic, "platform": &ser.platformTraffic, "endpoint": &ser.invoker.Control,
+	} {
 		tot := tra.Totals()
 		sco := ser.scope.Tagged(map[string]string{"with": kin})
 		sco.Gauge("control_bytes_sent").Update(float64(tot.Sent))
--- a/process/server/usage.go
+++ b/process/server/usage.go
@@ -20,6 +20,10 @@
 	MemoryBytes int64
 	// PeerBytes counts bytes sent to and received from other hosts.
 	PeerBytes int64
+	// EndpointBytes counts those exchanged with endpoints, without requests.
+	EndpointBytes int64
+	// PlatformBytes counts those exchanged with the platform.
+	PlatformBytes int64
 	// PlatformCalls counts calls to the platform.
 	PlatformCalls int64
 }
@@ -27,7 +31,8 @@
 func (ser *Server) usage(wri http.ResponseWriter, _ *http.Request) {
 	responder.WriteJSON(wri, http.StatusOK, Usage{
 		Host: ser.Settings.HostID, Incarnation: ser.Incarnation, CPUSeconds: cpuSeconds(), MemoryBytes: residentBytes(),
-		PeerBytes: ser.multiplexer.Bytes(), PlatformCalls: ser.persister.Calls(),
+		PeerBytes: ser.multiplexer.Bytes(), EndpointBytes: ser.invoker.Control.Totals().Bytes(),
+		PlatformBytes: ser.platformTraffic.Totals().Bytes(), PlatformCalls: ser.persister.Calls(),
 	})
 }
 
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -31,7 +31,7 @@
 
 // counters are the metrics of the relay, looked up once.
 type counters struct {
-	tokens, dropped, untrusted, stalled, silent, slow, resumed, cancelsFailed, usage tally.Counter
+	tokens, dropped, untrusted, stalled, silent, slow, resumed, cancelsFailed, usage, prompt, cached tally.Counter
 }
 
 func (exe *Executor) counters() *counters {
@@ -41,7 +41,7 @@
 			untrusted: exe.Scope.Counter("streams_untrusted"), stalled: exe.Scope.Counter("streams_stalled"),
 			silent: exe.Scope.Counter("streams_silent"), slow: exe.Scope.Counter("callers_slow"),
 			resumed: exe.Scope.Counter("attempts_resumed"), cancelsFailed: exe.Scope.Counter("cancels_failed"),
-			usage: exe.Scope.Counter("usage_mismatched"),
+			usage: exe.Scope.Counter("usage_mismatched"), prompt: exe.Scope.Counter("prompt_tokens"), cached: exe.Scope.Counter("cached_tokens"),
 		}
 	})
 	return &exe.count
@@ -156,6 +156,8 @@
 		fin.PromptTokens = gen.prompt.Tokens
 		fin.CachedTokens = 0
 	}
+	exe.counters().prompt.Inc(fin.PromptTokens)
+	exe.counters().cached.Inc(fin.CachedTokens)
 	return fin
 }
 
