Move answers out of the way of long prompts

The waits in the cell were 2 ms for short prompts and 200 to 650 ms for large ones, whose engines were taken for longer than their prefill needs. Change: the cell answers Move. Some engines, the first live ones, decode the answers of the others; their number follows the answers and the memory that they hold. They exist only while hosts ask for moves and long prompts bring work. Memory is accounted for on both engines until Moved, Stayed, Release, expiry, or reports that miss the request on one of them for 6 s. Long prompts prefer engines on which nothing runs, and a group starts on one that can lead. Tests: dropping giveTarget from release fails TestMatrix ("Should be zero, but was 15010"); a target without a look at its memory fails TestCellProperties ("e0 holds 400020 tokens"); without the bound of moves TestCell/move prints "move n17 e0" for "stay n17".

--- a/process/scheduler/asker.go
+++ b/process/scheduler/asker.go
@@ -14,6 +14,8 @@
 	// demandPeriod is the time over which the work of short prompts is
 	// averaged.
 	demandPeriod = 20 * time.Second
+	// minDemandAge is the least time over which work is averaged.
+	minDemandAge = 2 * time.Second
 	// headroom sets how many engines short prompts get beyond their mean work,
 	// in square roots of it.
 	headroom = 1.2
@@ -23,21 +25,34 @@
 	CodeInfeasible = "deadline_infeasible"
 )
 
-// demand averages the prefill work of short prompts, in engines.
+// demand averages work that takes a place for some time: the prefills of short
+// or of long prompts, in engines, or the answers, in sequences or in tokens of
+// memory. Its zero value has seen no work.
 type demand struct {
-	engines float64
-	at      time.Time
+	sum   float64
+	at    time.Time
+	since time.Time
 }
 
-func (dem demand) withWork(dur time.Duration, now time.Time) demand {
-	if gap := now.Sub(dem.at); gap > 0 && !dem.at.IsZero() {
-		dem.engines *= math.Exp(-gap.Seconds() / demandPeriod.Seconds())
+func (dem demand) withWork(work float64, now time.Time) demand {
+	if dem.since.IsZero() {
+		dem.since = now
 	}
+	dem.sum = dem.faded(now) + work/demandPeriod.Seconds()
 	dem.at = now
-	dem.engines += dur.Seconds() / demandPeriod.Seconds()
 	return dem
 }
 
+func (dem demand) faded(now time.Time) float64 {
+	return dem.sum * math.Exp(-max(0, now.Sub(dem.at).Seconds())/demandPeriod.Seconds())
+}
+
+// level is the mean over the time for which work has been counted.
+func (dem demand) level(now time.Time) float64 {
+	age := max(minDemandAge, now.Sub(dem.since))
+	return dem.faded(now) / (1 - math.Exp(-age.Seconds()/demandPeriod.Seconds()))
+}
+
 // ask takes a request in, or refuses it.
 func (cel *Cell) ask(eve Ask, now time.Time) {
 	if gra := cel.grants[eve.ID]; gra != nil {
@@ -52,14 +67,27 @@
 	if !cel.feasible(one, now) {
 		return
 	}
-	if lim := cel.limits.MaxWaiting; lim > 0 && cel.queue.count >= lim && !cel.makeRoom(one) {
+	if lim := cel.limits.MaxWaiting; lim > 0 && cel.queue.count >= lim && !cel.makeRoom(one, now) {
 		return
 	}
 	cel.asks[one.id] = one
 	cel.seen[one.id] = now
 	cel.queue.push(one)
-	if !one.long {
-		cel.demand = cel.demand.withWork(cel.prefillTime(one.req.PromptTokens), now)
+	cel.count(one, now)
+}
+
+// count adds an ask to the demand for prefills and for answers.
+func (cel *Cell) count(one *ask, now time.Time) {
+	pre := cel.prefillTime(one.req.PromptTokens).Seconds()
+	if one.long {
+		cel.longs = cel.longs.withWork(pre, now)
+	} else {
+		cel.shorts = cel.shorts.withWork(pre, now)
+	}
+	if cel.movable(one) {
+		dec := cel.answerTime(one.req.MaxTokens).Seconds()
+		cel.answers = cel.answers.withWork(dec, now)
+		cel.held = cel.held.withWork(dec*float64(one.req.Need()), now)
 	}
 }
 
@@ -87,7 +115,7 @@
 	one.group = one.req.Need() > hol.largest
 	one.long = one.long || one.group
 	cel.loosen(one, now)
-	wai := cel.wait(one.team, one.long)
+	wai := cel.wait(one.team, one.long, now)
 	switch {
 	case !hol.listed:
 		cel.refuse(one.id, CodeNoEndpoint, "no engine of the pool can take the request", minRetryAfter)
@@ -142,23 +170,23 @@
 
 // makeRoom finds a place in a full queue for an ask of a team that has less
 // than its share of it, at the cost of the team furthest over its share.
-func (cel *Cell) makeRoom(one *ask) bool {
+func (cel *Cell) makeRoom(one *ask, now time.Time) bool {
 	lar := cel.queue.largest()
 	own := float64(one.team.waiting()+1) / one.team.share
 	if lar == nil || lar == one.team || float64(lar.waiting())/lar.share <= own {
-		cel.refuse(one.id, CodePoolFull, "too many requests wait for the pool", cel.wait(one.team, one.long))
+		cel.refuse(one.id, CodePoolFull, "too many requests wait for the pool", cel.wait(one.team, one.long, now))
 		return false
 	}
 	vic := lar.last()
 	cel.drop(vic)
-	cel.refuse(vic.id, CodePoolFull, "too many requests of the team wait for the pool", cel.wait(vic.team, vic.long))
+	cel.refuse(vic.id, CodePoolFull, "too many requests of the team wait for the pool", cel.wait(vic.team, vic.long, now))
 	return true
 }
 
 // wait estimates the time until the asks of a class that wait before a new one
 // of the team have started: those of all teams, or the team's own at its share
 // of the engines, whichever is less.
-func (cel *Cell) wait(tea *team, long bool) time.Duration {
+func (cel *Cell) wait(tea *team, long bool, now time.Time) time.Duration {
 	var all, sha float64
 	for _, oth := range cel.queue.active {
 		all += oth.waitingTokens(long)
@@ -170,7 +198,7 @@
 	if rat == 0 || all == 0 {
 		return 0
 	}
-	lim := float64(cel.longLimit())
+	lim := float64(cel.longLimit(now))
 	if n := float64(len(cel.engines)); long {
 		rat *= lim / n
 	} else if n > lim {
@@ -206,11 +234,12 @@
 }
 
 // longLimit is the number of engines that may prefill long prompts at a time.
-func (cel *Cell) longLimit() int {
+func (cel *Cell) longLimit(now time.Time) int {
 	cou := len(cel.engines)
 	if cel.limits.LongShare > 0 {
 		return max(1, int(cel.limits.LongShare*float64(cou)))
 	}
-	lef := cel.demand.engines + headroom*math.Sqrt(cel.demand.engines)
-	return max(1, cou-int(math.Ceil(max(lef, minShortShare*float64(cou)))))
+	sho := cel.shorts.level(now)
+	lef := max(sho+headroom*math.Sqrt(sho), minShortShare*float64(cou))
+	return max(1, cou-max(cel.decoders, int(math.Ceil(lef))))
 }
--- a/process/scheduler/cell.go
+++ b/process/scheduler/cell.go
@@ -40,15 +40,24 @@
 	queue    queue
 	prefixes prefixes
 	promise  *promise
-	demand   demand
-	swept    time.Time
-	actions  []Action
+	// shorts and longs are the prefills by class; answers and held are the
+	// answers that can move, in sequences and in tokens of memory.
+	shorts  demand
+	longs   demand
+	answers demand
+	held    demand
+	// decoders counts the engines set apart for answers that move.
+	decoders  int
+	moveAsked time.Time
+	swept     time.Time
+	actions   []Action
 }
 
 // Next takes an event and returns the actions that follow. The returned slice
 // is valid until the next call.
 func (cel *Cell) Next(eve Event, now time.Time) []Action {
 	cel.prepare()
+	cel.chooseDecoders(now)
 	cel.actions = cel.actions[:0]
 	switch eve := eve.(type) {
 	case Ask:
@@ -61,7 +70,10 @@
 		cel.end(eve.ID, now)
 	case Move:
 		cel.move(eve.ID, now)
-	case Moved, Stayed:
+	case Moved:
+		cel.moved(eve.ID, now)
+	case Stayed:
+		cel.stayed(eve.ID, now)
 	case Report:
 		cel.report(eve, now)
 	case Listing:
@@ -142,9 +154,9 @@
 
 func (cel *Cell) release(gra *grant, now time.Time) {
 	for _, par := range gra.parts {
-		par.eng.advance(now)
-		par.eng.remove(par)
+		par.give(now)
 	}
+	cel.giveTarget(gra, now)
 	delete(cel.grants, gra.ask.id)
 	id := gra.ask.req.ID
 	if cel.requests[id]--; cel.requests[id] <= 0 {
@@ -153,11 +165,6 @@
 	}
 }
 
-// move answers whether the answer of a grant goes on elsewhere.
-func (cel *Cell) move(id string, _ time.Time) {
-	cel.actions = append(cel.actions, Stay{ID: id})
-}
-
 // prefilled notes that the lead engine is done with the prompt and holds its
 // prefix. It makes the cell's own work known before the engine's events do.
 func (cel *Cell) prefilled(id string) {
@@ -198,20 +205,26 @@
 		listed[seq.RequestID] = true
 	}
 	for _, gra := range cel.grants {
-		if gra.parts[0].eng != eng {
-			continue
+		lis := listed[gra.ask.req.ID]
+		if tar := gra.target; tar != nil && tar.eng == eng && tar.lost(lis, now) {
+			cel.stayed(gra.ask.id, now)
 		}
-		switch {
-		case listed[gra.ask.req.ID] || now.Sub(gra.grantedAt) < missingGrace:
-			gra.missing = time.Time{}
-		case gra.missing.IsZero():
-			gra.missing = now
-		case now.Sub(gra.missing) >= releasedGrace:
-			cel.release(gra, now)
+		if sou := gra.parts[0]; sou.eng == eng && sou.lost(lis, now) {
+			cel.leave(gra, now)
 		}
 	}
 }
 
+// leave ends a grant whose engine no longer has its request, or its move, if
+// the request has gone on elsewhere.
+func (cel *Cell) leave(gra *grant, now time.Time) {
+	if gra.target != nil {
+		cel.moved(gra.ask.id, now)
+		return
+	}
+	cel.release(gra, now)
+}
+
 // list takes engines in and out of the cell. An engine that went keeps its
 // account until its grants have ended, as it may come back.
 func (cel *Cell) list(lis Listing, now time.Time) {
@@ -318,7 +331,7 @@
 		return false
 	}
 	cel.drop(one)
-	cel.refuse(one.id, CodeOverloaded, "no engine could start the prompt in time", cel.wait(one.team, one.long))
+	cel.refuse(one.id, CodeOverloaded, "no engine could start the prompt in time", cel.wait(one.team, one.long, now))
 	return true
 }
 
--- a/process/scheduler/cell_test.go
+++ b/process/scheduler/cell_test.go
@@ -43,6 +43,12 @@
 		return ben.each(dat, func(id string) Event { return Prefilled{id} })
 	case "release":
 		return ben.each(dat, func(id string) Event { return Release{id} })
+	case "move":
+		return ben.each(dat, func(id string) Event { return Move{id} })
+	case "moved":
+		return ben.each(dat, func(id string) Event { return Moved{id} })
+	case "stayed":
+		return ben.each(dat, func(id string) Event { return Stayed{id} })
 	case "cancel":
 		return ben.each(dat, func(id string) Event { return Cancel{id} })
 	case "report":
@@ -155,6 +161,10 @@
 				out += fmt.Sprintf(" %s=%d", par.Endpoint, par.Tokens)
 			}
 			out += "\n"
+		case MoveTo:
+			out += fmt.Sprintf("move %s %s\n", act.ID, act.Endpoint)
+		case Stay:
+			out += fmt.Sprintf("stay %s\n", act.ID)
 		case Refuse:
 			out += fmt.Sprintf("refuse %s %s after %s\n", act.ID, act.Code, act.RetryAfter.Round(time.Second))
 		}
--- a/process/scheduler/dispatcher.go
+++ b/process/scheduler/dispatcher.go
@@ -92,7 +92,7 @@
 }
 
 func (cel *Cell) try(one *ask, now time.Time) verdict {
-	if one.long && !cel.longAllowed(one) {
+	if one.long && !cel.longAllowed(one, now) {
 		return mustWait
 	}
 	if one.group {
@@ -103,8 +103,8 @@
 
 // longAllowed counts the engines that prefill long prompts. An ask with a
 // promise takes the first place that becomes free.
-func (cel *Cell) longAllowed(one *ask) bool {
-	lim := cel.longLimit()
+func (cel *Cell) longAllowed(one *ask, now time.Time) bool {
+	lim := cel.longLimit(now)
 	for _, eng := range cel.engines {
 		if eng.longBusy() {
 			lim--
@@ -120,10 +120,15 @@
 	var bes *engine
 	var est time.Duration
 	ver := noEngine
+	spa := one.long && cel.sparesDecoders(one, now)
 	for _, eng := range cel.engines {
 		if !one.takes(eng) {
 			continue
 		}
+		if spa && eng.decoder {
+			ver = worse(ver, mustWait)
+			continue
+		}
 		if fit := cel.fits(one, eng, one.req.Need(), now); fit != granted {
 			ver = worse(ver, fit)
 			continue
@@ -209,7 +214,7 @@
 		if cel.fits(one, sha.eng, sha.tokens, now) != granted {
 			continue
 		}
-		if lea == nil || sha.eng.ahead(one.req.Priority) < lea.ahead(one.req.Priority) {
+		if lea == nil || lea.decoder && !sha.eng.decoder || lea.decoder == sha.eng.decoder && sha.eng.ahead(one.req.Priority) < lea.ahead(one.req.Priority) {
 			lea = sha.eng
 		}
 	}
@@ -256,6 +261,9 @@
 		}
 		return cmp.Compare(b.free(), a.free())
 	})
+	if pro == nil || pro.ask != one {
+		cel.leadFirst(one, engs, now)
+	}
 	mems := make([]int64, len(engs))
 	for ind, eng := range engs {
 		mems[ind] = max(0, eng.memory-eng.foreign)
@@ -266,6 +274,18 @@
 	return shas, all
 }
 
+// leadFirst moves the first engine that can start the prompt to the front, if
+// its memory suffices for a share of any size.
+func (cel *Cell) leadFirst(one *ask, engs []*engine, now time.Time) {
+	for ind, eng := range engs {
+		if !eng.decoder && float64(eng.free()) >= placer.GroupFill*float64(eng.memory) && cel.fits(one, eng, 0, now) == granted {
+			copy(engs[1:ind+1], engs[:ind])
+			engs[0] = eng
+			return
+		}
+	}
+}
+
 // keepFree promises memory to an ask, unless another one has a promise.
 func (cel *Cell) keepFree(one *ask, now time.Time) {
 	if cel.promise != nil || now.Before(one.patient) {
@@ -310,9 +330,10 @@
 func (cel *Cell) grant(one *ask, pars []*part, now time.Time) {
 	cel.drop(one)
 	cel.queue.charge(one)
-	gra := &grant{ask: one, parts: pars, grantedAt: now, expires: one.req.Deadline.Add(grantGrace)}
+	gra := &grant{ask: one, parts: pars, expires: one.req.Deadline.Add(grantGrace)}
 	for _, par := range pars {
 		par.gra = gra
+		par.since = now
 		par.eng.add(par)
 	}
 	cel.grants[one.id] = gra
--- a/process/scheduler/engine.go
+++ b/process/scheduler/engine.go
@@ -60,6 +60,9 @@
 	running   int
 	prefills  []*part
 	advanced  time.Time
+	// decoder engines take answers that move; moves counts those on their way.
+	decoder bool
+	moves   int
 }
 
 // part is the share of one engine in a grant.
@@ -73,17 +76,42 @@
 	// overdue is when the first token should long have arrived, so that its
 	// notice may be lost.
 	overdue time.Time
+	// since is when the memory was granted, missing when a report first did
+	// not list the request.
+	since   time.Time
+	missing time.Time
 }
 
 // grant is an ask that has been granted.
 type grant struct {
 	ask       *ask
 	parts     []*part
-	grantedAt time.Time
 	expires   time.Time
 	prefilled bool
-	// missing is when a report first did not list the request.
-	missing time.Time
+	// target is the memory on the engine that the request moves to, until the
+	// move is over; then answer says how a repeated Move is answered.
+	target *part
+	answer Action
+}
+
+// give returns the memory of a part to its engine.
+func (par *part) give(now time.Time) {
+	par.eng.advance(now)
+	par.eng.remove(par)
+}
+
+// lost notes whether the engine lists the request of a part, and reports
+// whether it has not done so for too long.
+func (par *part) lost(listed bool, now time.Time) bool {
+	switch {
+	case listed || now.Sub(par.since) < missingGrace:
+		par.missing = time.Time{}
+	case par.missing.IsZero():
+		par.missing = now
+	default:
+		return now.Sub(par.missing) >= releasedGrace
+	}
+	return false
 }
 
 func (eng *engine) prefillRate() float64 {
@@ -115,13 +143,18 @@
 	}
 }
 
-// efficiency is the part of the prefill rate that the engine reaches: while it
-// decodes, a step of decoding follows each chunk.
+// efficiency is the part of the prefill rate that the engine reaches.
 func (eng *engine) efficiency() float64 {
 	if eng.running == len(eng.prefills) {
 		return 1
 	}
-	return chunkTime.Seconds() / (chunkTime + eng.step).Seconds()
+	return 1 / eng.slowdown()
+}
+
+// slowdown is the factor by which prefills take longer while the engine
+// decodes, as a step of decoding follows each chunk.
+func (eng *engine) slowdown() float64 {
+	return (chunkTime + eng.step).Seconds() / chunkTime.Seconds()
 }
 
 // ahead returns the prompt tokens that the engine prefills before a new prompt
@@ -235,6 +268,10 @@
 func (eng *engine) estimate(ask *ask, cachedBlocks int) time.Duration {
 	own := max(1, ask.req.PromptTokens-int64(cachedBlocks)*hasher.BlockTokens)
 	est := eng.prefillTime(eng.ahead(ask.req.Priority)+own) + time.Duration(eng.running)*runningPenalty
+	if ask.long && eng.running > 0 {
+		// What runs there decodes for a part of the prompt at least.
+		est = time.Duration(float64(est) * eng.slowdown())
+	}
 	if eng.sharesChunks() {
 		// The engine fills the ask's own chunk up with the long prompt.
 		est += chunkTime
--- a/process/scheduler/matrix_test.go
+++ b/process/scheduler/matrix_test.go
@@ -20,16 +20,18 @@
 )
 
 var (
-	stageStates = []string{"waiting", "promised", "granted", "prefilled", "released", "group-waiting", "group-granted"}
+	stageStates = []string{"waiting", "promised", "granted", "prefilled", "released", "group-waiting", "group-granted", "moving", "moved"}
 	stageFaults = []string{
 		"nothing", "grant-lost", "cancel", "host-silent", "prefilled", "prefilled-twice", "release", "release-lost", "engine-silent",
 		"engine-leaving", "engine-unlisted", "owner-gone", "owner-older", "deadline", "second-scheduler", "fillers-end", "limits", "late-report",
+		"move", "moved", "stayed", "moved-lost",
 	}
 )
 
-// stage is one cell with two engines, the ask x and two fillers of the memory.
+// stage is one cell with its engines, the ask x and two fillers of the memory.
 type stage struct {
 	bench
+	engines  []string
 	ask      Ask
 	silent   bool
 	quiet    string
@@ -88,7 +90,11 @@
 }
 
 func newStage(state string) *stage {
-	sta := &stage{bench: bench{now: epoch}, holds: map[string]map[string]int64{}}
+	sta := &stage{bench: bench{now: epoch}, engines: []string{"e0", "e1"}, holds: map[string]map[string]int64{}}
+	moves := state == "moving" || state == "moved"
+	if moves {
+		sta.engines = []string{"e0", "e1", "e2", "e3"}
+	}
 	tok := map[string]int64{"waiting": 15_000, "promised": 50_000, "group-waiting": 600_000, "group-granted": 600_000}[state]
 	if tok == 0 {
 		tok = 15_000
@@ -96,18 +102,29 @@
 	sta.ask = sta.newAsk("x", "h", tok, stageLimit)
 	sta.list()
 	sta.reports()
-	if state == "waiting" || state == "promised" || state == "group-waiting" {
+	if moves || state == "waiting" || state == "promised" || state == "group-waiting" {
 		for _, id := range []string{"f0", "f1"} {
 			sta.send(sta.newAsk(id, "o", 390_000, 2*stageLimit))
 			sta.send(Prefilled{id})
 		}
 	}
+	if moves {
+		// The first question sets the decoder e0 apart.
+		sta.send(Move{"f0"})
+		sta.send(Release{"f0"})
+		delete(sta.holds, "f0")
+	}
 	sta.send(sta.ask)
 	switch state {
 	case "prefilled":
 		sta.fault("prefilled")
 	case "released":
 		sta.fault("release")
+	case "moving":
+		sta.fault("move")
+	case "moved":
+		sta.fault("move")
+		sta.fault("moved")
 	}
 	return sta
 }
@@ -120,6 +137,12 @@
 	for _, act := range slices.Clone(sta.cel.Next(eve, sta.now)) {
 		id := askOf(act)
 		txt := "refuse"
+		if mov, ok := act.(MoveTo); ok {
+			id, txt = mov.ID, "move to "+mov.Endpoint
+		}
+		if sty, ok := act.(Stay); ok {
+			id, txt = sty.ID, "stay"
+		}
 		switch act := act.(type) {
 		case Grant:
 			txt = "grant"
@@ -145,6 +168,13 @@
 	sta.holds[id][engine] = tokens
 }
 
+// switchTo lets an engine alone hold x, if x is on any.
+func (sta *stage) switchTo(engine string) {
+	if len(sta.holds["x"]) == 1 {
+		sta.holds["x"] = map[string]int64{engine: 1}
+	}
+}
+
 // told returns what x heard since the last call.
 func (sta *stage) told() string {
 	out := strings.Join(slices.Compact(sta.heard), ", ")
@@ -161,7 +191,7 @@
 
 func (sta *stage) list() {
 	var lis Listing
-	for _, id := range []string{"e0", "e1"} {
+	for _, id := range sta.engines {
 		if id != sta.unlisted {
 			lis.Engines = append(lis.Engines, placer.Endpoint{ID: id, Address: id, Models: []string{"m"}, Leaving: id == sta.leaving})
 		}
@@ -170,7 +200,7 @@
 }
 
 func (sta *stage) reports() {
-	for _, id := range []string{"e0", "e1"} {
+	for _, id := range sta.engines {
 		if id == sta.quiet {
 			continue
 		}
@@ -250,6 +280,24 @@
 		sta.holds = map[string]map[string]int64{}
 		sta.reports()
 		sta.holds = old
+	default:
+		sta.moveFault(nam)
+	}
+}
+
+func (sta *stage) moveFault(nam string) {
+	switch nam {
+	case "move":
+		sta.send(Move{"x"})
+		sta.send(Move{"x"})
+	case "moved":
+		sta.send(Moved{"x"})
+		sta.switchTo("e0")
+	case "moved-lost":
+		sta.switchTo("e0")
+		sta.pass(8 * time.Second)
+	case "stayed":
+		sta.send(Stayed{"x"})
 	}
 }
 
--- a/process/scheduler/property_test.go
+++ b/process/scheduler/property_test.go
@@ -22,6 +22,7 @@
 	repeatEvery  = time.Second
 	worldArrival = 5 * time.Second
 	settleSteps  = 35 * 40
+	answerTime   = 200 * time.Millisecond
 )
 
 // world runs a cell against engines that do what they are granted. Notices of
@@ -39,10 +40,13 @@
 	eve      Ask
 	asked    time.Time
 	parts    []placer.Part
+	group    []placer.Part
 	doneAt   time.Time
 	outcome  string
 	lost     bool
 	released bool
+	// move is whether the answer moves: "", "asked", "moved", "stayed" or "lost".
+	move string
 }
 
 func TestCellProperties(t *testing.T) {
@@ -98,7 +102,9 @@
 		case one.outcome == "" && wor.now.Sub(one.asked) >= repeatEvery:
 			one.asked = wor.now
 			wor.take(wor.cel.Next(one.eve, wor.now))
-		case one.outcome == "granted" && !one.released && !wor.now.Before(one.doneAt):
+		case one.outcome == "granted" && !one.released && wor.now.Before(one.doneAt):
+			wor.move(one)
+		case one.outcome == "granted" && !one.released:
 			one.released = true
 			if !one.lost {
 				wor.take(wor.cel.Next(Prefilled{id}, wor.now))
@@ -121,6 +127,30 @@
 	}
 }
 
+// move asks, once the first token is there, and tells or loses the outcome a
+// step later. The request holds memory on both engines meanwhile.
+func (wor *world) move(one *worldAsk) {
+	switch {
+	case one.move == "" && wor.now.Add(answerTime).After(one.doneAt):
+		one.move = rapid.SampledFrom([]string{"asked", "stayed"}).Draw(wor.t, "Move")
+		if one.move == "asked" {
+			wor.take(wor.cel.Next(Move{one.eve.ID}, wor.now))
+		}
+	case one.move == "asked":
+		one.move = rapid.SampledFrom([]string{"moved", "stayed", "lost"}).Draw(wor.t, "Outcome")
+		tar := one.parts[1:]
+		switch {
+		case len(one.group) > 0 || len(tar) == 0:
+		case one.move == "moved":
+			one.parts = tar
+			wor.take(wor.cel.Next(Moved{one.eve.ID}, wor.now))
+		case one.move == "stayed":
+			one.parts = one.parts[:1]
+			wor.take(wor.cel.Next(Stayed{one.eve.ID}, wor.now))
+		}
+	}
+}
+
 func (wor *world) report() {
 	for ind, liv := range wor.live {
 		if !liv {
@@ -145,6 +175,14 @@
 // take carries actions out and checks them against the engines' true memory.
 func (wor *world) take(acts []Action) {
 	for _, act := range slices.Clone(acts) {
+		switch act := act.(type) {
+		case MoveTo:
+			one := wor.asks[act.ID]
+			one.parts = append(one.parts, placer.Part{Endpoint: act.Endpoint, Tokens: one.parts[0].Tokens})
+			continue
+		case Stay:
+			continue
+		}
 		one := wor.asks[askOf(act)]
 		if one.outcome != "" {
 			wor.t.Fatalf("%s is answered again after %s", one.eve.ID, one.outcome)
@@ -189,8 +227,9 @@
 	}
 	one.outcome = "granted"
 	one.parts = pars
+	one.group = pars[1:]
 	pre := time.Duration(one.eve.Request.PromptTokens) * time.Second / worldRate / time.Duration(len(pars))
-	one.doneAt = wor.now.Add(pre + 200*time.Millisecond)
+	one.doneAt = wor.now.Add(pre + answerTime)
 	if one.doneAt.After(one.eve.Request.Deadline) {
 		one.doneAt = one.eve.Request.Deadline
 	}
@@ -205,5 +244,7 @@
 		require.Zero(wor.t, eng.used)
 		require.Zero(wor.t, eng.shortUsed)
 		require.Empty(wor.t, eng.prefills)
+		require.Zero(wor.t, eng.running)
+		require.Zero(wor.t, eng.moves)
 	}
 }
--- a/request/placer/group.go
+++ b/request/placer/group.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// groupFill is the part of an engine's memory that one prompt of a group takes
+// GroupFill is the part of an engine's memory that one prompt of a group takes
 // at most where enough engines exist. Smaller shares need less draining.
-const groupFill = 0.75
+const GroupFill = 0.75
 
 // group takes the engines with the most free memory, as few as hold the prompt
-// within groupFill each, and splits the prompt evenly.
+// within GroupFill each, and splits the prompt evenly.
 func group(need int64, req Request, vie View) Decision {
 	var can []*Endpoint
 	for ind := range vie.Endpoints {
@@ -43,10 +43,10 @@
 }
 
 // Split divides need over the first engines of a list by their memories. It
-// uses as few as hold the prompt within groupFill each, else as many as there
+// uses as few as hold the prompt within GroupFill each, else as many as there
 // are. It returns nil if all of them together cannot hold it.
 func Split(need int64, memories []int64) []int64 {
-	for _, fil := range []float64{groupFill, 1} {
+	for _, fil := range []float64{GroupFill, 1} {
 		var sum int64
 		for ind, mem := range memories {
 			sum += int64(float64(mem) * fil)
