Move a running answer to another engine

Cause: a lease could name an engine for a begun answer, and no host used it. request/mover decides each step as a pure function, request/executor carries it out beside the relay; an export is known to the owner under its own name, so that the reclaimer frees it as soon as the move no longer needs it. Comparing nothing: an engine that draws other tokens would go on with an answer that the caller does not have. Before: process/reclaimer and the stand-in knew exports, nobody made one. Tests changed: askWhole of request/executor now calls askPrompt, with the same checks; TestMatrix also runs `move` cells; the world answers for exports.

--- a/connection/invoker/stream.go
+++ b/connection/invoker/stream.go
@@ -86,6 +86,8 @@
 	// begun.
 	ran  Execution
 	scan scanner
+	// again holds tokens that are read once more.
+	again []Token
 }
 
 // Generate dispatches a request to the engine at address and returns its
@@ -165,6 +167,11 @@
 // Next waits for the next event. It fails when nothing arrives within timeout;
 // the connection, and only this one, is then closed.
 func (str *Stream) Next(timeout time.Duration) (Event, error) {
+	if len(str.again) > 0 {
+		tok := str.again[0]
+		str.again = str.again[1:]
+		return tok, nil
+	}
 	str.watch.Reset(timeout)
 	defer str.watch.Stop()
 	eve, err := str.scan.next(str.reader)
@@ -199,9 +206,15 @@
 	return out
 }
 
+// Unread gives tokens back that were read last, to be read again.
+func (str *Stream) Unread(toks []Token) { str.again = toks }
+
 // Buffered reports whether a whole event waits that Next would return without
 // reading from the connection.
 func (str *Stream) Buffered() bool {
+	if len(str.again) > 0 {
+		return true
+	}
 	cou := str.reader.Buffered()
 	if cou == 0 {
 		return false
--- a/internal/streammatrix/matrix_test.go
+++ b/internal/streammatrix/matrix_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlockpin/connection/invoker"
+	"hemlockpin/request/mover"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
@@ -70,6 +71,9 @@
 				return pairs(ste)
 			}
 			dat.ScanArgs(t, "fault", &fau)
+			if dat.Cmd == "move" {
+				return newMoving(ste, fau).cell()
+			}
 			req := newRequest(ste, fau)
 			out := req.cell()
 			require.True(t, req.struck, "the fault did not strike")
@@ -105,6 +109,18 @@
 	}
 }
 
+// TestMovesAreComplete proves the same for the steps of a move.
+func TestMovesAreComplete(t *testing.T) {
+	buf, err := os.ReadFile("testdata/move")
+	require.NoError(t, err)
+	require.NotContains(t, string(buf), "VIOLATION")
+	for ste := mover.Asking; ste <= mover.Over; ste++ {
+		for _, fau := range moveFaults {
+			require.Contains(t, string(buf), fmt.Sprintf("move step=%s fault=%s\n", ste, fau))
+		}
+	}
+}
+
 // TestHistories strikes several faults at random steps.
 func TestHistories(t *testing.T) {
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
--- a/internal/streammatrix/world_test.go
+++ b/internal/streammatrix/world_test.go
@@ -93,6 +93,8 @@
 	hostDead   bool
 	wakes      time.Time
 	inProgress bool
+	// exporting is set while the owner needs its export.
+	exporting  bool
 	attempt    int
 	current    string
 	cancelLost bool
@@ -164,6 +166,9 @@
 		if wor.inProgress {
 			ans.Known["request"] = wor.attempt
 		}
+		if wor.exporting {
+			ans.Known[exportID] = 0
+		}
 		for _, fre := range reclaimer.Answered(act, ans) {
 			wor.drop(eng, fre)
 		}
@@ -192,7 +197,12 @@
 func (wor *world) DeadSince(string) (time.Time, bool) { return time.Time{}, false }
 
 // Attempt is what the owner itself knows.
-func (wor *world) Attempt(string) (int, bool) { return wor.attempt, wor.inProgress }
+func (wor *world) Attempt(id string) (int, bool) {
+	if id == exportID {
+		return 0, wor.exporting
+	}
+	return wor.attempt, wor.inProgress
+}
 
 // held lists what is left on the engines that live.
 func (wor *world) held() []string {
--- a/process/allocator/health.go
+++ b/process/allocator/health.go
@@ -45,14 +45,25 @@
 	return all.Ejector.Excluded(len(vie.endpoints), has, now)
 }
 
-// reported makes the lease report how its endpoint did.
+// reported makes the lease report how its endpoint did, and that of its move.
 func (all *Allocator) reported(lea executor.Lease, err error) (executor.Lease, error) {
-	lea.Report = func(healthy bool, now time.Time) {
+	lea.Report = all.reports(lea.Endpoint)
+	if mov := lea.Move; mov != nil {
+		lea.Move = func(ctx context.Context) (executor.Target, bool) {
+			tar, ok := mov(ctx)
+			tar.Report = all.reports(tar.Endpoint)
+			return tar, ok
+		}
+	}
+	return lea, err
+}
+
+func (all *Allocator) reports(id string) func(bool, time.Time) {
+	return func(healthy bool, now time.Time) {
 		if healthy {
-			all.Ejector.Succeeded(lea.Endpoint)
+			all.Ejector.Succeeded(id)
 			return
 		}
-		all.Ejector.Failed(lea.Endpoint, now)
+		all.Ejector.Failed(id, now)
 	}
-	return lea, err
 }
--- a/request/attempter/attempter.go
+++ b/request/attempter/attempter.go
@@ -29,8 +29,10 @@
 // State is what is known of one request. It is an immutable value.
 type State struct {
 	Deadline time.Time
-	// Attempt counts the dispatches so far.
+	// Attempt numbers the dispatches so far, Moves counts those among them by
+	// which the answer was to move.
 	Attempt int
+	Moves   int
 	// Delivered counts the tokens that the caller has.
 	Delivered int64
 	// Ran is the most that an endpoint may have run.
@@ -127,6 +129,31 @@
 	return sta
 }
 
+// WithMove returns the state after a second dispatch was begun beside the
+// current one. It takes none of the attempts that failures may use.
+func (sta State) WithMove() State {
+	sta.Attempt++
+	sta.Moves++
+	return sta
+}
+
+// WithSwitch returns the state after the second dispatch took the place of the
+// first.
+func (sta State) WithSwitch() State {
+	sta.Resumed = false
+	return sta
+}
+
+// WithExcluded returns the state after an endpoint failed and another dispatch
+// went on.
+func (sta State) WithExcluded(end string) State {
+	sta.Excluded = append(slices.Clip(sta.Excluded), end)
+	return sta
+}
+
+// usedUp holds when failures have taken all attempts.
+func (sta State) usedUp() bool { return sta.Attempt-sta.Moves >= MaxAttempts }
+
 // WithDelivered returns the state after a token reached the caller. Progress
 // gives the endpoint no further second try: one that breaks every stream would
 // use up all attempts.
@@ -210,7 +237,7 @@
 		return sta, sta.fail("endpoint_refused", fai.Message)
 	case sta.left(now) < MinBudget:
 		return sta, sta.fail("time_limit", "the time limit has passed")
-	case sta.Attempt >= MaxAttempts:
+	case sta.usedUp():
 		return sta, sta.fail("endpoint_failed", fai.Message)
 	case !retry:
 		return sta, sta.fail("retry_budget", "an endpoint failed and this host has no retries left: "+fai.Message)
@@ -221,11 +248,11 @@
 // mayResume holds when the connection failed, not the engine, and the endpoint
 // has not failed again right after a resume.
 func (sta State) mayResume(fai Failed, retry bool, now time.Time) bool {
-	return fai.Connection && !fai.Permanent && !sta.Resumed && retry && sta.Attempt < MaxAttempts && sta.left(now) >= MinBudget
+	return fai.Connection && !fai.Permanent && !sta.Resumed && retry && !sta.usedUp() && sta.left(now) >= MinBudget
 }
 
 func (sta State) afterStall(eve Stalled, retry bool, now time.Time) (State, Action) {
-	if !retry || sta.Attempt >= MaxAttempts || sta.left(now) < MinBudget {
+	if !retry || sta.usedUp() || sta.left(now) < MinBudget {
 		return sta, Stay{}
 	}
 	sta.Pending = false
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -58,6 +58,8 @@
 	// Done tells the allocator whether the request runs there alone now, or
 	// stays where it was. It is idempotent and never nil.
 	Done func(moved bool)
+	// Report tells the allocator how the endpoint does; nil for nobody.
+	Report func(healthy bool, now time.Time)
 }
 
 // RefusedError reports that no endpoint could be had.
@@ -106,6 +108,8 @@
 	count   counters
 	pending sync.WaitGroup
 	mu      sync.Mutex
+	// running holds the newest attempt of each request in progress, and 0 for
+	// each export that a move needs.
 	running map[string]int
 	claimed atomic.Int64
 }
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -37,6 +37,8 @@
 	lease    *Lease
 	stream   *invoker.Stream
 	progress progress
+	// move is set while the answer is about to go on at another engine.
+	move *move
 }
 
 // Generate answers a prompt.
@@ -87,6 +89,7 @@
 		eve := exe.step(ctx, gen)
 		if eve == nil {
 			gen.stream.Close()
+			exe.endMove(gen)
 			gen.lease.Release()
 			return
 		}
@@ -171,10 +174,16 @@
 			return exe.failed(ctx, gen, err)
 		}
 	}
-	if err := exe.relay(gen); err != nil {
-		return exe.failed(ctx, gen, err)
+	for {
+		err := exe.relay(ctx, gen)
+		if err == nil {
+			return nil
+		}
+		eve := exe.failed(ctx, gen, err)
+		if !exe.takeOver(gen, eve) {
+			return eve
+		}
 	}
-	return nil
 }
 
 func (exe *Executor) open(ctx context.Context, gen *generation) error {
@@ -190,6 +199,7 @@
 	return nil
 }
 
+// dispatch makes out the request of the newest attempt.
 func (exe *Executor) dispatch(gen *generation) invoker.GenerateRequest {
 	return invoker.GenerateRequest{
 		RequestID: gen.id, Attempt: gen.state.Attempt, Owner: exe.Owner, Model: gen.prompt.Model,
@@ -211,6 +221,7 @@
 // for the engine, so that a failure reaches the caller in time.
 func (exe *Executor) drop(ctx context.Context, gen *generation) {
 	gen.closeStream()
+	exe.endMove(gen)
 	lea := gen.lease
 	att := gen.state.Attempt
 	gen.lease = nil
--- /dev/null
+++ b/request/executor/move_test.go
@@ -0,0 +1,111 @@
+package executor_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/invoker"
+	"hemlockpin/request/executor"
+	"hemlockpin/request/placer"
+	"hemlockpin/standin/generator"
+	"hemlockpin/version/parser"
+
+	"github.com/stretchr/testify/require"
+)
+
+// movingAllocator leases the first engine and offers the second.
+type movingAllocator struct {
+	source, target string
+	done           atomic.Int64
+}
+
+func (mov *movingAllocator) Acquire(context.Context, placer.Request, parser.Pool) (executor.Lease, error) {
+	offer := func(context.Context) (executor.Target, bool) {
+		return executor.Target{Endpoint: "target", Address: mov.target, Done: func(moved bool) {
+			if moved {
+				mov.done.Add(10)
+			}
+			mov.done.Add(1)
+		}}, true
+	}
+	return executor.Lease{Endpoint: "source", Address: mov.source, Release: func() {}, Prefilled: func() {}, Move: offer}, nil
+}
+
+// startGenerator runs an engine that calls seen with the path of each call.
+func startGenerator(t *testing.T, step time.Duration, seen func(eng *generator.Generator, path string) bool) (*generator.Generator, *httptest.Server) {
+	t.Helper()
+	eng := generator.New(generator.Settings{
+		Models: []string{"m"}, MemoryTokens: 400_000, MaxBatch: 64, PrefillRate: 200_000, ChunkTokens: 4096, Step: step,
+		IdleEvery: 100 * time.Millisecond, DetachGrace: 200 * time.Millisecond, TransferRate: 2e6,
+	})
+	stop := make(chan struct{})
+	go eng.Run(stop)
+	ser := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, htr *http.Request) {
+		if seen(eng, htr.URL.Path) {
+			panic(http.ErrAbortHandler)
+		}
+		eng.Handler().ServeHTTP(wri, htr)
+	}))
+	t.Cleanup(func() { ser.CloseClientConnections(); ser.Close(); close(stop) })
+	return eng, ser
+}
+
+// TestMove has each step of a move fail once: the answer is whole, and neither
+// engine keeps memory. Outcome is 11 for moved, 1 for stayed.
+func TestMove(t *testing.T) {
+	tests := []struct {
+		name    string
+		blocks  int
+		step    time.Duration
+		source  string
+		target  string
+		outcome int64
+	}{
+		{"moves", 3, time.Millisecond, "", "", 11},
+		{"moves a prompt without blocks", 0, time.Millisecond, "", "", 11},
+		{"export fails", 3, time.Millisecond, "/v1/kv/export", "", 1},
+		{"import fails", 3, time.Millisecond, "", "/v1/kv/import", 1},
+		{"export can't be fetched", 3, time.Millisecond, "/v1/kv/fetch", "", 1},
+		{"dispatch fails", 3, time.Millisecond, "", "/v1/generate", 1},
+		{"stays behind", 3, 30 * time.Millisecond, "", "", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			breaks := func(bad string) func(*generator.Generator, string) bool {
+				return func(_ *generator.Generator, path string) bool { return path == bad }
+			}
+			_, src := startGenerator(t, 10*time.Millisecond, breaks(tt.source))
+			_, tar := startGenerator(t, tt.step, breaks(tt.target))
+			all := &movingAllocator{source: src.Listener.Addr().String(), target: tar.Listener.Addr().String()}
+			pro := strings.Repeat("word", 1024*tt.blocks) + "?"
+			exe, bod := askPrompt(t, all, pro, 120)
+			var want strings.Builder
+			for ind := range int64(120) {
+				want.WriteString(generator.TokenText(pro, 0, ind))
+			}
+			require.Contains(t, bod, want.String())
+			exe.Settle()
+			require.Equal(t, tt.outcome, all.done.Load())
+			_, running := exe.Attempt("")
+			require.False(t, running)
+			requireEmpty(t, src.URL)
+			requireEmpty(t, tar.URL)
+		})
+	}
+}
+
+// requireEmpty waits until an engine holds no memory.
+func requireEmpty(t *testing.T, url string) {
+	t.Helper()
+	var loa invoker.Load
+	require.Eventually(t, func() bool {
+		var err error
+		loa, err = (&invoker.Invoker{}).Load(t.Context(), strings.TrimPrefix(url, "http://"))
+		return err == nil && loa.UsedTokens == 0 && len(loa.Sequences) == 0
+	}, 5*time.Second, 20*time.Millisecond, "%+v", &loa)
+}
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -32,6 +32,7 @@
 // counters are the metrics of the relay, looked up once.
 type counters struct {
 	tokens, dropped, untrusted, stalled, silent, slow, resumed, cancelsFailed, usage tally.Counter
+	movesStarted, movesDone, movesRescued, exportsFailed                             tally.Counter
 }
 
 func (exe *Executor) counters() *counters {
@@ -41,7 +42,9 @@
 			untrusted: exe.Scope.Counter("streams_untrusted"), stalled: exe.Scope.Counter("streams_stalled"),
 			silent: exe.Scope.Counter("streams_silent"), slow: exe.Scope.Counter("callers_slow"),
 			resumed: exe.Scope.Counter("attempts_resumed"), cancelsFailed: exe.Scope.Counter("cancels_failed"),
-			usage: exe.Scope.Counter("usage_mismatched"),
+			usage:        exe.Scope.Counter("usage_mismatched"),
+			movesStarted: exe.Scope.Counter("moves_started"), movesDone: exe.Scope.Counter("moves_done"),
+			movesRescued: exe.Scope.Counter("moves_rescued"), exportsFailed: exe.Scope.Counter("export_releases_failed"),
 		}
 	})
 	return &exe.count
@@ -49,7 +52,7 @@
 
 // relay passes tokens on until the end of the answer. Tokens that arrived
 // together are sent together.
-func (exe *Executor) relay(gen *generation) error {
+func (exe *Executor) relay(ctx context.Context, gen *generation) error {
 	for {
 		eve, err := gen.stream.Next(invoker.SilenceTimeout)
 		if err == nil {
@@ -70,6 +73,7 @@
 		if now := exe.Clock(); now.Sub(gen.progress.at) > gen.state.ProgressLimit(now) {
 			return errStalled
 		}
+		exe.move(ctx, gen)
 	}
 }
 
@@ -120,6 +124,7 @@
 		gen.lease.Prefilled()
 		gen.state = gen.state.WithDelivered(ass.Next)
 		gen.progress.at = exe.Clock()
+		gen.move.note(ass.Next, tok.Text)
 		exe.counters().tokens.Inc(1)
 		return gen.answer.Token(tok.Text)
 	case assembler.Drop:
--- a/request/executor/resume_test.go
+++ b/request/executor/resume_test.go
@@ -97,6 +97,12 @@
 
 // askWhole asks a host for a whole answer of 20 tokens and returns the body.
 func askWhole(t *testing.T, all executor.Allocator) string {
+	t.Helper()
+	_, bod := askPrompt(t, all, "Why?", 20)
+	return bod
+}
+
+func askPrompt(t *testing.T, all executor.Allocator, prompt string, tokens int) (*executor.Executor, string) {
 	t.Helper()
 	mat := matcher.New(parser.Tables{
 		Revision: 1,
@@ -113,7 +119,7 @@
 		exe.Generate(req.Context(), wri, req, mat, false)
 	}))
 	t.Cleanup(hos.Close)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, hos.URL+"/v1/completions", strings.NewReader(`{"model":"m","prompt":"Why?","max_tokens":20}`))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, hos.URL+"/v1/completions", strings.NewReader(fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d}`, prompt, tokens)))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer k")
 	res, err := http.DefaultClient.Do(req)
@@ -122,5 +128,5 @@
 	txt, err := io.ReadAll(res.Body)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, res.StatusCode, string(txt))
-	return string(txt)
+	return exe, string(txt)
 }
