Give all policies of a trial the same requests

Cause: each run of the experimenter had a seed of its own, so policies side by side saw other arrivals; the fairness run also changed the other teams' requests and the load; a score took refused prompts out of its percentiles; nothing was kept until the whole grid had ended. Ruled out: salting the texts of runs on one fleet. A fleet for each run leaves no prefixes behind, keeps a killed engine or host out of the next run, and lets a grid be resumed anywhere. Conclusion: rows compare the same requests. Figures of the older tables don't compare with new ones.

--- a/load/driver/driver.go
+++ b/load/driver/driver.go
@@ -38,9 +38,11 @@
 
 // Run is one load run.
 type Run struct {
-	Mix      mixer.Mix
-	Rate     float64
-	Seed     uint64
+	Mix  mixer.Mix
+	Rate float64
+	Seed uint64
+	// Streams, if any, are sent in place of Rate and Seed.
+	Streams  []mixer.Stream
 	Duration time.Duration
 	// WarmUp is the part at the start that is sent but not counted.
 	WarmUp time.Duration
@@ -50,6 +52,9 @@
 	Operators []string
 	// Progress receives a line every few seconds; nil for none.
 	Progress io.Writer
+	// Idle returns the time to the first token of a prompt on idle engines; nil
+	// leaves the slowdowns out of the report.
+	Idle func(mixer.Request) time.Duration
 	// Observe is called with each result, from several goroutines; nil for none.
 	Observe func(sender.Result)
 
@@ -64,6 +69,7 @@
 		return summarizer.Report{}, err
 	}
 	sum := summarizer.New(run.Mix, run.WarmUp, run.Duration)
+	sum.Idle = run.Idle
 	bef := readUsage(ctx, run.Operators)
 	beg := time.Now()
 	sto := run.background(ctx, sum, beg)
@@ -71,7 +77,7 @@
 	sto()
 	rep := sum.Report()
 	rep.Seed = run.Seed
-	rep.Rate = run.Rate
+	rep.Rate = run.rate()
 	rep.Started = beg
 	rep.NotSent = run.dropped.Load()
 	rep.Hosts = usageBetween(bef, readUsage(ctx, run.Operators), time.Since(beg))
@@ -80,7 +86,7 @@
 
 func (run *Run) validate() error {
 	switch {
-	case run.Rate <= 0:
+	case run.rate() <= 0:
 		return eris.New("Run.Do: Rate must be positive")
 	case run.Duration <= run.WarmUp:
 		return eris.New("Run.Do: Duration must be longer than WarmUp")
@@ -90,6 +96,24 @@
 	return nil
 }
 
+func (run *Run) rate() float64 {
+	if len(run.Streams) == 0 {
+		return run.Rate
+	}
+	var sum float64
+	for _, str := range run.Streams {
+		sum += str.Rate
+	}
+	return sum
+}
+
+func (run *Run) requests() *mixer.Merger {
+	if len(run.Streams) > 0 {
+		return mixer.MergeStreams(run.Mix, run.Streams)
+	}
+	return mixer.Merge(mixer.New(run.Mix, run.Rate, run.Seed))
+}
+
 // background starts faults and progress and returns the function that ends them.
 func (run *Run) background(ctx context.Context, sum *summarizer.Summarizer, beg time.Time) func() {
 	ctx, stop := context.WithCancel(ctx)
@@ -145,11 +169,11 @@
 }
 
 func (run *Run) send(ctx context.Context, sum *summarizer.Summarizer, beg time.Time) {
-	mix := mixer.New(run.Mix, run.Rate, run.Seed)
+	reqs := run.requests()
 	var gro sync.WaitGroup
 	defer gro.Wait()
 	for {
-		req := mix.Next()
+		req := reqs.Next()
 		if req.At > run.Duration || !sleepUntil(ctx, beg.Add(req.At)) {
 			return
 		}
@@ -164,7 +188,7 @@
 			defer stop()
 			text := ""
 			if req.Kind == mixer.KindPrompt {
-				text = mix.Text(req)
+				text = req.Text()
 			}
 			res := run.Sender.Send(ctx, req, text)
 			sum.Add(res)
--- a/load/mixer/mixer.go
+++ b/load/mixer/mixer.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"hemlockpin/request/hasher"
@@ -88,21 +89,24 @@
 	mix   Mix
 	rate  float64
 	ran   *rand.Rand
-	text  []byte
 	now   time.Duration
 	count int
 }
 
+// text is what all prompts are cut from. It has its own source, so that runs
+// with other seeds differ in arrivals and lengths only.
+var text = sync.OnceValue(func() []byte {
+	ran := rand.New(rand.NewPCG(1, 2))
+	buf := make([]byte, textBytes)
+	for ind := range buf {
+		buf[ind] = alphabet[ran.IntN(len(alphabet))]
+	}
+	return buf
+})
+
 // New starts a drawing of requests at a mean rate a second.
 func New(mix Mix, rate float64, seed uint64) *Mixer {
-	mi := &Mixer{mix: mix, rate: rate, ran: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), text: make([]byte, textBytes)}
-	// The text has its own source, so that runs with other seeds differ in
-	// arrivals and lengths only.
-	txt := rand.New(rand.NewPCG(1, 2))
-	for ind := range mi.text {
-		mi.text[ind] = alphabet[txt.IntN(len(alphabet))]
-	}
-	return mi
+	return &Mixer{mix: mix, rate: rate, ran: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))}
 }
 
 // Next draws the next request; arrivals are a Poisson process.
@@ -176,17 +180,18 @@
 
 // Text builds the prompt of a request. Half of a sharing prompt is the shared
 // prefix; the rest starts with the request's number and so is its own.
-func (mi *Mixer) Text(req Request) string {
+func (req Request) Text() string {
 	size := int(req.PromptTokens) * hasher.BytesPerToken
 	buf := make([]byte, 0, size)
+	txt := text()
 	if req.shared >= 0 {
 		off := req.shared * headerBytes
-		buf = append(buf, mi.text[off:off+size/2]...)
+		buf = append(buf, txt[off:off+size/2]...)
 	}
 	buf = appendNumber(buf, req.Number)
 	for len(buf) < size {
 		end := min(textBytes, req.offset+size-len(buf))
-		buf = append(buf, mi.text[req.offset:end]...)
+		buf = append(buf, txt[req.offset:end]...)
 	}
 	return string(buf[:size])
 }
--- a/load/mixer/mixer_test.go
+++ b/load/mixer/mixer_test.go
@@ -16,8 +16,8 @@
 		fir, sec := one.Next(), two.Next()
 		require.Equal(t, fir, sec)
 		if fir.Kind == mixer.KindPrompt && fir.PromptTokens <= mixer.ShortTokens {
-			require.Equal(t, one.Text(fir), two.Text(sec))
-			require.Equal(t, fir.PromptTokens, hasher.Tokens(one.Text(fir)))
+			require.Equal(t, fir.Text(), sec.Text())
+			require.Equal(t, fir.PromptTokens, hasher.Tokens(fir.Text()))
 		}
 	}
 }
@@ -34,3 +34,22 @@
 		require.InDelta(t, 0.02, huge/all, 1e-9, mix.Name)
 	}
 }
+
+// A stream beside others changes none of their requests.
+func TestStreamsDontChangeEachOther(t *testing.T) {
+	mix := mixer.Wijesinghe()
+	strs := []mixer.Stream{{Team: mix.Teams[0], Rate: 5, Seed: 1}, {Team: mix.Teams[1], Rate: 5, Seed: 2}}
+	lou := append(strs[:2:2], mixer.Stream{Team: mix.Teams[0], Rate: 45, Seed: 3})
+	require.Equal(t, drawn(mixer.MergeStreams(mix, strs), mix.Teams[1].Key), drawn(mixer.MergeStreams(mix, lou), mix.Teams[1].Key))
+}
+
+// drawn returns the first requests of a team.
+func drawn(mer *mixer.Merger, key string) []mixer.Request {
+	var out []mixer.Request
+	for len(out) < 100 {
+		if req := mer.Next(); req.Key == key {
+			out = append(out, req)
+		}
+	}
+	return out
+}
--- a/load/reporter/reporter.go
+++ b/load/reporter/reporter.go
@@ -44,6 +44,7 @@
 type page struct {
 	Title    string
 	Outcomes []sender.Outcome
+	Rows     []row
 	Reports  []summarizer.Report
 	Plots    []template.HTML
 }
@@ -59,7 +60,7 @@
 		return eris.Wrap(err, "WriteHTML")
 	}
 	defer fil.Close()
-	return render(fil, page{Title: title, Outcomes: outcomes, Reports: reps, Plots: plos})
+	return render(fil, page{Title: title, Outcomes: outcomes, Rows: rows(reps), Reports: reps, Plots: plos})
 }
 
 func render(wri io.Writer, pag page) error {
@@ -82,6 +83,12 @@
 svg{max-width:100%;height:auto}
 </style></head><body>
 <h1>{{.Title}}</h1>
+{{if .Rows}}<table><tr><th>variant</th><th>load %</th><th>policy</th><th>Wijesinghe</th><th>Port Louis</th><th>short slowdown p95</th>
+<th>long slowdown p50</th><th>p95</th><th>long prompts</th><th>in time %</th><th>in time a second</th></tr>
+{{range .Rows}}<tr><td>{{.Variant}}</td><td>{{.Load}}</td><td>{{.Policy}}</td><td>{{printf "%.2f" .Wijesinghe}}</td><td>{{printf "%.2f" .PortLouis}}</td>
+<td>{{printf "%.2f" .ShortSlowdown}}</td><td>{{printf "%.2f" .Long.P50}}</td><td>{{printf "%.2f" .Long.P95}}</td><td>{{.Long.Count}}</td>
+<td>{{printf "%.1f" (percent .InTime)}}</td><td>{{printf "%.1f" .Goodput}}</td></tr>
+{{end}}</table>{{end}}
 {{range .Plots}}{{.}}{{end}}
 {{range $rep := .Reports}}
 <h2>{{.Name}}</h2>
--- a/load/summarizer/summarizer.go
+++ b/load/summarizer/summarizer.go
@@ -48,6 +48,43 @@
 	Total Times
 	// InTime is the share of requests answered whole within their patience.
 	InTime float64
+	// Waited is First, but a request without a whole answer counts with its
+	// patience if that is longer, so that refusals don't improve it.
+	Waited Times `json:",omitzero"`
+	// Idle is the time to the first token of the same requests on idle engines.
+	Idle Times `json:",omitzero"`
+	// Slowdown is Waited over Idle, request by request.
+	Slowdown Ratios `json:",omitzero"`
+}
+
+// Ratios summarizes a distribution of ratios.
+type Ratios struct {
+	Count int64
+	P50   float64
+	P95   float64
+}
+
+// LengthReport holds the times to the first token of prompts of like lengths.
+type LengthReport struct {
+	// Tokens is the middle of the lengths.
+	Tokens float64
+	Count  int64
+	P50    float64
+	P95    float64
+}
+
+// TeamReport holds the times to the first token of a team's short prompts.
+type TeamReport struct {
+	Key   string
+	Short Times
+}
+
+// Cell says which run of a grid a report is of.
+type Cell struct {
+	Policy string
+	// Load is in per cent of what the engines can do.
+	Load    int
+	Variant string
 }
 
 // HostUsage is what one host used during a run.
@@ -80,6 +117,17 @@
 	NotSent  int64
 	// Goodput is the number of requests a second answered whole and in time.
 	Goodput float64
+	// Cell is the zero value outside of a grid.
+	Cell Cell `json:",omitzero"`
+	// Score is nil if the times on idle engines are not known.
+	Score *Score `json:",omitempty"`
+	// Long is the slowdown of the large and huge prompts together.
+	Long    Ratios `json:",omitzero"`
+	Lengths []LengthReport
+	Teams   []TeamReport
+	// Others is the time to the first token of the short prompts of all teams
+	// but the mix's first.
+	Others Times
 }
 
 // Class finds the report of a class.
@@ -108,11 +156,18 @@
 	first    *hdrhistogram.Histogram
 	gap      *hdrhistogram.Histogram
 	total    *hdrhistogram.Histogram
+	waited   *hdrhistogram.Histogram
+	idle     *hdrhistogram.Histogram
+	slowdown *hdrhistogram.Histogram
 	count    int64
 }
 
 // Summarizer collects results. Use New.
 type Summarizer struct {
+	// Idle returns the time to the first token of a prompt on idle engines; nil
+	// leaves the slowdowns out.
+	Idle func(mixer.Request) time.Duration
+
 	mix      mixer.Mix
 	warmUp   time.Duration
 	duration time.Duration
@@ -121,6 +176,8 @@
 	classes  map[string]*class
 	codes    map[string]int64
 	timeline []Second
+	lengths  map[int]*hdrhistogram.Histogram
+	teams    map[string]*hdrhistogram.Histogram
 }
 
 // New starts an empty summary; results of requests sent during the warm-up
@@ -129,6 +186,7 @@
 	return &Summarizer{
 		mix: mix, warmUp: warmUp, duration: duration,
 		classes: map[string]*class{}, codes: map[string]int64{}, timeline: make([]Second, duration/bucketSize+1),
+		lengths: map[int]*hdrhistogram.Histogram{}, teams: map[string]*hdrhistogram.Histogram{},
 	}
 }
 
@@ -148,7 +206,10 @@
 	if res.Code != "" {
 		sum.codes[string(res.Outcome)+" "+res.Code]++
 	}
-	if res.Outcome != sender.Whole && res.Outcome != sender.Late {
+	if res.Request.Kind == mixer.KindPrompt {
+		sum.addPrompt(cla, res)
+	}
+	if !answered(res) {
 		return
 	}
 	record(cla.first, res.First)
@@ -158,6 +219,37 @@
 	}
 }
 
+func answered(res sender.Result) bool {
+	return res.Outcome == sender.Whole || res.Outcome == sender.Late
+}
+
+// addPrompt counts a prompt by its length, its team and its slowdown.
+func (sum *Summarizer) addPrompt(cla *class, res sender.Result) {
+	wai := res.First
+	if !answered(res) {
+		wai = max(wai, res.Request.Patience)
+	}
+	record(cla.waited, wai)
+	record(histogram(sum.lengths, lengthBucket(res.Request.PromptTokens)), wai)
+	if res.Request.Class == mixer.ClassShort {
+		record(histogram(sum.teams, res.Request.Key), wai)
+	}
+	if sum.Idle != nil {
+		idl := sum.Idle(res.Request)
+		record(cla.idle, idl)
+		recordRatio(cla.slowdown, wai, idl)
+	}
+}
+
+func histogram[Key comparable](hiss map[Key]*hdrhistogram.Histogram, key Key) *hdrhistogram.Histogram {
+	his := hiss[key]
+	if his == nil {
+		his = newHistogram()
+		hiss[key] = his
+	}
+	return his
+}
+
 func record(his *hdrhistogram.Histogram, dur time.Duration) {
 	_ = his.RecordValue(min(max(1, dur.Microseconds()), maxMicros))
 }
@@ -176,7 +268,10 @@
 func (sum *Summarizer) class(name string) *class {
 	cla := sum.classes[name]
 	if cla == nil {
-		cla = &class{outcomes: map[sender.Outcome]int64{}, first: newHistogram(), gap: newHistogram(), total: newHistogram()}
+		cla = &class{
+			outcomes: map[sender.Outcome]int64{}, first: newHistogram(), gap: newHistogram(), total: newHistogram(),
+			waited: newHistogram(), idle: newHistogram(), slowdown: newHistogram(),
+		}
 		sum.classes[name] = cla
 	}
 	return cla
@@ -210,6 +305,12 @@
 	}
 	sort.Slice(rep.Classes, func(one, two int) bool { return sum.rank(rep.Classes[one].Name) < sum.rank(rep.Classes[two].Name) })
 	rep.Goodput = float64(who) / rep.Duration.Seconds()
+	rep.Lengths = sum.lengthReports()
+	rep.Teams, rep.Others = sum.teamReports()
+	if sum.Idle != nil {
+		rep.Long = sum.long()
+		rep.Score = rep.score()
+	}
 	return rep
 }
 
@@ -228,6 +329,7 @@
 		Name: name, Count: cla.count, Outcomes: cla.outcomes,
 		First: timesOf(cla.first), Gap: timesOf(cla.gap), Total: timesOf(cla.total),
 		InTime: float64(cla.outcomes[sender.Whole]) / float64(max(1, cla.count)),
+		Waited: timesOf(cla.waited), Idle: timesOf(cla.idle), Slowdown: ratiosOf(cla.slowdown),
 	}
 }
 
--- a/tools/experimenter/experiment.go
+++ b/tools/experimenter/experiment.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"os"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,9 +12,12 @@
 	"hemlockpin/internal/testkit"
 	"hemlockpin/load/driver"
 	"hemlockpin/load/mixer"
+	"hemlockpin/load/reporter"
 	"hemlockpin/load/sender"
 	"hemlockpin/load/summarizer"
 	"hemlockpin/request/placer"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -24,41 +26,30 @@
 	engineChunk  = 4096
 	// decodeStep is the time that a step with decoding adds to the prefill of
 	// a chunk in the engine stand-in.
-	decodeStep    = 10 * time.Millisecond
+	decodeStep = 10 * time.Millisecond
+	// baseFirst is the least time to a first token beside the prefill: one step
+	// of the engine and the way through a host.
+	baseFirst     = 5 * time.Millisecond
 	capacityDraws = 20_000
 	capacitySeed  = 99
 	percent       = 100
-	// seedStride keeps the seeds of the runs of two seeds apart.
+	// seedStride keeps the seeds of streams apart.
 	seedStride = 1000
-	pauseTime  = 2 * time.Second
-
-	faultCalm     = "calm"
-	faultEngine   = "engine-killed"
-	faultHost     = "host-killed"
-	faultPlatform = "platform-out"
-	faultLedgers  = "ledgers"
 	// ledgerCount is the number of the longest prompts that come at once.
 	ledgerCount = 12
 )
 
-func validFault(nam string) bool {
-	return slices.Contains([]string{faultCalm, faultEngine, faultHost, faultPlatform, faultLedgers}, nam)
-}
-
 // experiment holds what the runs share.
 type experiment struct {
-	set     settings
-	mix     mixer.Mix
-	logs    io.WriteCloser
-	reports []summarizer.Report
-	// runs counts the runs. Each has a seed of its own, as engines hold the
-	// prefixes of the prompts of earlier ones.
-	runs uint64
+	set  settings
+	mix  mixer.Mix
+	logs io.WriteCloser
+	res  *results
 }
 
 func newExperiment(set settings) (*experiment, error) {
 	mix, _ := mixer.ByName(set.Mix)
-	exp := &experiment{set: set, mix: mix.WithScale(set.Scale)}
+	exp := &experiment{set: set, mix: mix.WithScale(set.Scale), res: newResults(set)}
 	if set.Log != "" {
 		fil, err := os.Create(set.Log)
 		if err != nil {
@@ -102,7 +93,66 @@
 	return time.Duration(sec * float64(time.Second))
 }
 
-func (exp *experiment) start(ctx context.Context, pol string) (*testkit.Fleet, error) {
+// first is the time to the first token on idle engines.
+func (exp *experiment) first(req mixer.Request) time.Duration { return exp.idle(req) + baseFirst }
+
+// plan is the load of a run.
+type plan struct {
+	mix  mixer.Mix
+	mean float64
+	strs []mixer.Stream
+	// limit is the first team's rate in tokens a second; 0 means none.
+	limit float64
+}
+
+func (pla plan) rate() float64 {
+	sum := pla.mean
+	for _, str := range pla.strs {
+		sum += str.Rate
+	}
+	return sum
+}
+
+// plan returns the load of a run. Policies that are compared get the same
+// requests at the same times.
+func (exp *experiment) plan(cel summarizer.Cell) plan {
+	rat := exp.capacity(exp.mix) * float64(cel.Load) / percent
+	switch cel.Variant {
+	case variantWithoutLong:
+		mix, sha := exp.mix.WithoutLong(int64(mixer.ShortTokens / exp.set.Scale))
+		return plan{mix: mix, mean: rat * sha}
+	case variantEven, variantEvenAgain:
+		return exp.teams(rat, 1)
+	case variantTenfold:
+		return exp.teams(rat, fairFactor)
+	case variantTenfoldLimited:
+		pla := exp.teams(rat, fairFactor)
+		pla.limit = exp.capacity(exp.mix) * limitPercent / percent * exp.mix.MeanTokens()
+		return pla
+	default:
+		return plan{mix: exp.mix, mean: rat}
+	}
+}
+
+// teams divides a rate into equal streams by team. The surplus of the first
+// team is one more stream, so that the others stay the same.
+func (exp *experiment) teams(rate, factor float64) plan {
+	var teas []mixer.Team
+	var strs []mixer.Stream
+	for ind := range mixer.TeamCount {
+		tea := mixer.Team{Key: mixer.TeamKey(ind), Weight: 1}
+		teas = append(teas, tea)
+		strs = append(strs, mixer.Stream{Team: tea, Rate: rate / mixer.TeamCount, Seed: exp.set.Seed*seedStride + uint64(ind)})
+	}
+	if factor > 1 {
+		strs = append(strs, mixer.Stream{
+			Team: teas[0], Rate: rate / mixer.TeamCount * (factor - 1), Seed: exp.set.Seed*seedStride + mixer.TeamCount,
+		})
+	}
+	return plan{mix: exp.mix.WithTeams(teas), strs: strs}
+}
+
+func (exp *experiment) start(ctx context.Context, pol string, limit float64) (*testkit.Fleet, error) {
 	set := exp.set
 	var logs io.Writer
 	if exp.logs != nil {
@@ -110,6 +160,7 @@
 	}
 	tab := testkit.LoadTables(exp.mix)
 	tab.Pools[0].LongShare = set.Long
+	tab.Teams[0].TokensPerSecond = limit
 	return testkit.Start(ctx, testkit.Plan{
 		Bin: set.Bin, Logs: logs, Hosts: set.Hosts, Engines: set.Engines, Services: set.Services, Model: exp.mix.Model,
 		Tables: tab, HostArgs: []string{"--placement", pol},
@@ -121,91 +172,85 @@
 	})
 }
 
-// policy runs all loads and faults of one policy.
-func (exp *experiment) policy(ctx context.Context, pol string) error {
-	for _, fau := range exp.set.Faults {
-		fle, err := exp.start(ctx, pol)
-		if err != nil {
-			return err
+// run does all runs that are not finished yet, as far as the time allows.
+func (exp *experiment) run(ctx context.Context) error {
+	beg := time.Now()
+	lef := 0
+	for _, cel := range exp.set.cells() {
+		if _, ok := exp.res.find(cel); ok {
+			continue
 		}
-		err = exp.loads(ctx, fle, pol, fau)
-		fle.Stop()
-		if err != nil {
-			return err
+		if dur, _ := exp.set.times(cel); exp.set.For > 0 && time.Since(beg)+dur > exp.set.For {
+			lef++
+			continue
 		}
-	}
-	if !exp.set.Targets {
-		return nil
-	}
-	return exp.targets(ctx, pol)
-}
-
-func (exp *experiment) loads(ctx context.Context, fle *testkit.Fleet, pol, fau string) error {
-	for _, loa := range exp.set.Loads {
-		nam := fmt.Sprintf("%s %d%% %s", pol, loa, fau)
-		res, err := exp.one(ctx, fle, nam, exp.mix, exp.capacity(exp.mix)*float64(loa)/percent, fau)
+		rep, err := exp.cell(ctx, cel)
 		if err != nil {
+			return eris.Wrap(err, cellName(cel))
+		}
+		printReport(os.Stdout, rep)
+		if err := exp.res.add(rep); err != nil {
 			return err
 		}
-		exp.reports = append(exp.reports, res.report)
-		res.print(os.Stdout)
-		pause(ctx)
+	}
+	if lef > 0 {
+		fmt.Printf("\n%d runs are left; go on with --resume\n", lef)
 	}
 	return nil
 }
 
-func pause(ctx context.Context) {
-	select {
-	case <-time.After(pauseTime):
-	case <-ctx.Done():
+// cell does one run on a fleet of its own, whose engines hold no prefixes yet.
+func (exp *experiment) cell(ctx context.Context, cel summarizer.Cell) (summarizer.Report, error) {
+	pla := exp.plan(cel)
+	fle, err := exp.start(ctx, cel.Policy, pla.limit)
+	if err != nil {
+		return summarizer.Report{}, err
 	}
-}
-
-// one does one run with a fault in its middle.
-func (exp *experiment) one(ctx context.Context, fle *testkit.Fleet, nam string, mix mixer.Mix, rate float64, fau string) (*result, error) {
-	res := newResult(exp)
-	exp.runs++
+	defer fle.Stop()
+	dur, war := exp.set.times(cel)
 	run := &driver.Run{
-		Mix: mix, Rate: rate, Seed: exp.set.Seed*seedStride + exp.runs, Duration: exp.set.Duration, WarmUp: exp.set.WarmUp,
-		Sender: &sender.Sender{Model: mix.Model, Verify: true}, Observe: res.observe,
+		Mix: pla.mix, Rate: pla.mean, Streams: pla.strs, Seed: exp.set.Seed, Duration: dur, WarmUp: war,
+		Sender: &sender.Sender{Model: pla.mix.Model, Verify: true}, Idle: exp.first,
 	}
 	for _, hos := range fle.Hosts {
 		run.Sender.Hosts = append(run.Sender.Hosts, hos.Address)
 		run.Operators = append(run.Operators, hos.Operator)
 	}
 	bgd, stop := context.WithCancel(ctx)
-	defer stop()
 	var gro sync.WaitGroup
-	gro.Go(func() { exp.disturb(bgd, fle, run.Sender, fau) })
+	gro.Go(func() { exp.disturb(bgd, fle, run.Sender, cel.Variant) })
 	rep, err := run.Do(ctx)
 	stop()
 	gro.Wait()
-	rep.Name = nam
-	res.report = rep
-	return res, err
+	rep.Name = cellName(cel)
+	rep.Cell = cel
+	return rep, err
+}
+
+func printReport(wri io.Writer, rep summarizer.Report) {
+	fmt.Fprintf(wri, "\n%s: seed %d, %.1f requests a second, in time %.1f a second, long slowdown p50 %.2f, p95 %.2f (%d)\n",
+		rep.Name, rep.Seed, rep.Rate, rep.Goodput, rep.Long.P50, rep.Long.P95, rep.Long.Count)
+	_ = reporter.Print(wri, rep)
+	if len(rep.Codes) > 0 {
+		fmt.Fprintln(wri, "codes:", rep.Codes)
+	}
 }
 
-// disturb brings a fault about in the middle of a run and mends it at its end.
-func (exp *experiment) disturb(ctx context.Context, fle *testkit.Fleet, sen *sender.Sender, fau string) {
+// disturb brings a fault about in the middle of a run.
+func (exp *experiment) disturb(ctx context.Context, fle *testkit.Fleet, sen *sender.Sender, vari string) {
 	select {
 	case <-time.After(exp.set.Duration / 2):
 	case <-ctx.Done():
 		return
 	}
-	switch fau {
-	case faultEngine:
+	switch vari {
+	case variantEngine:
 		fle.Engines[0].Kill()
-		<-ctx.Done()
-		_ = fle.Engines[0].Start()
-	case faultHost:
+	case variantHost:
 		fle.Hosts[0].Kill()
-		<-ctx.Done()
-		_ = fle.Hosts[0].Start()
-	case faultPlatform:
+	case variantPlatform:
 		_ = fle.Fault(ctx, fle.Platform, struct{ Down bool }{true})
-		<-ctx.Done()
-		_ = fle.Fault(context.WithoutCancel(ctx), fle.Platform, struct{ Down bool }{false})
-	case faultLedgers:
+	case variantLedgers:
 		exp.ledgers(ctx, sen)
 	}
 }
@@ -219,7 +264,7 @@
 	var gro sync.WaitGroup
 	for range ledgerCount {
 		req := mi.Next()
-		gro.Go(func() { sen.Send(ctx, req, mi.Text(req)) })
+		gro.Go(func() { sen.Send(ctx, req, req.Text()) })
 	}
 	gro.Wait()
 }
--- a/tools/experimenter/main.go
+++ b/tools/experimenter/main.go
@@ -1,7 +1,8 @@
 // Command experimenter runs the placement policies side by side on fleets of
 // real processes, at several loads and under faults, and says which targets are
 // met. Lengths, prefill rates and memories are scaled down together, so that
-// all times stay those of the full sizes.
+// all times stay those of the full sizes. Runs of a grid are kept as they end, so
+// that a long grid can be done in parts.
 package main
 
 import (
@@ -9,13 +10,11 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
 	"hemlockpin/load/mixer"
 	"hemlockpin/load/reporter"
-	"hemlockpin/load/summarizer"
 	"hemlockpin/request/placer"
 
 	"github.com/jessevdk/go-flags"
@@ -31,8 +30,11 @@
 	Policies []string      `long:"policy" description:"placement policy; may be repeated; all if missing"`
 	Loads    []int         `long:"load" description:"per cent of what the engines can do; may be repeated; 50, 80, 95 and 120 if missing"`
 	Faults   []string      `long:"fault" description:"calm, engine-killed, host-killed, platform-out or ledgers; may be repeated; calm if missing"`
-	Targets  bool          `long:"targets" description:"also measure the targets, at 80 per cent"`
+	Targets  []string      `long:"target" description:"also measure a part of the targets: lengths, goodput or fairness; may be repeated"`
 	Quick    bool          `long:"quick" description:"short runs, for trials"`
+	Resume   bool          `long:"resume" description:"go on with the file of an earlier part: leave out the runs in it"`
+	For      time.Duration `long:"for" description:"start no run that would end after this time; 0 does all"`
+	Fill     time.Duration `long:"fill" description:"time before the counted part of the run at 120 per cent in which queues fill; 0 is the longest patience over the surplus, 10 minutes"`
 	Duration time.Duration `long:"duration" default:"60s" description:"time of each run"`
 	WarmUp   time.Duration `long:"warm-up" default:"5s" description:"part of each run that is not counted"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
@@ -55,11 +57,15 @@
 		set.Loads = []int{50, 80, 95, 120}
 	}
 	if len(set.Faults) == 0 {
-		set.Faults = []string{faultCalm}
+		set.Faults = []string{variantCalm}
+	}
+	if mix, ok := mixer.ByName(set.Mix); ok && set.Fill == 0 {
+		set.Fill = fillTime(mix)
 	}
 	if set.Quick {
 		set.Duration = quickDuration
 		set.WarmUp = quickWarmUp
+		set.Fill = quickWarmUp
 	}
 	return set
 }
@@ -80,6 +86,14 @@
 			fas = append(fas, "unknown fault "+fau)
 		}
 	}
+	for _, par := range set.Targets {
+		if _, ok := targetCells[par]; !ok {
+			fas = append(fas, "unknown target "+par)
+		}
+	}
+	if set.Duration <= set.WarmUp {
+		fas = append(fas, "--duration must be longer than --warm-up")
+	}
 	if set.Scale < 1 || set.Hosts < 1 || set.Engines < 1 {
 		fas = append(fas, "--scale, --hosts and --engines must be at least 1")
 	}
@@ -124,19 +138,28 @@
 		return err
 	}
 	defer exp.close()
+	if err := exp.prepare(); err != nil {
+		return err
+	}
+	if err := exp.run(ctx); err != nil {
+		return err
+	}
+	if err := reporter.PrintScores(os.Stdout, exp.res.reps); err != nil || len(set.Targets) == 0 {
+		return err
+	}
 	for _, pol := range set.Policies {
-		if err := exp.policy(ctx, pol); err != nil {
-			return err
-		}
+		judge{wri: os.Stdout, res: exp.res, pol: pol}.print(set)
 	}
-	return write(set, exp.reports)
+	return nil
 }
 
-func write(set settings, reps []summarizer.Report) error {
-	nam := filepath.Join(set.Out, fmt.Sprintf("%s-%d", set.Mix, set.Seed))
-	if err := reporter.WriteJSON(nam+".json", reps); err != nil {
+// prepare takes over what is finished.
+func (exp *experiment) prepare() error {
+	if !exp.set.Resume {
+		return nil
+	}
+	if err := exp.res.load(); err != nil {
 		return err
 	}
-	tit := fmt.Sprintf("Placement, mix %s, seed %d, scale %g, %d hosts, %d engines", set.Mix, set.Seed, set.Scale, set.Hosts, set.Engines)
-	return reporter.WriteHTML(nam+".html", tit, reps)
+	return exp.res.check(exp)
 }
--- /dev/null
+++ b/tools/experimenter/results.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"path/filepath"
+
+	"hemlockpin/load/reporter"
+	"hemlockpin/load/summarizer"
+
+	"github.com/rotisserie/eris"
+)
+
+// results are the reports of the finished runs, kept in a file.
+type results struct {
+	name  string
+	title string
+	reps  []summarizer.Report
+}
+
+func newResults(set settings) *results {
+	return &results{
+		name:  filepath.Join(set.Out, fmt.Sprintf("%s-%d", set.Mix, set.Seed)),
+		title: fmt.Sprintf("Placement, mix %s, seed %d, scale %g, %d hosts, %d engines", set.Mix, set.Seed, set.Scale, set.Hosts, set.Engines),
+	}
+}
+
+// load takes over the runs of an earlier part.
+func (res *results) load() error {
+	reps, err := reporter.ReadJSON(res.name + ".json")
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	res.reps = reps
+	return err
+}
+
+func (res *results) find(cel summarizer.Cell) (summarizer.Report, bool) {
+	for _, rep := range res.reps {
+		if rep.Cell == cel {
+			return rep, true
+		}
+	}
+	return summarizer.Report{}, false
+}
+
+// add keeps a report and writes all of them.
+func (res *results) add(rep summarizer.Report) error {
+	res.reps = append(res.reps, rep)
+	if err := reporter.WriteJSON(res.name+".json", res.reps); err != nil {
+		return err
+	}
+	return reporter.WriteHTML(res.name+".html", res.title, res.reps)
+}
+
+// check refuses to go on with runs of other settings.
+func (res *results) check(exp *experiment) error {
+	for _, cel := range exp.set.cells() {
+		rep, ok := res.find(cel)
+		if !ok {
+			continue
+		}
+		dur, war := exp.set.times(cel)
+		if rep.Duration != dur-war || rep.Rate != exp.plan(cel).rate() {
+			return eris.Errorf("%s.json holds %s of another length or rate", res.name, cellName(cel))
+		}
+	}
+	return nil
+}
+
+func cellName(cel summarizer.Cell) string {
+	return fmt.Sprintf("%s %d%% %s", cel.Policy, cel.Load, cel.Variant)
+}
