Say where long prompts wait and bound a team's rate under faults

Cause: the long target gave one figure without its parts. The stated bound of a team's rate (1.1 x T) left out hosts that don't reach the keeper: they take 1/N beside the whole rate that the others share. Ruled out: a share of 1/N kept back by the keeper for silent hosts; it can't tell a cut host from an idle one.

--- a/cmd/hemlockload/run.go
+++ b/cmd/hemlockload/run.go
@@ -14,6 +14,7 @@
 	"hemlockpin/load/reporter"
 	"hemlockpin/load/sender"
 	"hemlockpin/load/summarizer"
+	"hemlockpin/process/limiter"
 
 	"github.com/rotisserie/eris"
 )
@@ -43,6 +44,7 @@
 	Seed      uint64        `long:"seed" default:"1" description:"seed of all draws"`
 	Scale     float64       `long:"length-scale" default:"1" description:"divides the lengths of prompts"`
 	OnlyShort bool          `long:"only-short" description:"leave out the prompts over 4,000 tokens, the rate of the rest unchanged"`
+	TeamRate  float64       `long:"team-rate" description:"tokens a second that the tables give each sending team; what was admitted is printed beside the bound"`
 	Faults    []string      `long:"fault" description:"AT=URL=BODY; may be repeated"`
 	Name      string        `long:"name" default:"run" description:"name of the run in the report"`
 	JSON      string        `long:"json" description:"file for the report as JSON"`
@@ -129,6 +131,9 @@
 	if err := reporter.Print(os.Stdout, rep); err != nil {
 		return err
 	}
+	if com.TeamRate > 0 {
+		com.printAdmitted(rep)
+	}
 	reps := []summarizer.Report{rep}
 	if com.JSON != "" {
 		if err := reporter.WriteJSON(com.JSON, reps); err != nil {
@@ -140,3 +145,14 @@
 	}
 	return nil
 }
+
+// printAdmitted compares what each team was let in with the bound of its rate
+// when all hosts reach each other.
+func (com *runCommand) printAdmitted(rep summarizer.Report) {
+	fle := limiter.Fleet{Hosts: len(com.Hosts)}
+	for _, tea := range rep.Teams {
+		bou := fle.Bound(com.TeamRate, com.Duration, tea.LargestTokens)
+		fmt.Printf("%s: admitted %d tokens, bound %.0f, %.2f of the rate\n",
+			tea.Key, tea.AdmittedTokens, bou, float64(tea.AdmittedTokens)/com.TeamRate/com.Duration.Seconds())
+	}
+}
--- a/load/sender/sender.go
+++ b/load/sender/sender.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -71,6 +72,9 @@
 	// Says holds what each try of the call was told of its run; it is empty
 	// where a try had no answer.
 	Says []string
+	// Trace is the identifier of the request's trace; it is empty if the request
+	// was not traced.
+	Trace string
 	// Host is the address that took the request, Began the time it was sent.
 	Host  string
 	Began time.Time
@@ -85,6 +89,8 @@
 	Verify bool
 	// Repeats bounds how often a call is sent again under its key.
 	Repeats int
+	// Traced says which requests the hosts shall trace; nil means none.
+	Traced func(mixer.Request) bool
 	// TimeLimit is sent with each request; 0 leaves the route's.
 	TimeLimit time.Duration
 
@@ -128,7 +134,13 @@
 		return Result{Request: req, Outcome: Broken, Code: err.Error()}
 	}
 	beg := time.Now()
-	res, hos, err := sen.post(ctx, req, body, "")
+	hea := http.Header{}
+	trace := ""
+	if sen.Traced != nil && sen.Traced(req) {
+		trace = traceID()
+		hea.Set("Traceparent", "00-"+trace+"-"+trace[:16]+"-01")
+	}
+	res, hos, err := sen.post(ctx, req, body, hea)
 	if err != nil {
 		return unanswered(req, hos, err)
 	}
@@ -138,9 +150,13 @@
 	}
 	out := sen.stream(req, text, res, beg)
 	out.Host = hos
+	out.Trace = trace
 	return out
 }
 
+// traceID is a random identifier that is not all zeros in either half.
+func traceID() string { return fmt.Sprintf("%016x%016x", rand.Uint64()|1, rand.Uint64()|1) }
+
 func unanswered(req mixer.Request, hos string, err error) Result {
 	res := Result{Request: req, Outcome: Broken, Code: err.Error(), Host: hos}
 	if isDial(err) {
@@ -155,18 +171,16 @@
 }
 
 // post tries hosts until one takes the connection and returns that host.
-func (sen *Sender) post(ctx context.Context, req mixer.Request, body []byte, key string) (*http.Response, string, error) {
+func (sen *Sender) post(ctx context.Context, req mixer.Request, body []byte, hea http.Header) (*http.Response, string, error) {
 	var las error
 	for _, hos := range sen.order(time.Now()) {
 		htr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hos+req.Path, bytes.NewReader(body))
 		if err != nil {
 			return nil, hos, err
 		}
+		htr.Header = hea.Clone()
 		htr.Header.Set("Authorization", "Bearer "+req.Key)
 		htr.Header.Set("Content-Type", "application/json")
-		if key != "" {
-			htr.Header.Set("Idempotency-Key", key)
-		}
 		if sen.TimeLimit > 0 {
 			htr.Header.Set(receiver.TimeLimitHeader, sen.TimeLimit.String())
 		}
@@ -334,7 +348,11 @@
 
 func (sen *Sender) callOnce(ctx context.Context, req mixer.Request, key string) Result {
 	beg := time.Now()
-	res, hos, err := sen.post(ctx, req, []byte(`{"Order":1}`), key)
+	hea := http.Header{}
+	if key != "" {
+		hea.Set("Idempotency-Key", key)
+	}
+	res, hos, err := sen.post(ctx, req, []byte(`{"Order":1}`), hea)
 	if err != nil {
 		return unanswered(req, hos, err)
 	}
--- a/load/summarizer/slowdown.go
+++ b/load/summarizer/slowdown.go
@@ -44,6 +44,14 @@
 	return int(math.Floor(lengthSteps * math.Log2(float64(max(1, tokens)))))
 }
 
+func (sum *Summarizer) length(tokens int64) *hdrhistogram.Histogram {
+	buc := lengthBucket(tokens)
+	if sum.lengths[buc] == nil {
+		sum.lengths[buc] = newHistogram()
+	}
+	return sum.lengths[buc]
+}
+
 func (sum *Summarizer) lengthReports() []LengthReport {
 	var out []LengthReport
 	for buc, his := range sum.lengths {
@@ -53,20 +61,3 @@
 	slices.SortFunc(out, func(one, two LengthReport) int { return int(one.Tokens - two.Tokens) })
 	return out
 }
-
-// teamReports returns the times of each team and those of all but the first.
-func (sum *Summarizer) teamReports() ([]TeamReport, Times) {
-	var out []TeamReport
-	all := newHistogram()
-	for ind, tea := range sum.mix.Teams {
-		his := sum.teams[tea.Key]
-		if his == nil {
-			continue
-		}
-		out = append(out, TeamReport{tea.Key, timesOf(his)})
-		if ind > 0 {
-			all.Merge(his)
-		}
-	}
-	return out, timesOf(all)
-}
--- a/load/summarizer/summarizer.go
+++ b/load/summarizer/summarizer.go
@@ -73,10 +73,16 @@
 	P95    float64
 }
 
-// TeamReport holds the times to the first token of a team's short prompts.
+// TeamReport holds the times to the first token of a team's short prompts and
+// what was admitted of the team.
 type TeamReport struct {
 	Key   string
 	Short Times
+	// AdmittedTokens counts the tokens, asked for ones included, of the prompts
+	// that the limits let in; those of the warm-up are counted.
+	AdmittedTokens int64
+	// LargestTokens is the greatest number of tokens of one of them.
+	LargestTokens int64
 }
 
 // Cell says which run of a grid a report is of.
@@ -122,7 +128,10 @@
 	// Score is nil if the times on idle engines are not known.
 	Score *Score `json:",omitempty"`
 	// Long is the slowdown of the large and huge prompts together.
-	Long    Ratios `json:",omitzero"`
+	Long Ratios `json:",omitzero"`
+	// Parts says where the large and huge prompts spent their time; nil if they
+	// were not traced.
+	Parts   *Parts `json:",omitempty"`
 	Lengths []LengthReport
 	Teams   []TeamReport
 	// Others is the time to the first token of the short prompts of all teams
@@ -177,7 +186,7 @@
 	codes    map[string]int64
 	timeline []Second
 	lengths  map[int]*hdrhistogram.Histogram
-	teams    map[string]*hdrhistogram.Histogram
+	teams    map[string]*team
 }
 
 // New starts an empty summary; results of requests sent during the warm-up
@@ -186,7 +195,7 @@
 	return &Summarizer{
 		mix: mix, warmUp: warmUp, duration: duration,
 		classes: map[string]*class{}, codes: map[string]int64{}, timeline: make([]Second, duration/bucketSize+1),
-		lengths: map[int]*hdrhistogram.Histogram{}, teams: map[string]*hdrhistogram.Histogram{},
+		lengths: map[int]*hdrhistogram.Histogram{}, teams: map[string]*team{},
 	}
 }
 
@@ -197,6 +206,7 @@
 	sum.mu.Lock()
 	defer sum.mu.Unlock()
 	sum.addTimeline(res)
+	sum.team(res.Request.Key).admit(res)
 	if res.Request.At < sum.warmUp {
 		return
 	}
@@ -230,9 +240,9 @@
 		wai = max(wai, res.Request.Patience)
 	}
 	record(cla.waited, wai)
-	record(histogram(sum.lengths, lengthBucket(res.Request.PromptTokens)), wai)
+	record(sum.length(res.Request.PromptTokens), wai)
 	if res.Request.Class == mixer.ClassShort {
-		record(histogram(sum.teams, res.Request.Key), wai)
+		record(sum.team(res.Request.Key).short, wai)
 	}
 	if sum.Idle != nil {
 		idl := sum.Idle(res.Request)
@@ -241,15 +251,6 @@
 	}
 }
 
-func histogram[Key comparable](hiss map[Key]*hdrhistogram.Histogram, key Key) *hdrhistogram.Histogram {
-	his := hiss[key]
-	if his == nil {
-		his = newHistogram()
-		hiss[key] = his
-	}
-	return his
-}
-
 func record(his *hdrhistogram.Histogram, dur time.Duration) {
 	_ = his.RecordValue(min(max(1, dur.Microseconds()), maxMicros))
 }
--- /dev/null
+++ b/process/limiter/bound.go
@@ -0,0 +1,27 @@
+package limiter
+
+import "time"
+
+// Fleet is what the bound of a team's admission depends on.
+type Fleet struct {
+	Hosts int
+	// Cut is the number of hosts that don't reach the team's keeper.
+	Cut int
+	// Parts is the number of parts of the fleet that hold each other for dead;
+	// 0 means one.
+	Parts int
+	// Losses counts the keepers that were lost in the time, and their lost
+	// replies.
+	Losses int
+}
+
+// Bound returns the most tokens that a fleet admits of a team with a rate in a
+// time, when no request has more than largest tokens. Hosts that don't reach the
+// keeper take 1/Hosts each beside the rate that the others share, and parts of
+// a fleet that don't know of each other share the whole rate each.
+func (fle Fleet) Bound(rate float64, period time.Duration, largest int64) float64 {
+	hos := float64(max(1, fle.Hosts))
+	sha := 1 + startShare + float64(fle.Cut)/hos
+	sav := Burst + ShareLife + time.Duration(fle.Losses)*ShareLife
+	return float64(max(1, fle.Parts))*rate*(sha*period.Seconds()+sav.Seconds()) + hos*float64(largest)
+}
--- a/process/limiter/limiter.go
+++ b/process/limiter/limiter.go
@@ -6,7 +6,7 @@
 // share takes 1/N of the rate, and every host a tenth of that beside its share,
 // so that a team can begin to send there. What N hosts admit of a team in a
 // time T therefore stays below Rate x (1.1 x T + Burst + ShareLife) + N
-// requests, and ShareLife counts once more for each loss of a keeper.
+// requests; Fleet.Bound adds what faults let through.
 package limiter
 
 import (
--- a/tools/experimenter/main.go
+++ b/tools/experimenter/main.go
@@ -148,7 +148,7 @@
 		return err
 	}
 	for _, pol := range set.Policies {
-		judge{wri: os.Stdout, res: exp.res, pol: pol}.print(set)
+		judge{wri: os.Stdout, res: exp.res, pol: pol, limit: exp.limit()}.print(set)
 	}
 	return nil
 }
