Prefill short prompts where answers are decoded

Change: a short prompt goes to a decoder unless that takes 20 ms longer. Conclusion: kept; the two bounds of a move are the moves' to weigh. Tests: without detour TestCell/move grants s1 to s5 to other engines.

--- a/process/scheduler/dispatcher.go
+++ b/process/scheduler/dispatcher.go
@@ -133,7 +133,7 @@
 			ver = worse(ver, fit)
 			continue
 		}
-		if oth := eng.estimate(one, int(one.cached[eng.slot])); bes == nil || oth < est {
+		if oth := eng.estimate(one, int(one.cached[eng.slot])) + cel.detour(one, eng); bes == nil || oth < est {
 			bes, est = eng, oth
 		}
 	}
--- a/process/scheduler/mover.go
+++ b/process/scheduler/mover.go
@@ -22,6 +22,9 @@
 	moveMemory = 5 * time.Second
 	// maxMoves bounds the answers on their way to one engine.
 	maxMoves = 8
+	// shortDetour is how much longer a short prompt may take on a decoder than
+	// elsewhere, since its answer needs no move from there.
+	shortDetour = 20 * time.Millisecond
 	// minMoveAnswer is the least answer that is worth a move, in tokens.
 	minMoveAnswer = 4
 	// transferRate is the assumed rate of the copy to another engine, in
@@ -75,6 +78,15 @@
 	return false
 }
 
+// detour is added to the estimate of an engine that a short prompt had better
+// leave to long ones.
+func (cel *Cell) detour(one *ask, eng *engine) time.Duration {
+	if one.long || eng.decoder || cel.decoders == 0 {
+		return 0
+	}
+	return shortDetour
+}
+
 // move answers whether the answer of a grant goes on elsewhere. The question
 // may come before the notice of the first token.
 func (cel *Cell) move(id string, now time.Time) {
