Choose incarnations above those that peers know

Cause: an incarnation was the start's time in nanoseconds. A host restarted with its clock behind came with a lower one than its earlier process: peers ignored it, held the earlier one alive (it answered probes in its place) or dead, and would have freed the memory of its work as that of a replaced owner. Change: process/incarnator asks seeds and listed hosts before the daemon is wired and takes one above the highest that three of them know. Membership mends what was not known then: a lower incarnation that answers at the address of a newer one proves the newer one's end; a process told that a newer one of its host has ended takes one above. The work stays under the incarnation that the process started with, which members carry (Started) where it differs; reclaimer and schedulers go by it. The list's stamps follow the raised one. Ruled out: raising while the newer one lives, since a frozen process that has been replaced would then fight its successor. Claims rest on nonces, leases on versions, the limiter's keeper doesn't read the incarnation. Conclusion: no clock decides which process of a host counts, unless no peer answers a starting host and none ever tells it.

--- a/cmd/hemlockpind/main.go
+++ b/cmd/hemlockpind/main.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	defer flush()
-	return server.New(set, log, now).Run(ctx)
+	return server.New(set, log, server.Incarnation(ctx, set, now), now).Run(ctx)
 }
 
 func fail(err error, code int) {
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -213,6 +213,14 @@
 	return gos.state().Incarnation(host)
 }
 
+// Started returns the incarnation under which the newest known process of a
+// host owns its work; 0 if none was heard of.
+func (gos *Gossiper) Started(host string) uint64 {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	return gos.state().Started(host)
+}
+
 // address returns where this host reaches a peer.
 func (gos *Gossiper) address(per Peer) string {
 	gos.mu.Lock()
--- a/process/gossiper/history_test.go
+++ b/process/gossiper/history_test.go
@@ -219,6 +219,44 @@
 	require.Less(t, fab.settle(60), 60)
 }
 
+// A host that is started with its clock behind is not ignored, whether its
+// earlier process was found dead or not, and does not lose its own work.
+func TestClockBehind(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		dead int
+	}{{"at once", 0}, {"found dead", 30}} {
+		t.Run(tt.name, func(t *testing.T) {
+			fab := newFabric(map[string]int{"r1": 4, "r2": 2})
+			for range 8 {
+				fab.start("r1-0", "r1")
+			}
+			fab.settle(100)
+			fab.cutRegions("r1", "r2", true)
+			for range tt.dead {
+				for _, oth := range fab.ids {
+					fab.cut[[2]string{oth, "r1-0"}] = oth != "r1-0"
+				}
+				fab.tick()
+			}
+			clear(fab.cut)
+			fab.rosters["r1-0"].Self.Incarnation = 1
+			fab.start("r1-0", "r1")
+			fab.rosters["r1-0"].Self.Started = 2
+			for range 30 {
+				fab.tick()
+			}
+			for _, id := range fab.ids {
+				inc, ali := fab.rosters[id].Incarnation("r1-0")
+				require.True(t, ali, "host %s", id)
+				require.Equal(t, fab.rosters["r1-0"].Self.Incarnation, inc, "host %s", id)
+				require.Equal(t, uint64(2), fab.rosters[id].Started("r1-0"), "host %s", id)
+			}
+			require.Greater(t, fab.rosters["r1-0"].Self.Incarnation, uint64(9))
+		})
+	}
+}
+
 // A host whose own calls are all lost stops to suspect the others.
 func TestHostDoubtsItself(t *testing.T) {
 	fab := newFabric(map[string]int{"r1": 8})
--- a/process/gossiper/merge.go
+++ b/process/gossiper/merge.go
@@ -15,9 +15,12 @@
 	}
 	acts = append(acts, ros.merge(eve.From, now)...)
 	mem := ros.members[eve.From.ID]
-	if mem == nil || mem.Incarnation != eve.From.Incarnation {
+	if mem == nil {
 		return acts
 	}
+	if mem.Incarnation != eve.From.Incarnation {
+		return append(acts, ros.outlived(mem, eve, now)...)
+	}
 	mem.Heard = now
 	mem.TablesRevision = max(mem.TablesRevision, eve.From.TablesRevision)
 	if eve.Reached != "" {
@@ -26,6 +29,17 @@
 	return acts
 }
 
+// outlived takes the newer process of a host for dead when an older incarnation
+// answers in its place: the one that answers was started with its clock behind,
+// and takes an incarnation above the newer one once it hears of its death. If
+// the newer one lives elsewhere it refutes.
+func (ros *Roster) outlived(mem *member, eve Heard, now time.Time) []Action {
+	if eve.Reached == "" || eve.Reached != mem.peer().Address || mem.State == StateDead {
+		return nil
+	}
+	return ros.set(mem, StateDead, now)
+}
+
 // reached notes that this host's own call to a peer was answered.
 func (ros *Roster) reached(mem *member, address string) {
 	mem.dial = address
@@ -79,8 +93,15 @@
 	return []Action{Note{upd.ID, was, upd.State}}
 }
 
-// refute answers a false report about this process.
+// refute answers a false report about this process. A newer process of this
+// host that has ended is outbid, since peers would ignore this one otherwise. A
+// newer one that lives is left alone, since it has replaced this one.
 func (ros *Roster) refute(upd Peer) {
+	if upd.Incarnation > ros.Self.Incarnation && upd.State == StateDead {
+		ros.Self.Incarnation = upd.Incarnation + 1
+		ros.Self.Refutation = 0
+		return
+	}
 	if upd.Incarnation != ros.Self.Incarnation || upd.Refutation < ros.Self.Refutation {
 		return
 	}
@@ -202,3 +223,15 @@
 	}
 	return mem.Incarnation, mem.State != StateDead
 }
+
+// Started returns the incarnation under which the newest known process of a
+// host owns its work; 0 if none was heard of.
+func (ros *Roster) Started(host string) uint64 {
+	if host == ros.Self.ID {
+		return ros.Self.Started
+	}
+	if mem := ros.members[host]; mem != nil {
+		return mem.Started
+	}
+	return 0
+}
--- a/process/gossiper/peer.go
+++ b/process/gossiper/peer.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"cmp"
 	"time"
 
 	"hemlockpin/connection/messenger"
@@ -42,6 +43,9 @@
 	Region     string
 	// Incarnation identifies the process.
 	Incarnation uint64
+	// Started is the incarnation with which the process began. It is lower than
+	// Incarnation only after the process has outbid one that had ended.
+	Started uint64
 	// Refutation counts the false suspicions that the process has refuted.
 	Refutation     uint64
 	State          State
@@ -76,10 +80,14 @@
 
 // Member converts a peer to its message.
 func (per Peer) Member() *messenger.Member {
-	return &messenger.Member{
+	mem := &messenger.Member{
 		Id: per.ID, Address: per.Address, DataCenter: per.DataCenter, Region: per.Region,
 		Incarnation: per.Incarnation, Refutation: per.Refutation, State: toWire[per.State],
 	}
+	if per.Started != per.Incarnation {
+		mem.Started = per.Started
+	}
+	return mem
 }
 
 // PeerOf converts a message. A message without an ID or with a state of a
@@ -91,7 +99,7 @@
 	}
 	return Peer{
 		ID: mem.GetId(), Address: mem.GetAddress(), DataCenter: mem.GetDataCenter(), Region: mem.GetRegion(),
-		Incarnation: mem.GetIncarnation(), Refutation: mem.GetRefutation(), State: sta,
+		Incarnation: mem.GetIncarnation(), Started: cmp.Or(mem.GetStarted(), mem.GetIncarnation()), Refutation: mem.GetRefutation(), State: sta,
 	}, true
 }
 
--- /dev/null
+++ b/process/incarnator/incarnator_test.go
@@ -0,0 +1,54 @@
+package incarnator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+)
+
+// TestChoose starts host-a with its clock at 100. Each line of the input is a
+// peer with the incarnation of host-a that it knows, or silent.
+func TestChoose(t *testing.T) {
+	datadriven.RunTest(t, "testdata/choose", func(t *testing.T, dat *datadriven.TestData) string {
+		inc := &Incarnator{Host: "host-a", Entries: func(context.Context) ([]persister.Entry, error) { return nil, eris.New("out") }}
+		knows := map[string]uint64{}
+		for _, arg := range dat.CmdArgs {
+			var num uint64
+			if _, err := fmt.Sscan(arg.Vals[0], &num); err == nil {
+				knows[arg.Key] = num
+			}
+			inc.Seeds = append(inc.Seeds, arg.Key)
+		}
+		if dat.Cmd == "listed" {
+			adds := inc.Seeds
+			inc.Seeds = nil
+			inc.Entries = func(context.Context) ([]persister.Entry, error) {
+				ents := []persister.Entry{{ID: "host-a", Kind: persister.KindEntry, Address: "self"}, {ID: "engine", Kind: persister.KindEngine, Address: "engine"}}
+				for _, add := range adds {
+					ents = append(ents, persister.Entry{ID: add, Kind: persister.KindEntry, Address: add})
+				}
+				return ents, nil
+			}
+		}
+		inc.Call = func(_ context.Context, add string, _ *messenger.Envelope) (*messenger.Envelope, error) {
+			num, ok := knows[add]
+			if !ok {
+				require.NotEqual(t, "self", add)
+				require.NotEqual(t, "engine", add)
+				return nil, eris.New("silent")
+			}
+			return &messenger.Envelope{Body: &messenger.Envelope_MembersPush{MembersPush: &messenger.MembersPush{Members: []*messenger.Member{
+				{Id: "host-b", Incarnation: 1 << 40}, {Id: "host-a", Incarnation: num, State: messenger.Member_STATE_DEAD},
+			}}}}, nil
+		}
+		return fmt.Sprintln(inc.Choose(t.Context(), time.Unix(0, 100)))
+	})
+}
--- a/process/lister/lister.go
+++ b/process/lister/lister.go
@@ -87,9 +87,10 @@
 
 // Lister holds the list of one host. It needs the exported fields.
 type Lister struct {
-	Platform    Platform
-	Self        string
-	Incarnation uint64
+	Platform Platform
+	Self     string
+	// Incarnation returns that of this host's process.
+	Incarnation func() uint64
 	// Region returns the IDs of the live peers of the region.
 	Region func() []string
 	// Every is the shortest time between two reads of the reader.
@@ -194,16 +195,16 @@
 	lis.mu.Lock()
 	defer lis.mu.Unlock()
 	old := lis.held
-	if old.stamp.Source == lis.Self && old.checksum == sum {
+	if lis.own(old.stamp) && old.checksum == sum {
 		lis.held.stamp.At = now
 		return false
 	}
 	lis.reads++
 	nex := reading{
-		stamp:   Stamp{Source: lis.Self, Incarnation: lis.Incarnation, Sequence: lis.reads, At: now},
+		stamp:   Stamp{Source: lis.Self, Incarnation: lis.Incarnation(), Sequence: lis.reads, At: now},
 		entries: ents, checksum: sum, size: size,
 	}
-	if old.stamp.Source == lis.Self {
+	if lis.own(old.stamp) {
 		cha := diff(old.entries, ents)
 		cha.base = old.stamp.Sequence
 		nex.changes = append(slices.Clone(old.changes), cha)
@@ -220,13 +221,19 @@
 	defer lis.mu.Unlock()
 	las := lis.raw
 	lis.raw = ents
-	if len(ents) == 0 || len(las) != len(ents) || &las[0] != &ents[0] || lis.held.stamp.Source != lis.Self {
+	if len(ents) == 0 || len(las) != len(ents) || &las[0] != &ents[0] || !lis.own(lis.held.stamp) {
 		return false
 	}
 	lis.held.stamp.At = now
 	return true
 }
 
+// own reports whether this process took the reading under its present
+// incarnation.
+func (lis *Lister) own(sta Stamp) bool {
+	return sta.Source == lis.Self && sta.Incarnation == lis.Incarnation()
+}
+
 func checksum(ents []persister.Entry) (uint64, int) {
 	buf, _ := json.Marshal(ents)
 	return xxhash.Sum64(buf), len(buf)
--- a/process/lister/lister_test.go
+++ b/process/lister/lister_test.go
@@ -58,8 +58,9 @@
 
 func (reg *region) start(id string) {
 	reg.live[id] = true
+	inc := uint64(reg.now.UnixNano())
 	reg.listers[id] = &Lister{
-		Platform: reg, Self: id, Incarnation: uint64(reg.now.UnixNano()), Every: time.Second,
+		Platform: reg, Self: id, Incarnation: func() uint64 { return inc }, Every: time.Second,
 		Clock: func() time.Time { return reg.now },
 		Region: func() []string {
 			var out []string
--- a/process/server/edge_test.go
+++ b/process/server/edge_test.go
@@ -58,7 +58,7 @@
 // replaces the routes unless it is nil.
 func startEdge(t *testing.T, set configurer.Settings, han http.Handler) (ser *Server, address string) {
 	t.Helper()
-	ser = New(set, zerolog.Nop(), time.Now())
+	ser = New(set, zerolog.Nop(), 1, time.Now())
 	ser.publisher.Accept(edgeTables())
 	if han == nil {
 		han = ser.callerRoutes()
--- a/process/server/reclaim.go
+++ b/process/server/reclaim.go
@@ -66,9 +66,10 @@
 	return gossiper.Peer{}, false
 }
 
-// Incarnation returns the newest process of a host that was heard of.
+// Incarnation returns the owner's incarnation of the newest process of a host
+// that was heard of.
 func (mem *members) Incarnation(host string) (uint64, bool) {
-	inc, _ := mem.gossiper.Incarnation(host)
+	inc := mem.gossiper.Started(host)
 	return inc, inc > 0
 }
 
--- a/process/server/schedule.go
+++ b/process/server/schedule.go
@@ -67,10 +67,10 @@
 	las := map[string]uint64{}
 	for {
 		for _, per := range ser.gossiper.Peers() {
-			if old, ok := las[per.ID]; ok && per.Incarnation > old {
+			if old, ok := las[per.ID]; ok && per.Started > old {
 				ser.scheduler.OwnerGone(scheduler.OwnerGone{Host: per.ID, Incarnation: old})
 			}
-			las[per.ID] = per.Incarnation
+			las[per.ID] = per.Started
 		}
 		select {
 		case <-tic.C:
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -17,6 +17,7 @@
 	"hemlockpin/process/allocator"
 	"hemlockpin/process/configurer"
 	"hemlockpin/process/gossiper"
+	"hemlockpin/process/incarnator"
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/limiter"
 	"hemlockpin/process/lister"
@@ -71,9 +72,17 @@
 	requestDrain context.CancelFunc
 }
 
+// Incarnation chooses the incarnation of a host that starts now.
+func Incarnation(ctx context.Context, set configurer.Settings, now time.Time) uint64 {
+	mul := &multiplexer.Multiplexer{}
+	defer mul.Close()
+	per := &persister.Persister{BaseURL: set.Platform, Region: set.Region}
+	return (&incarnator.Incarnator{Host: set.HostID, Seeds: set.SeedPeers, Entries: per.Entries, Call: mul.Call}).Choose(ctx, now)
+}
+
 // New joins the parts of a host.
-func New(set configurer.Settings, log zerolog.Logger, now time.Time) *Server {
-	ser := &Server{Settings: set, Log: log, Incarnation: uint64(now.UnixNano()), started: now}
+func New(set configurer.Settings, log zerolog.Logger, incarnation uint64, now time.Time) *Server {
+	ser := &Server{Settings: set, Log: log, Incarnation: incarnation, started: now}
 	ser.scope, ser.metrics = newScope(log)
 	own := invoker.Owner{Host: set.HostID, Incarnation: ser.Incarnation}
 	ser.meter = newMeter(ser.scope)
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -60,8 +60,12 @@
 
 // newLister returns the host's holder of the platform's list.
 func (ser *Server) newLister() *lister.Lister {
+	inc := func() uint64 {
+		num, _ := ser.gossiper.Incarnation(ser.Settings.HostID)
+		return num
+	}
 	return &lister.Lister{
-		Platform: &platformWatch{Lister: ser.persister, log: ser.Log, scope: ser.scope}, Self: ser.Settings.HostID, Incarnation: ser.Incarnation, Region: ser.regionHosts,
+		Platform: &platformWatch{Lister: ser.persister, log: ser.Log, scope: ser.scope}, Self: ser.Settings.HostID, Incarnation: inc, Region: ser.regionHosts,
 		Every: ser.Settings.ListInterval, Cost: ser.persister.ListCost, Clock: time.Now,
 		OnChange: func() { go ser.forward(ser.gossiper.PushList) },
 	}
