Weigh what a moved prompt must read again

Cause: engines pass on whole blocks of 1,024 tokens only. Change: an answer moves only where what is read again takes at most 11 ms, and this prefill is in the decoder's account until the move is over. Tests: prompts of the scripts and of the matrix now have their blocks, else no answer of them may move; the files' results are unchanged.

--- a/process/scheduler/cell_test.go
+++ b/process/scheduler/cell_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockpin/connection/invoker"
+	"hemlockpin/request/hasher"
 	"hemlockpin/request/placer"
 
 	"github.com/cockroachdb/datadriven"
@@ -136,11 +137,17 @@
 			ID: "r-" + id, Team: word(dat, "team", "t"), Share: float64(number(dat, "share", 1)), Model: word(dat, "model", "m"),
 			PromptTokens: int64(number(dat, "prompt", 1000)), MaxTokens: int64(number(dat, "answer", 10)), Priority: number(dat, "priority", 0),
 			Deadline: ben.now.Add(time.Duration(number(dat, "limit", 30_000)) * time.Millisecond), Excluded: words(dat, "excluded"),
+			Prefix: blocks(id, number(dat, "prompt", 1000)),
 		}})
 	}
 	return clean(out)
 }
 
+// blocks returns the whole blocks of a prompt that shares none.
+func blocks(id string, tokens int) []uint64 {
+	return hasher.Blocks(strings.Repeat(id, tokens*hasher.BytesPerToken/len(id)))
+}
+
 func (ben *bench) each(dat *datadriven.TestData, eve func(id string) Event) string {
 	out := ""
 	for _, id := range strings.Fields(dat.Input) {
--- a/process/scheduler/matrix_test.go
+++ b/process/scheduler/matrix_test.go
@@ -130,7 +130,7 @@
 }
 
 func (sta *stage) newAsk(id, host string, tokens int64, limit time.Duration) Ask {
-	return Ask{ID: id, Host: host, Incarnation: 1, Request: placer.Request{ID: id, Team: host, Model: "m", PromptTokens: tokens, MaxTokens: 10, Deadline: sta.now.Add(limit)}}
+	return Ask{ID: id, Host: host, Incarnation: 1, Request: placer.Request{ID: id, Team: host, Model: "m", PromptTokens: tokens, MaxTokens: 10, Prefix: blocks(id, int(tokens)), Deadline: sta.now.Add(limit)}}
 }
 
 func (sta *stage) send(eve Event) {
--- a/process/scheduler/mover.go
+++ b/process/scheduler/mover.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"hemlockpin/request/hasher"
 )
 
 const (
@@ -25,6 +27,9 @@
 	// shortDetour is how much longer a short prompt may take on a decoder than
 	// elsewhere, since its answer needs no move from there.
 	shortDetour = 20 * time.Millisecond
+	// maxReread bounds the prefill of what the copy of a prompt leaves out, as
+	// it holds up the answers on the decoder.
+	maxReread = 11 * time.Millisecond
 	// minMoveAnswer is the least answer that is worth a move, in tokens.
 	minMoveAnswer = 4
 	// transferRate is the assumed rate of the copy to another engine, in
@@ -119,7 +124,7 @@
 		return Stay{ID: gra.ask.id}
 	}
 	bes.advance(now)
-	gra.target = &part{gra: gra, eng: bes, memory: sou.memory, since: now}
+	gra.target = &part{gra: gra, eng: bes, memory: sou.memory, left: gra.ask.reread(), since: now}
 	bes.add(gra.target)
 	bes.moves++
 	return MoveTo{ID: gra.ask.id, Endpoint: bes.id, Address: bes.address}
@@ -128,8 +133,17 @@
 // movable reports whether the answer of an ask takes clearly longer than its
 // copy to another engine.
 func (cel *Cell) movable(one *ask) bool {
+	if one.group || one.req.MaxTokens < minMoveAnswer || cel.prefillTime(one.reread()) > maxReread {
+		return false
+	}
 	cop := float64(one.req.PromptTokens) / transferRate
-	return !one.group && one.req.MaxTokens >= minMoveAnswer && cop <= maxTransferShare*cel.answerTime(one.req.MaxTokens).Seconds()
+	return cop <= maxTransferShare*cel.answerTime(one.req.MaxTokens).Seconds()
+}
+
+// reread counts the tokens after the prompt's last whole block. Engines pass
+// on whole blocks only.
+func (one *ask) reread() int64 {
+	return max(0, one.req.PromptTokens-int64(len(one.req.Prefix))*hasher.BlockTokens)
 }
 
 // takesMove reports whether an engine can go on with the answer of a grant.
@@ -151,6 +165,7 @@
 	}
 	gra.parts[0].give(now)
 	gra.parts[0] = gra.target
+	gra.target.eng.prefilled(gra.target)
 	gra.target.eng.moves--
 	gra.target = nil
 }
