Hold the limits of a pool without a scheduler

Cause: MaxOutstanding and MaxWaiting held only in the cell's path; a host that places from its own view, without a scheduler or by another policy, knew neither. Change: placement passes over an endpoint that has MaxOutstanding requests, by the host's own count or by its last report, and refuses with pool_full where all have them. A host counts its prompts without a first token and refuses beyond MaxWaiting. Requests and views are handed on by reference within a decision. Ruled out: adding full endpoints to the excluded ones, which allocates with their number and reads the list for each endpoint. Before: TestLimitsWithoutScheduler against the file before: "An error is expected but got nil" in all rows. After: `go test -race ./process/allocator ./request/placer` passes; without the look at reports the rows outstanding and service fail.

--- a/process/allocator/allocator.go
+++ b/process/allocator/allocator.go
@@ -12,6 +12,7 @@
 	"hemlockpin/connection/invoker"
 	"hemlockpin/process/ejector"
 	"hemlockpin/process/grouper"
+	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/placer"
@@ -35,6 +36,9 @@
 	work  map[string]*usage
 	views map[string]*view
 	mix   placer.Mix
+	// waiting counts the requests placed from the own view that have no first
+	// token, by pool of engines.
+	waiting map[string]int
 }
 
 // acquire places a request. With a scheduler it waits until it is granted or
@@ -50,19 +54,35 @@
 	return all.fromView(ctx, req, poo)
 }
 
+// fromView places by this host's own view, within the pool's limits as far as
+// that view shows them.
 func (all *Allocator) fromView(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
 	now := time.Now()
 	all.mu.Lock()
+	if poo.Kind == parser.PoolEngine && poo.MaxWaiting > 0 && all.waiting[poo.Name] >= poo.MaxWaiting {
+		all.mu.Unlock()
+		return executor.Lease{}, &executor.RefusedError{Refuse: placer.Refuse{
+			Code: scheduler.CodePoolFull, Message: "too many requests wait for the pool", RetryAfter: time.Second,
+		}}
+	}
 	vie := all.view(poo, now)
 	all.mix = all.mix.WithRequest(req.PromptTokens, now)
-	dec := placer.Decide(all.Policy, req, vie.view(all.mix, poo), now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	own := vie.view(all.mix, poo)
+	own.MaxOutstanding = poo.MaxOutstanding
+	dec := placer.Decide(all.Policy, req, own, now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	switch dec := dec.(type) {
 	case placer.Place:
 		defer all.mu.Unlock()
-		return all.lease(dec.Endpoint, dec.Address, req.PromptTokens, now), nil
+		return all.untilFirst(all.lease(dec.Endpoint, dec.Address, req.PromptTokens, now), poo), nil
 	case placer.PlaceGroup:
 		all.mu.Unlock()
-		return all.group(ctx, req, dec)
+		lea, err := all.group(ctx, req, dec)
+		if err != nil {
+			return lea, err
+		}
+		all.mu.Lock()
+		defer all.mu.Unlock()
+		return all.untilFirst(lea, poo), nil
 	case placer.Refuse:
 		all.mu.Unlock()
 		return executor.Lease{}, &executor.RefusedError{Refuse: dec}
@@ -72,6 +92,27 @@
 	}
 }
 
+// untilFirst counts a request of a pool of engines as waiting until its first
+// token or its end. The caller holds the lock.
+func (all *Allocator) untilFirst(lea executor.Lease, poo parser.Pool) executor.Lease {
+	if poo.Kind != parser.PoolEngine {
+		return lea
+	}
+	if all.waiting == nil {
+		all.waiting = map[string]int{}
+	}
+	all.waiting[poo.Name]++
+	first := sync.OnceFunc(func() {
+		all.mu.Lock()
+		defer all.mu.Unlock()
+		all.waiting[poo.Name]--
+	})
+	pre, rel := lea.Prefilled, lea.Release
+	lea.Prefilled = func() { pre(); first() }
+	lea.Release = func() { rel(); first() }
+	return lea
+}
+
 // lease counts the request. The caller holds the lock.
 func (all *Allocator) lease(id, address string, tokens int64, now time.Time) executor.Lease {
 	all.add(id, 1, tokens, now)
--- /dev/null
+++ b/process/allocator/allocator_test.go
@@ -0,0 +1,48 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	"hemlockpin/request/executor"
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLimitsWithoutScheduler places from the own view until a limit of the pool
+// is reached, and again after the first token or the end of a request.
+func TestLimitsWithoutScheduler(t *testing.T) {
+	tts := []struct {
+		name  string
+		pool  parser.Pool
+		fits  int
+		again func(executor.Lease)
+	}{
+		{"outstanding", parser.Pool{Name: "p", Kind: parser.PoolEngine, MaxOutstanding: 2}, 2, func(lea executor.Lease) { lea.Release() }},
+		{"service", parser.Pool{Name: "p", Kind: parser.PoolService, MaxOutstanding: 2, MaxWaiting: 1}, 2, func(lea executor.Lease) { lea.Release() }},
+		{"waiting", parser.Pool{Name: "p", Kind: parser.PoolEngine, MaxWaiting: 4}, 4, func(lea executor.Lease) { lea.Prefilled() }},
+		{"waiting to the end", parser.Pool{Name: "p", Kind: parser.PoolEngine, MaxWaiting: 4}, 4, func(lea executor.Lease) { lea.Release() }},
+	}
+	for _, tt := range tts {
+		t.Run(tt.name, func(t *testing.T) {
+			// The endpoint b has requests of other hosts, by its report.
+			vie := &view{endpoints: []placer.Endpoint{{ID: "a"}, {ID: "b", Running: 2}}, index: map[string]int{"a": 0, "b": 1}, pool: tt.pool, copied: time.Now().Add(time.Hour)}
+			all := &Allocator{Policy: placer.PolicyLeastOutstanding, views: map[string]*view{"p": vie}}
+			var las executor.Lease
+			for range tt.fits {
+				lea, err := all.fromView(t.Context(), placer.Request{}, tt.pool)
+				require.NoError(t, err)
+				las = lea
+			}
+			_, err := all.fromView(t.Context(), placer.Request{}, tt.pool)
+			var ref *executor.RefusedError
+			require.ErrorAs(t, err, &ref)
+			require.Equal(t, "pool_full", ref.Refuse.Code)
+			tt.again(las)
+			_, err = all.fromView(t.Context(), placer.Request{}, tt.pool)
+			require.NoError(t, err)
+		})
+	}
+}
--- a/request/placer/chooser.go
+++ b/request/placer/chooser.go
@@ -30,14 +30,14 @@
 	}
 	for range sampleTries {
 		ind := spa.from + ran.IntN(spa.size())
-		if req.takes(&vie.Endpoints[ind]) {
+		if vie.takes(&req, &vie.Endpoints[ind]) {
 			return ind
 		}
 	}
 	sta := ran.IntN(spa.size())
 	for off := range spa.size() {
 		ind := spa.from + (sta+off)%spa.size()
-		if req.takes(&vie.Endpoints[ind]) {
+		if vie.takes(&req, &vie.Endpoints[ind]) {
 			return ind
 		}
 	}
@@ -51,7 +51,7 @@
 	}
 	for range sampleTries {
 		ind := spa.from + (one-spa.from+1+ran.IntN(spa.size()-1))%spa.size()
-		if req.takes(&vie.Endpoints[ind]) {
+		if vie.takes(&req, &vie.Endpoints[ind]) {
 			return ind
 		}
 	}
@@ -67,18 +67,18 @@
 	if one < 0 {
 		return -1
 	}
-	bes, est := one, Estimate(req, &vie.Endpoints[one], 0, now)
+	bes, est := one, estimate(&req, &vie.Endpoints[one], 0, now)
 	if two := sampleOther(req, vie, spa, one, ran); two >= 0 {
-		if oth := Estimate(req, &vie.Endpoints[two], 0, now); oth < est {
+		if oth := estimate(&req, &vie.Endpoints[two], 0, now); oth < est {
 			bes, est = two, oth
 		}
 	}
 	for _, cac := range vie.Cached {
 		ind := vie.index(cac.Endpoint, spa)
-		if ind < 0 || !req.takes(&vie.Endpoints[ind]) {
+		if ind < 0 || !vie.takes(&req, &vie.Endpoints[ind]) {
 			continue
 		}
-		if oth := Estimate(req, &vie.Endpoints[ind], cac.Blocks, now); oth < est {
+		if oth := estimate(&req, &vie.Endpoints[ind], cac.Blocks, now); oth < est {
 			bes, est = ind, oth
 		}
 	}
@@ -102,7 +102,7 @@
 	for off := range all {
 		ind := (sta + off) % all
 		end := &vie.Endpoints[ind]
-		if (bes < 0 || end.Outstanding < vie.Endpoints[bes].Outstanding) && req.takes(end) {
+		if (bes < 0 || end.Outstanding < vie.Endpoints[bes].Outstanding) && vie.takes(&req, end) {
 			bes = ind
 		}
 	}
@@ -118,10 +118,10 @@
 	for off := range all {
 		ind := (sta + off) % all
 		end := &vie.Endpoints[ind]
-		if !req.takes(end) {
+		if !vie.takes(&req, end) {
 			continue
 		}
-		if est := Estimate(req, end, 0, now); bes < 0 || est < low {
+		if est := estimate(&req, end, 0, now); bes < 0 || est < low {
 			bes, low = ind, est
 		}
 	}
@@ -154,14 +154,14 @@
 		return firstOf(twoChoices(req, vie, lon, now, ran), func() int { return twoChoices(req, vie, sho, now, ran) })
 	}
 	own := twoChoices(req, vie, sho, now, ran)
-	if own >= 0 && Estimate(req, &vie.Endpoints[own], 0, now) < letThrough {
+	if own >= 0 && estimate(&req, &vie.Endpoints[own], 0, now) < letThrough {
 		return own
 	}
 	oth := sample(req, vie, lon, ran)
 	if own < 0 {
 		return firstOf(oth, func() int { return sample(req, vie, span{0, all}, ran) })
 	}
-	if oth >= 0 && Estimate(req, &vie.Endpoints[oth], 0, now) < Estimate(req, &vie.Endpoints[own], 0, now) {
+	if oth >= 0 && estimate(&req, &vie.Endpoints[oth], 0, now) < estimate(&req, &vie.Endpoints[own], 0, now) {
 		return oth
 	}
 	return own
--- a/request/placer/estimator.go
+++ b/request/placer/estimator.go
@@ -26,6 +26,10 @@
 // prefill that is queued there and the request's own, less the cached blocks,
 // one decoding step, and the wait for memory.
 func Estimate(req Request, end *Endpoint, cachedBlocks int, now time.Time) time.Duration {
+	return estimate(&req, end, cachedBlocks, now)
+}
+
+func estimate(req *Request, end *Endpoint, cachedBlocks int, now time.Time) time.Duration {
 	if end.MemoryTokens == 0 && end.PrefillRate == 0 && req.PromptTokens == 0 {
 		return time.Duration(end.Outstanding+1) * callCost
 	}
--- a/request/placer/group.go
+++ b/request/placer/group.go
@@ -15,7 +15,7 @@
 func group(need int64, req Request, vie View) Decision {
 	var can []*Endpoint
 	for ind := range vie.Endpoints {
-		if end := &vie.Endpoints[ind]; req.takes(end) {
+		if end := &vie.Endpoints[ind]; vie.takes(&req, end) {
 			can = append(can, end)
 		}
 	}
--- a/request/placer/placer.go
+++ b/request/placer/placer.go
@@ -97,6 +97,8 @@
 	// LongShare is the pool's share of engines for long prompts; 0 stands for
 	// the share of the work that long prompts bring.
 	LongShare float64
+	// MaxOutstanding bounds the requests on one endpoint; 0 stands for no bound.
+	MaxOutstanding int
 }
 
 // Part is a share of a group of engines.
@@ -136,6 +138,9 @@
 // Decide places a request.
 func Decide(pol Policy, req Request, vie View, now time.Time, ran *rand.Rand) Decision {
 	fit := largest(req, vie)
+	if !fit.any && fit.full {
+		return Refuse{Code: "pool_full", Message: "every endpoint of the pool has all the requests that it may have", RetryAfter: time.Second}
+	}
 	if !fit.any {
 		return Refuse{Code: "no_endpoint", Message: "no endpoint of the pool can take the request", RetryAfter: time.Second}
 	}
@@ -165,16 +170,29 @@
 func (req Request) Need() int64 { return req.PromptTokens + req.MaxTokens }
 
 // takes reports whether an endpoint can serve the request at all.
-func (req Request) takes(end *Endpoint) bool {
+func (req *Request) takes(end *Endpoint) bool {
 	if end.Leaving || (len(req.Excluded) > 0 && slices.Contains(req.Excluded, end.ID)) {
 		return false
 	}
 	return req.Model == "" || slices.Contains(end.Models, req.Model)
 }
 
+// takes reports whether an endpoint can serve the request now.
+func (vie *View) takes(req *Request, end *Endpoint) bool {
+	return !vie.full(end) && req.takes(end)
+}
+
+// full reports whether an endpoint has all the requests that it may have, by
+// this host's count or by its last report.
+func (vie *View) full(end *Endpoint) bool {
+	return vie.MaxOutstanding > 0 && max(end.Outstanding, end.Running) >= vie.MaxOutstanding
+}
+
 // capacity is the memory of the largest endpoint that takes a request.
 type capacity struct {
-	any       bool
+	any bool
+	// full says that some endpoint would take the request if it had fewer.
+	full      bool
 	unbounded bool
 	memory    int64
 }
@@ -188,6 +206,10 @@
 		if !req.takes(end) {
 			continue
 		}
+		if vie.full(end) {
+			fit.full = true
+			continue
+		}
 		fit.any = true
 		fit.memory = max(fit.memory, end.MemoryTokens)
 		fit.unbounded = end.MemoryTokens == 0
--- a/request/placer/placer_test.go
+++ b/request/placer/placer_test.go
@@ -88,6 +88,10 @@
 		{"excluded", Request{Model: "pedal-model", Excluded: []string{"engine-1"}}, func(*View) {}, Place{Endpoint: "engine-0"}},
 		{"unknown model", Request{Model: "other"}, func(*View) {}, Refuse{Code: "no_endpoint", Message: "no endpoint of the pool can take the request", RetryAfter: time.Second}},
 		{"no endpoints", Request{}, func(vie *View) { vie.Endpoints = nil }, Refuse{Code: "no_endpoint", Message: "no endpoint of the pool can take the request", RetryAfter: time.Second}},
+		{"one full", Request{Model: "pedal-model"}, func(vie *View) { vie.MaxOutstanding, vie.Endpoints[0].Outstanding = 2, 2 }, Place{Endpoint: "engine-1"}},
+		{"all full", Request{Model: "pedal-model"}, func(vie *View) {
+			vie.MaxOutstanding, vie.Endpoints[0].Running, vie.Endpoints[1].Outstanding = 2, 2, 3
+		}, Refuse{Code: "pool_full", Message: "every endpoint of the pool has all the requests that it may have", RetryAfter: time.Second}},
 		{"cached prefix", Request{Model: "pedal-model", PromptTokens: 50_000}, func(vie *View) {
 			vie.Cached = []Cached{{"engine-1", 40}}
 			vie.Endpoints[1].QueuedTokens = 20_000
