Follow prefix caches without their events and pace load reports

Cause: a host that schedules a cell read every engine's summary each 250 ms and all cache events: 59 KB/s at 14 engines with lengths divided by 10, 175 KB/s at full lengths, against the 14 KB/s that a host's control may take. Ruled out: reading events within a byte budget, as each skipped part is a gap and clears what is believed; rarer reads alone, as the events are the most of it. Conclusion: reads follow a budget of 5 KB/s; an engine whose report can't be read gets no grants at once instead of after 3 s, and one that a prompt left before its first token is read within a second. The matrix keeps its results: silence of an engine now reaches the cell as Unreachable. Still over: messages between hosts.

--- a/connection/invoker/engine.go
+++ b/connection/invoker/engine.go
@@ -53,7 +53,7 @@
 		RequestID string
 		Attempt   int
 		Owner     Owner
-	}{requestID, att, own}, nil)
+	}{requestID, att, own})
 }
 
 // Sequence is one holder of an engine's memory.
@@ -145,7 +145,7 @@
 // ReserveFor sets memory of an engine aside until it is released. It is
 // idempotent by reservation ID.
 func (inv *Invoker) ReserveFor(ctx context.Context, address string, res Reservation) error {
-	return inv.post(ctx, "Invoker.ReserveFor", address, "/v1/reserve", res, nil)
+	return inv.post(ctx, "Invoker.ReserveFor", address, "/v1/reserve", res)
 }
 
 // Free names one holder of memory exactly, so that nothing newer is freed.
@@ -160,7 +160,7 @@
 
 // Free releases what a lost owner held. It is idempotent.
 func (inv *Invoker) Free(ctx context.Context, address string, fre Free) error {
-	return inv.post(ctx, "Invoker.Free", address, "/v1/free", fre, nil)
+	return inv.post(ctx, "Invoker.Free", address, "/v1/free", fre)
 }
 
 // Reserve sets memory of an engine aside for a request. It is idempotent by
@@ -171,7 +171,7 @@
 
 // Release frees a reservation or an export. It is idempotent.
 func (inv *Invoker) Release(ctx context.Context, address, id string) error {
-	return inv.post(ctx, "Invoker.Release", address, "/v1/release", struct{ ID string }{id}, nil)
+	return inv.post(ctx, "Invoker.Release", address, "/v1/release", struct{ ID string }{id})
 }
 
 // CacheEvent reports a change of an engine's prefix cache. Sequence numbers
@@ -183,13 +183,6 @@
 	Cleared  bool
 }
 
-// CacheEvents reads the events after a sequence number.
-func (inv *Invoker) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
-	var eves []CacheEvent
-	err := inv.post(ctx, "Invoker.CacheEvents", address, "/v1/events", struct{ After uint64 }{after}, &eves)
-	return eves, err
-}
-
 // Order changes what an engine has loaded or its role.
 type Order struct {
 	ID string
@@ -208,7 +201,7 @@
 
 // GiveOrder sends an order to an engine.
 func (inv *Invoker) GiveOrder(ctx context.Context, address string, ord Order) error {
-	return inv.post(ctx, "Invoker.GiveOrder", address, "/v1/orders", ord, nil)
+	return inv.post(ctx, "Invoker.GiveOrder", address, "/v1/orders", ord)
 }
 
 // Export makes the engine keep the KV cache of a finished prefix for transfer.
@@ -217,7 +210,7 @@
 		ExportID string
 		Owner    Owner
 		Hashes   []uint64
-	}{exportID, own, hashes}, nil)
+	}{exportID, own, hashes})
 }
 
 // Import makes the engine at address fetch an export of another engine.
@@ -226,5 +219,5 @@
 		FromAddress string
 		ExportID    string
 		Owner       Owner
-	}{fromAddress, exportID, own}, nil)
+	}{fromAddress, exportID, own})
 }
--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -201,12 +201,12 @@
 	return inv.exchange(ctx, step, address, http.MethodGet, path, nil, out)
 }
 
-func (inv *Invoker) post(ctx context.Context, step, address, path string, in, out any) error {
+func (inv *Invoker) post(ctx context.Context, step, address, path string, in any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return &Error{Step: step, Peer: address, Ran: NotRun, Err: err}
 	}
-	return inv.exchange(ctx, step, address, http.MethodPost, path, body, out)
+	return inv.exchange(ctx, step, address, http.MethodPost, path, body, nil)
 }
 
 func (inv *Invoker) exchange(ctx context.Context, step, address, method, path string, body []byte, out any) error {
--- a/process/scheduler/cell.go
+++ b/process/scheduler/cell.go
@@ -76,6 +76,8 @@
 		cel.stayed(eve.ID, now)
 	case Report:
 		cel.report(eve, now)
+	case Unreachable:
+		cel.unreachable(eve.Endpoint)
 	case Listing:
 		cel.list(eve, now)
 	case OwnerGone:
@@ -154,6 +156,7 @@
 
 func (cel *Cell) release(gra *grant, now time.Time) {
 	for _, par := range gra.parts {
+		par.eng.doubted = par.eng.doubted || !gra.prefilled
 		par.give(now)
 	}
 	cel.giveTarget(gra, now)
@@ -166,7 +169,7 @@
 }
 
 // prefilled notes that the lead engine is done with the prompt and holds its
-// prefix. It makes the cell's own work known before the engine's events do.
+// prefix.
 func (cel *Cell) prefilled(id string) {
 	gra := cel.grants[id]
 	if gra == nil || gra.prefilled {
@@ -177,7 +180,7 @@
 		par.eng.prefilled(par)
 	}
 	if len(gra.parts) == 1 {
-		cel.prefixes.store(gra.parts[0].eng.slot, gra.ask.req.Prefix)
+		cel.cache(gra.parts[0])
 	}
 }
 
@@ -186,6 +189,11 @@
 	if eng == nil {
 		return
 	}
+	if eng.incarnation != rep.Load.Incarnation {
+		// Another process of the engine has none of the blocks.
+		eng.incarnation = rep.Load.Incarnation
+		cel.prefixes.clear(eng.slot)
+	}
 	known := func(id string) bool {
 		_, ended := cel.released[id]
 		return ended || cel.requests[id] > 0
@@ -273,18 +281,19 @@
 	return nil
 }
 
-// Cached notes what an engine has published about its prefix cache. A gap means
-// that events were lost, so all that was known of the engine is forgotten.
-func (cel *Cell) Cached(endpoint string, eve invoker.CacheEvent, gap bool) {
+// Doubted reports whether an engine may have failed, so that its report should
+// be read soon.
+func (cel *Cell) Doubted(endpoint string) bool {
 	eng := cel.byID[endpoint]
-	if eng == nil {
-		return
-	}
-	if gap || eve.Cleared {
-		cel.prefixes.clear(eng.slot)
+	return eng != nil && (eng.lost || eng.doubted)
+}
+
+// unreachable keeps new asks from an engine until a report is read.
+func (cel *Cell) unreachable(endpoint string) {
+	if eng := cel.byID[endpoint]; eng != nil {
+		eng.lost = true
+		cel.unpromiseOn(eng)
 	}
-	cel.prefixes.evict(eng.slot, eve.Evicted)
-	cel.prefixes.store(eng.slot, eve.Stored)
 }
 
 func (cel *Cell) ownerGone(own OwnerGone, now time.Time) {
--- a/process/scheduler/cell_test.go
+++ b/process/scheduler/cell_test.go
@@ -53,6 +53,8 @@
 		return ben.each(dat, func(id string) Event { return Cancel{id} })
 	case "report":
 		return ben.report(dat)
+	case "unreachable":
+		return ben.next(Unreachable{word(dat, "engine", "e0")})
 	case "owner-gone":
 		return ben.next(OwnerGone{Host: word(dat, "host", "h"), Incarnation: uint64(number(dat, "inc", 1))})
 	case "wait":
--- a/process/scheduler/dispatcher.go
+++ b/process/scheduler/dispatcher.go
@@ -335,6 +335,7 @@
 		par.gra = gra
 		par.since = now
 		par.eng.add(par)
+		cel.makeCacheRoom(par.eng)
 	}
 	cel.grants[one.id] = gra
 	cel.requests[one.req.ID]++
--- a/process/scheduler/engine.go
+++ b/process/scheduler/engine.go
@@ -21,7 +21,7 @@
 	overdueGrace  = 200 * time.Millisecond
 	// reportTimeout is the age at which an engine without a new load report
 	// gets no more grants.
-	reportTimeout = 3 * time.Second
+	reportTimeout = 20 * time.Second
 	// releasedGrace is the time for which load reports may still list a
 	// request that has ended.
 	releasedGrace = time.Second
@@ -43,6 +43,11 @@
 	// listedLeaving and leaving come from the list and from the engine itself.
 	listedLeaving bool
 	leaving       bool
+	incarnation   uint64
+	// lost says that the last read of a report failed; doubted says that a
+	// prompt has left the engine before its first token since the last report.
+	lost    bool
+	doubted bool
 
 	memory     int64
 	rate       float64
@@ -55,6 +60,8 @@
 	// used, running and prefills account for the cell's own grants. The
 	// prefills are in the order in which the engine takes them.
 	used int64
+	// shared is the part of used that is cached blocks of prefilled prompts.
+	shared int64
 	// shortUsed is the part of used that short prompts have.
 	shortUsed int64
 	running   int
@@ -70,6 +77,8 @@
 	gra    *grant
 	eng    *engine
 	memory int64
+	// shared is the part of memory that the engine shares with later prompts.
+	shared int64
 	// left counts the prompt tokens that the engine still has to prefill. It
 	// is estimated from the rate and stays at 1 until the first token arrives.
 	left int64
@@ -198,7 +207,7 @@
 func (eng *engine) free() int64 { return eng.memory - eng.used - eng.foreign }
 
 func (eng *engine) live(now time.Time) bool {
-	return !eng.gone() && eng.memory > 0 && now.Sub(eng.reportedAt) <= reportTimeout
+	return !eng.gone() && !eng.lost && eng.memory > 0 && now.Sub(eng.reportedAt) <= reportTimeout
 }
 
 // add accounts for a part of a grant.
@@ -218,6 +227,8 @@
 
 func (eng *engine) remove(par *part) {
 	eng.account(par, -par.memory)
+	eng.shared -= par.shared
+	par.shared = 0
 	eng.running--
 	eng.prefilled(par)
 }
@@ -239,6 +250,7 @@
 func (eng *engine) accept(loa invoker.Load, known func(requestID string) bool, now time.Time) {
 	eng.advance(now)
 	eng.reportedAt = now
+	eng.lost, eng.doubted = false, false
 	eng.memory = loa.MemoryTokens
 	eng.rate = loa.PrefillRate
 	eng.step = time.Duration(loa.StepMs * float64(time.Millisecond))
--- a/process/scheduler/event.go
+++ b/process/scheduler/event.go
@@ -8,7 +8,7 @@
 )
 
 // Event is what a cell decides on: Ask, Cancel, Prefilled, Move, Moved, Stayed,
-// Release, Report, Listing, OwnerGone, Limits or Tick.
+// Release, Report, Unreachable, Listing, OwnerGone, Limits or Tick.
 type Event interface{ event() }
 
 // Ask wants an endpoint for a request. A repeated ask with the same identifier
@@ -46,6 +46,9 @@
 	Load     invoker.Load
 }
 
+// Unreachable reports that an engine did not answer the read of its report.
+type Unreachable struct{ Endpoint string }
+
 // Listing names the engines of the cell.
 type Listing struct{ Engines []placer.Endpoint }
 
@@ -71,18 +74,19 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (Ask) event()       {}
-func (Cancel) event()    {}
-func (Prefilled) event() {}
-func (Release) event()   {}
-func (Move) event()      {}
-func (Moved) event()     {}
-func (Stayed) event()    {}
-func (Report) event()    {}
-func (Listing) event()   {}
-func (OwnerGone) event() {}
-func (Limits) event()    {}
-func (Tick) event()      {}
+func (Ask) event()         {}
+func (Cancel) event()      {}
+func (Prefilled) event()   {}
+func (Release) event()     {}
+func (Move) event()        {}
+func (Moved) event()       {}
+func (Stayed) event()      {}
+func (Report) event()      {}
+func (Unreachable) event() {}
+func (Listing) event()     {}
+func (OwnerGone) event()   {}
+func (Limits) event()      {}
+func (Tick) event()        {}
 
 // Action answers an ask: Grant, GrantGroup or Refuse; or a Move: MoveTo or Stay.
 type Action interface{ action() }
--- a/process/scheduler/matrix_test.go
+++ b/process/scheduler/matrix_test.go
@@ -202,6 +202,7 @@
 func (sta *stage) reports() {
 	for _, id := range sta.engines {
 		if id == sta.quiet {
+			sta.send(Unreachable{id})
 			continue
 		}
 		loa := invoker.Load{MemoryTokens: 400_000, PrefillRate: 200_000, StepMs: 10}
--- a/process/scheduler/mover.go
+++ b/process/scheduler/mover.go
@@ -121,6 +121,7 @@
 	bes.advance(now)
 	gra.target = &part{gra: gra, eng: bes, memory: sou.memory, since: now}
 	bes.add(gra.target)
+	cel.makeCacheRoom(bes)
 	bes.moves++
 	return MoveTo{ID: gra.ask.id, Endpoint: bes.id, Address: bes.address}
 }
@@ -153,6 +154,7 @@
 	gra.parts[0] = gra.target
 	gra.target.eng.moves--
 	gra.target = nil
+	cel.cache(gra.parts[0])
 }
 
 // stayed frees the memory set aside for a move that did not come about. A
--- a/process/scheduler/scheduler.go
+++ b/process/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"hemlockpin/request/placer"
 	"hemlockpin/version/parser"
 
+	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -19,12 +20,7 @@
 	idleTick = 50 * time.Millisecond
 	// cellIdleTimeout is the time without an ask after which a cell is dropped.
 	cellIdleTimeout = 30 * time.Second
-	// pollBatch is the number of engines that one host reads at each load
-	// interval. A larger cell is read less often.
-	pollBatch   = 16
-	pollTimeout = time.Second
-	// eventsEvery is the number of load reports for one look at cache events.
-	eventsEvery = 4
+	pollTimeout     = time.Second
 )
 
 // Loader reads what engines report.
@@ -32,7 +28,6 @@
 	// Load reads the whole report, Summary leaves the holders of memory out.
 	Load(ctx context.Context, address string) (invoker.Load, error)
 	Summary(ctx context.Context, address string) (invoker.Load, error)
-	CacheEvents(ctx context.Context, address string, after uint64) ([]invoker.CacheEvent, error)
 }
 
 // Scheduler runs the cells that a host is asked to schedule. All its fields
@@ -62,8 +57,7 @@
 	engines []placer.Endpoint
 	waiters map[string]chan Action
 	asked   time.Time
-	polls   int
-	cursors map[string]uint64
+	reads   readPace
 	holders holderPace
 }
 
@@ -151,7 +145,7 @@
 		sch.mu.Unlock()
 		return run
 	}
-	run = &running{name: cell, pool: pool, waiters: map[string]chan Action{}, cursors: map[string]uint64{}, asked: sch.Clock()}
+	run = &running{name: cell, pool: pool, waiters: map[string]chan Action{}, asked: sch.Clock()}
 	if !sch.refresh(run) {
 		sch.mu.Unlock()
 		return nil
@@ -233,25 +227,34 @@
 	}
 }
 
-// poll reads the next batch of the cell's engines.
+// poll reads the engines of a cell that are due.
 func (sch *Scheduler) poll(ctx context.Context, run *running) {
-	ends, rou := run.batch()
 	var gro sync.WaitGroup
-	for _, end := range ends {
+	for _, end := range run.due(sch.readInterval(), sch.Clock()) {
 		gro.Go(func() {
 			ctx, stop := context.WithTimeout(ctx, pollTimeout)
 			defer stop()
-			if loa, err := sch.read(ctx, run, end); err == nil {
+			loa, err := sch.read(ctx, run, end)
+			switch {
+			case err == nil:
 				run.next(Report{end.ID, loa}, sch.Clock())
-			}
-			if rou%eventsEvery == 0 {
-				sch.pollEvents(ctx, run, end)
+			case !eris.Is(ctx.Err(), context.Canceled):
+				run.next(Unreachable{end.ID}, sch.Clock())
 			}
 		})
 	}
 	gro.Wait()
 }
 
+// readInterval follows the number of engines of all cells.
+func (sch *Scheduler) readInterval() time.Duration {
+	cou := 0
+	for _, run := range sch.all() {
+		cou += run.size()
+	}
+	return readInterval(cou, sch.Interval)
+}
+
 // read takes the short report of an engine, and the whole one where its holders
 // are due and the traffic allows them.
 func (sch *Scheduler) read(ctx context.Context, run *running, end placer.Endpoint) (invoker.Load, error) {
@@ -262,39 +265,6 @@
 	return sch.Loader.Load(ctx, end.Address)
 }
 
-func (sch *Scheduler) pollEvents(ctx context.Context, run *running, end placer.Endpoint) {
-	run.mu.Lock()
-	aft := run.cursors[end.ID]
-	run.mu.Unlock()
-	eves, err := sch.Loader.CacheEvents(ctx, end.Address, aft)
-	if err != nil {
-		return
-	}
-	run.mu.Lock()
-	defer run.mu.Unlock()
-	for _, eve := range eves {
-		run.cell.Cached(end.ID, eve, aft != 0 && eve.Sequence != aft+1)
-		aft = eve.Sequence
-	}
-	run.cursors[end.ID] = aft
-}
-
-// batch returns the engines to read now. Engines of a cell without any report
-// are all read.
-func (run *running) batch() ([]placer.Endpoint, int) {
-	run.mu.Lock()
-	defer run.mu.Unlock()
-	all := len(run.engines)
-	if run.polls == 0 || all <= pollBatch {
-		run.polls++
-		return run.engines, run.polls
-	}
-	parts := (all + pollBatch - 1) / pollBatch
-	par := run.polls % parts
-	run.polls++
-	return run.engines[all*par/parts : all*(par+1)/parts], run.polls / parts
-}
-
 func (run *running) idle(now time.Time) bool {
 	run.mu.Lock()
 	defer run.mu.Unlock()
