Keep the setup of a grid in its file

Cause: a grid could be resumed with other hosts or shares without notice. After: `go test ./tools/experimenter`; without the comparison in results.check TestResume prints "An error is expected but got nil". Conclusion: a file holds runs of one setup.

--- a/load/reporter/reporter.go
+++ b/load/reporter/reporter.go
@@ -101,6 +101,8 @@
 <td>{{printf "%.1f" (percent .InTime)}}</td><td>{{printf "%.1f" .First.P50}}</td><td>{{printf "%.1f" .First.P95}}</td><td>{{printf "%.1f" .First.P99}}</td>
 <td>{{printf "%.1f" .Gap.P50}}</td><td>{{printf "%.1f" .Gap.P95}}</td><td>{{printf "%.1f" .Total.P95}}</td></tr>
 {{end}}</table>
+{{with .Parts}}<p>{{.Placement.Count}} traced large and huge prompts: wait for an engine p50 {{printf "%.0f" .Placement.P50}} ms, p95 {{printf "%.0f" .Placement.P95}} ms;
+from the grant to the first token p50 {{printf "%.0f" .Rest.P50}} ms, p95 {{printf "%.0f" .Rest.P95}} ms, over idle engines p50 {{printf "%.2f" .Slowdown.P50}}, p95 {{printf "%.2f" .Slowdown.P95}}.</p>{{end}}
 {{if .Codes}}<table><tr><th>outcome and code</th><th>requests</th></tr>
 {{range $code, $count := .Codes}}<tr><td>{{$code}}</td><td>{{$count}}</td></tr>{{end}}</table>{{end}}
 {{if .Hosts}}<table><tr><th>host</th><th>% of a core</th><th>memory MB</th><th>peer bytes a second</th><th>platform calls an hour</th></tr>
--- a/load/summarizer/summarizer.go
+++ b/load/summarizer/summarizer.go
@@ -123,8 +123,10 @@
 	NotSent  int64
 	// Goodput is the number of requests a second answered whole and in time.
 	Goodput float64
-	// Cell is the zero value outside of a grid.
-	Cell Cell `json:",omitzero"`
+	// Cell and Setup are the zero value outside of a grid. Setup describes what
+	// all its runs share.
+	Cell  Cell   `json:",omitzero"`
+	Setup string `json:",omitempty"`
 	// Score is nil if the times on idle engines are not known.
 	Score *Score `json:",omitempty"`
 	// Long is the slowdown of the large and huge prompts together.
--- a/tools/experimenter/experiment.go
+++ b/tools/experimenter/experiment.go
@@ -105,14 +105,6 @@
 	limit float64
 }
 
-func (pla plan) rate() float64 {
-	sum := pla.mean
-	for _, str := range pla.strs {
-		sum += str.Rate
-	}
-	return sum
-}
-
 // plan returns the load of a run. Policies that are compared get the same
 // requests at the same times.
 func (exp *experiment) plan(cel summarizer.Cell) plan {
@@ -234,6 +226,7 @@
 	gro.Wait()
 	rep.Name = cellName(cel)
 	rep.Cell = cel
+	rep.Setup = exp.set.setup()
 	rep.Parts = tra.parts(ctx, war)
 	return rep, err
 }
--- a/tools/experimenter/main.go
+++ b/tools/experimenter/main.go
@@ -161,5 +161,5 @@
 	if err := exp.res.load(); err != nil {
 		return err
 	}
-	return exp.res.check(exp)
+	return exp.res.check(exp.set)
 }
--- a/tools/experimenter/results.go
+++ b/tools/experimenter/results.go
@@ -22,7 +22,7 @@
 func newResults(set settings) *results {
 	return &results{
 		name:  filepath.Join(set.Out, fmt.Sprintf("%s-%d", set.Mix, set.Seed)),
-		title: fmt.Sprintf("Placement, mix %s, seed %d, scale %g, %d hosts, %d engines", set.Mix, set.Seed, set.Scale, set.Hosts, set.Engines),
+		title: fmt.Sprintf("Placement, mix %s, seed %d, %s", set.Mix, set.Seed, set.setup()),
 	}
 }
 
@@ -55,20 +55,21 @@
 }
 
 // check refuses to go on with runs of other settings.
-func (res *results) check(exp *experiment) error {
-	for _, cel := range exp.set.cells() {
-		rep, ok := res.find(cel)
-		if !ok {
-			continue
-		}
-		dur, war := exp.set.times(cel)
-		if rep.Duration != dur-war || rep.Rate != exp.plan(cel).rate() {
-			return eris.Errorf("%s.json holds %s of another length or rate", res.name, cellName(cel))
+func (res *results) check(set settings) error {
+	for _, rep := range res.reps {
+		if rep.Setup != set.setup() {
+			return eris.Errorf("%s.json holds runs of other settings: %s", res.name, rep.Setup)
 		}
 	}
 	return nil
 }
 
+// setup describes what all runs of a grid share beside mix and seed.
+func (set settings) setup() string {
+	return fmt.Sprintf("scale %g, %d hosts, %d engines, %d services, long share %g, %s a run with %s to warm up, %s to fill queues",
+		set.Scale, set.Hosts, set.Engines, set.Services, set.Long, set.Duration, set.WarmUp, set.Fill)
+}
+
 func cellName(cel summarizer.Cell) string {
 	return fmt.Sprintf("%s %d%% %s", cel.Policy, cel.Load, cel.Variant)
 }
