--- a/request/budgeter/budgeter.go
+++ b/request/budgeter/budgeter.go
@@ -48,9 +48,25 @@
 func (bud *Budget) Take(now time.Time) bool {
 	bud.mu.Lock()
 	defer bud.mu.Unlock()
-	bud.refill(now)
-	if bud.spent+1 > Burst {
+	ok := bud.take(Burst, now)
+	if !ok {
 		bud.total.Denied++
+	}
+	return ok
+}
+
+// TakeSpare spends one retry if more than half of the burst is left. It is for
+// what can wait, so that failures keep the rest.
+func (bud *Budget) TakeSpare(now time.Time) bool {
+	bud.mu.Lock()
+	defer bud.mu.Unlock()
+	return bud.take(Burst/2, now)
+}
+
+// take spends one retry within a limit. The caller holds the lock.
+func (bud *Budget) take(lim float64, now time.Time) bool {
+	bud.refill(now)
+	if bud.spent+1 > lim {
 		return false
 	}
 	bud.spent++
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -28,7 +28,6 @@
 type call struct {
 	request
 	service invoker.ServiceCall
-	state   claimer.State
 }
 
 // Call passes a call on to a plain service.
@@ -86,16 +85,7 @@
 }
 
 func (cal *call) placement() placer.Request {
-	return placer.Request{ID: cal.id, Team: cal.team.Name, Pool: cal.pool.Name, Priority: cal.route.Priority, Deadline: cal.deadline, Excluded: cal.state.Excluded}
-}
-
-func (exe *Executor) dispatchCall(ctx context.Context, cal *call) (claimer.Event, error) {
-	lea, err := exe.Allocator.Acquire(ctx, cal.placement(), cal.pool)
-	if err != nil {
-		return claimer.NoEndpoint{Message: err.Error()}, err
-	}
-	defer lea.Release()
-	return exe.send(ctx, cal, lea)
+	return placer.Request{ID: cal.id, Team: cal.team.Name, Pool: cal.pool.Name, Priority: cal.route.Priority, Deadline: cal.deadline}
 }
 
 // send dispatches a call to the endpoint of a lease.
@@ -117,35 +107,6 @@
 	return fai, err
 }
 
-// repeatable runs a call that may run more than once.
-func (exe *Executor) repeatable(ctx context.Context, cal *call) {
-	ran := invoker.NotRun
-	for range claimer.MaxDispatches {
-		eve, err := exe.dispatchCall(ctx, cal)
-		switch eve := eve.(type) {
-		case claimer.Replied:
-			cal.write(eve.Reply)
-			return
-		case claimer.Failed:
-			cal.state.Excluded = append(cal.state.Excluded, eve.Endpoint)
-			if eve.Ran != invoker.NotRun {
-				ran = invoker.Unknown
-			}
-		}
-		if ctx.Err() != nil {
-			responder.WriteProblem(cal.writer, responder.Problem{Status: http.StatusGatewayTimeout, Code: "time_limit", Message: "the time limit has passed", Ran: ran})
-			return
-		}
-		if _, ok := eve.(claimer.NoEndpoint); ok {
-			pro := problemOf(err)
-			pro.Ran = ran
-			responder.WriteProblem(cal.writer, pro)
-			return
-		}
-	}
-	responder.WriteProblem(cal.writer, responder.Problem{Status: http.StatusBadGateway, Code: "endpoint_failed", Message: "the endpoints that were tried failed", Ran: ran})
-}
-
 func (cal *call) write(rep invoker.ServiceReply) {
 	hea := cal.writer.Header()
 	hea.Set("Content-Type", rep.Header.Get("Content-Type"))
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -12,6 +12,7 @@
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
 	"hemlockpin/request/budgeter"
+	"hemlockpin/request/hedger"
 	"hemlockpin/request/placer"
 	"hemlockpin/request/receiver"
 	"hemlockpin/request/responder"
@@ -111,6 +112,8 @@
 	// running holds the newest attempt of each request in progress, and 0 for
 	// each export that a move needs.
 	running map[string]int
+	// times holds how long the calls of each pool took lately.
+	times   map[string]*hedger.Times
 	claimed atomic.Int64
 }
 
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -31,8 +31,8 @@
 
 // counters are the metrics of the relay, looked up once.
 type counters struct {
-	tokens, dropped, untrusted, stalled, silent, slow, resumed, cancelsFailed, usage tally.Counter
-	movesStarted, movesDone, movesRescued, exportsFailed                             tally.Counter
+	tokens, dropped, untrusted, stalled, silent, slow, resumed, cancelsFailed, usage      tally.Counter
+	movesStarted, movesDone, movesRescued, exportsFailed, hedges, hedgesWon, hedgesDenied tally.Counter
 }
 
 func (exe *Executor) counters() *counters {
@@ -45,6 +45,8 @@
 			usage:        exe.Scope.Counter("usage_mismatched"),
 			movesStarted: exe.Scope.Counter("moves_started"), movesDone: exe.Scope.Counter("moves_done"),
 			movesRescued: exe.Scope.Counter("moves_rescued"), exportsFailed: exe.Scope.Counter("export_releases_failed"),
+			hedges: exe.Scope.Counter("hedges"), hedgesWon: exe.Scope.Counter("hedges_won"),
+			hedgesDenied: exe.Scope.Counter("hedges_denied"),
 		}
 	})
 	return &exe.count
