--- a/load/reporter/reporter.go
+++ b/load/reporter/reporter.go
@@ -44,6 +44,7 @@
 type page struct {
 	Title    string
 	Outcomes []sender.Outcome
+	Rows     []row
 	Reports  []summarizer.Report
 	Plots    []template.HTML
 }
@@ -59,7 +60,7 @@
 		return eris.Wrap(err, "WriteHTML")
 	}
 	defer fil.Close()
-	return render(fil, page{Title: title, Outcomes: outcomes, Reports: reps, Plots: plos})
+	return render(fil, page{Title: title, Outcomes: outcomes, Rows: rows(reps), Reports: reps, Plots: plos})
 }
 
 func render(wri io.Writer, pag page) error {
@@ -82,6 +83,12 @@
 svg{max-width:100%;height:auto}
 </style></head><body>
 <h1>{{.Title}}</h1>
+{{if .Rows}}<table><tr><th>variant</th><th>load %</th><th>policy</th><th>Wijesinghe</th><th>Port Louis</th><th>short slowdown p95</th>
+<th>long slowdown p50</th><th>p95</th><th>long prompts</th><th>in time %</th><th>in time a second</th></tr>
+{{range .Rows}}<tr><td>{{.Variant}}</td><td>{{.Load}}</td><td>{{.Policy}}</td><td>{{printf "%.2f" .Wijesinghe}}</td><td>{{printf "%.2f" .PortLouis}}</td>
+<td>{{printf "%.2f" .ShortSlowdown}}</td><td>{{printf "%.2f" .Long.P50}}</td><td>{{printf "%.2f" .Long.P95}}</td><td>{{.Long.Count}}</td>
+<td>{{printf "%.1f" (percent .InTime)}}</td><td>{{printf "%.1f" .Goodput}}</td></tr>
+{{end}}</table>{{end}}
 {{range .Plots}}{{.}}{{end}}
 {{range $rep := .Reports}}
 <h2>{{.Name}}</h2>
@@ -96,8 +103,8 @@
 {{end}}</table>
 {{if .Codes}}<table><tr><th>outcome and code</th><th>requests</th></tr>
 {{range $code, $count := .Codes}}<tr><td>{{$code}}</td><td>{{$count}}</td></tr>{{end}}</table>{{end}}
-{{if .Hosts}}<table><tr><th>host</th><th>% of a core</th><th>memory MB</th><th>peer bytes a second</th><th>platform calls an hour</th></tr>
-{{range .Hosts}}<tr><td>{{.Host}}</td><td>{{printf "%.2f" .CorePercent}}</td><td>{{printf "%.1f" (mega .MemoryBytes)}}</td><td>{{printf "%.0f" .PeerBytesPerSecond}}</td><td>{{printf "%.0f" .PlatformCallsPerHour}}</td></tr>{{end}}</table>{{end}}
+{{if .Hosts}}<table><tr><th>host</th><th>% of a core</th><th>memory MB</th><th>peer bytes a second</th><th>endpoint bytes a second</th><th>platform bytes a second</th><th>platform calls an hour</th></tr>
+{{range .Hosts}}<tr><td>{{.Host}}</td><td>{{printf "%.2f" .CorePercent}}</td><td>{{printf "%.1f" (mega .MemoryBytes)}}</td><td>{{printf "%.0f" .PeerBytesPerSecond}}</td><td>{{printf "%.0f" .EndpointBytesPerSecond}}</td><td>{{printf "%.0f" .PlatformBytesPerSecond}}</td><td>{{printf "%.0f" .PlatformCallsPerHour}}</td></tr>{{end}}</table>{{end}}
 {{end}}
 </body></html>
 `
