--- a/request/executor/move.go
+++ b/request/executor/move.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"hemlockpin/connection/invoker"
@@ -19,47 +19,52 @@
 // exportSuffix names a request's export, apart from the request itself.
 const exportSuffix = "-export"
 
-// move carries one answer to another engine. The relay goes on meanwhile: it
-// polls steps, on which the background hands over what the relay must do. The
-// channel is closed when the move has been given up.
+// move carries one answer to another engine while the relay goes on.
 type move struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	span   trace.Span
 	source Lease
-	// steps carries Dispatch and then Compare.
+	// request is the second dispatch, but for the tokens before it.
+	request invoker.GenerateRequest
+	untrack func()
+	// steps tells the relay to compare. It is closed when the move has been
+	// given up.
 	steps      chan mover.Action
 	background sync.WaitGroup
-	// next is the index of the caller's next token.
-	next atomic.Int64
 
 	mu    sync.Mutex
 	state mover.State
-
-	// target is set by the background before Dispatch, the fields after it
-	// before Compare: the second stream, the tokens read from it, their
-	// assembler, and until when it may catch up.
+	// first is the index of the first token of texts, which the caller got
+	// since the move began.
+	first int64
+	texts []string
+
+	// The fields below are set by the background before a step: the target,
+	// its stream, the tokens read from it, their assembler, and until when it
+	// may catch up.
 	target Target
 	stream *invoker.Stream
 	caught []invoker.Token
 	ahead  assembler.Assembler
 	limit  time.Time
-	// request is the second dispatch, tail what the caller got since it was
-	// made out. They belong to the relay.
-	request invoker.GenerateRequest
-	tail    []string
-	untrack func()
 }
 
 // note keeps what the caller has while a move is on its way.
-func (mov *move) note(next int64, txt string) {
+func (mov *move) note(txt string) {
 	if mov == nil {
 		return
 	}
-	mov.next.Store(next)
-	if mov.request.Attempt > 0 {
-		mov.tail = append(mov.tail, txt)
-	}
+	mov.mu.Lock()
+	defer mov.mu.Unlock()
+	mov.texts = append(mov.texts, txt)
+}
+
+// next is the index of the caller's next token.
+func (mov *move) next() int64 {
+	mov.mu.Lock()
+	defer mov.mu.Unlock()
+	return mov.first + int64(len(mov.texts))
 }
 
 // move begins the move of an answer that has a token, or takes its next step.
@@ -74,34 +79,38 @@
 
 func (exe *Executor) poll(gen *generation) {
 	select {
-	case act, ok := <-gen.move.steps:
-		exe.moveStep(gen, act, ok)
+	case _, ok := <-gen.move.steps:
+		exe.compare(gen, ok)
 	default:
 	}
 }
 
-// beginMove asks for an engine in the background where a move can gain.
+// beginMove asks for an engine in the background where a move can gain. The
+// second dispatch has its number from now on; for the other hosts the first one
+// stays the newest, so that nobody takes that for abandoned.
 func (exe *Executor) beginMove(ctx context.Context, gen *generation) {
-	mov := &move{source: *gen.lease, steps: make(chan mover.Action, 1)}
+	mov := &move{source: *gen.lease, first: gen.assembler.Next, steps: make(chan mover.Action, 1)}
 	gen.lease.Move = nil
 	if len(gen.lease.Group) > 0 {
 		return
 	}
 	mov.state = mover.State{PromptTokens: gen.prompt.Tokens, Blocks: len(gen.blocks)}
-	mov.next.Store(gen.assembler.Next)
 	act := exe.decideMove(gen.id, mov, mover.Began{Rest: exe.rest(gen, mov)})
 	if _, ok := act.(mover.Ask); !ok {
 		return
 	}
+	gen.state = gen.state.WithMove()
+	mov.request = exe.dispatch(gen)
 	ctx, mov.span = exe.Tracer.Start(ctx, "move")
 	mov.ctx, mov.cancel = context.WithCancel(ctx)
 	mov.untrack = exe.track(gen.id + exportSuffix)
 	gen.move = mov
-	mov.background.Go(func() { exe.prepare(gen, mov) })
+	mov.background.Go(func() { exe.carryMove(gen, mov, act) })
 }
 
+// rest reads nothing of the generation that the relay changes.
 func (exe *Executor) rest(gen *generation, mov *move) mover.Rest {
-	return mover.Rest{Tokens: gen.prompt.MaxTokens - mov.next.Load(), Time: gen.deadline.Sub(exe.Clock())}
+	return mover.Rest{Tokens: gen.prompt.MaxTokens - mov.next(), Time: gen.deadline.Sub(exe.Clock())}
 }
 
 // decideMove decides on an event and frees what a move held that is given up.
@@ -117,16 +126,13 @@
 	return act
 }
 
-// prepare asks, exports and imports in the background. It touches nothing of
-// the generation that the relay changes.
-func (exe *Executor) prepare(gen *generation, mov *move) {
-	ctx, stop := context.WithTimeout(mov.ctx, mover.PrepareLimit)
-	defer stop()
-	var act mover.Action = mover.Ask{}
+// carryMove takes the steps from the question to the comparison in the
+// background. It touches nothing of the generation that the relay changes.
+func (exe *Executor) carryMove(gen *generation, mov *move, act mover.Action) {
 	for {
-		act = exe.decideMove(gen.id, mov, exe.preparation(ctx, gen, mov, act))
+		act = exe.decideMove(gen.id, mov, exe.moveStep(gen, mov, act))
 		switch act.(type) {
-		case mover.Dispatch:
+		case mover.Compare:
 			mov.steps <- act
 			return
 		case mover.Abort, mover.Nothing:
@@ -136,8 +142,10 @@
 	}
 }
 
-// preparation carries out one action and returns how it ended.
-func (exe *Executor) preparation(ctx context.Context, gen *generation, mov *move, act mover.Action) mover.Event {
+// moveStep carries out one action and returns how it ended.
+func (exe *Executor) moveStep(gen *generation, mov *move, act mover.Action) mover.Event {
+	ctx, stop := context.WithTimeout(mov.ctx, mover.StepLimit)
+	defer stop()
 	var err error
 	var eve mover.Event
 	id := gen.id + exportSuffix
@@ -151,6 +159,9 @@
 	case mover.Import:
 		err = exe.Invoker.Import(ctx, mov.target.Address, mov.source.Address, id, exe.Owner)
 		eve = mover.Imported{Rest: exe.rest(gen, mov)}
+	case mover.CatchUp:
+		eve = mover.CaughtUp{}
+		err = exe.readAhead(gen, mov)
 	}
 	if err != nil {
 		return mover.Failed{}
@@ -174,57 +185,14 @@
 	return nil
 }
 
-// moveStep does what the background has made ready and reports whether the
-// answer goes on at the second engine.
-func (exe *Executor) moveStep(gen *generation, act mover.Action, ok bool) bool {
-	mov := gen.move
-	if !ok {
-		gen.move = nil
-		return false
-	}
-	switch act.(type) {
-	case mover.Dispatch:
-		exe.dispatchMove(gen, mov)
-	case mover.Compare:
-		return exe.compare(gen, mov)
-	}
-	return false
-}
-
-// dispatchMove numbers the second dispatch. The request's newest attempt stays
-// the first one for the other hosts, so that nobody takes that for abandoned.
-func (exe *Executor) dispatchMove(gen *generation, mov *move) {
-	if _, ok := exe.decideMove(gen.id, mov, mover.Dispatched{}).(mover.CatchUp); !ok {
-		return
-	}
-	gen.state = gen.state.WithMove()
-	mov.request = exe.dispatch(gen)
-	req := mov.request
-	mov.background.Go(func() { exe.catchUp(gen.id, mov, req) })
-}
-
-// catchUp reads the second engine's stream in the background until it is ahead
-// of the caller.
-func (exe *Executor) catchUp(id string, mov *move, req invoker.GenerateRequest) {
-	eve := mover.Event(mover.CaughtUp{})
-	if err := exe.readAhead(mov, req); err != nil {
-		eve = mover.Failed{}
-	}
-	act := exe.decideMove(id, mov, eve)
-	if _, ok := act.(mover.Compare); !ok {
-		close(mov.steps)
-		return
-	}
-	mov.steps <- act
-}
-
 var errBehind = eris.New("the second engine does not catch up")
 
-func (exe *Executor) readAhead(mov *move, req invoker.GenerateRequest) error {
-	if err := exe.openSecond(mov, req); err != nil {
+// readAhead reads the second engine's stream until it is ahead of the caller.
+func (exe *Executor) readAhead(gen *generation, mov *move) error {
+	if err := exe.openSecond(gen, mov); err != nil {
 		return err
 	}
-	for len(mov.caught) < mover.MinCaught || mov.ahead.Next <= mov.next.Load() {
+	for len(mov.caught) < mover.MinCaught || mov.ahead.Next <= mov.next() {
 		lef := mov.limit.Sub(exe.Clock())
 		if lef <= 0 {
 			return errBehind
@@ -240,10 +208,17 @@
 	return nil
 }
 
-func (exe *Executor) openSecond(mov *move, req invoker.GenerateRequest) error {
+// openSecond dispatches from the caller's next token on.
+func (exe *Executor) openSecond(gen *generation, mov *move) error {
 	if mov.stream != nil {
 		return nil
 	}
+	req := mov.request
+	mov.mu.Lock()
+	req.StartIndex += int64(len(mov.texts))
+	req.Generated += strings.Join(mov.texts, "")
+	mov.mu.Unlock()
+	req.BudgetMs = gen.deadline.Sub(exe.Clock()).Milliseconds()
 	str, err := exe.Invoker.Generate(mov.ctx, mov.target.Address, req)
 	if err != nil {
 		return err
@@ -276,17 +251,23 @@
 	}
 }
 
-// compare switches over where both engines made the same tokens. An engine that
-// draws others would go on with an answer that the caller does not have.
-func (exe *Executor) compare(gen *generation, mov *move) bool {
-	switch act := exe.decideMove(gen.id, mov, mov.compared()).(type) {
+// compare switches over where both engines made the same tokens, and reports
+// whether it did. An engine that draws others would go on with an answer that
+// the caller does not have.
+func (exe *Executor) compare(gen *generation, ok bool) bool {
+	mov := gen.move
+	if !ok {
+		gen.move = nil
+		return false
+	}
+	both, eve := mov.compared()
+	switch act := exe.decideMove(gen.id, mov, eve).(type) {
 	case mover.CatchUp:
-		req := mov.request
-		mov.background.Go(func() { exe.catchUp(gen.id, mov, req) })
+		mov.background.Go(func() { exe.carryMove(gen, mov, act) })
 		return false
 	case mover.Switch:
 		gen.move = nil
-		exe.switchOver(gen, mov, act)
+		exe.switchOver(gen, mov, both, act)
 		return true
 	default:
 		gen.move = nil
@@ -294,23 +275,27 @@
 	}
 }
 
-func (mov *move) compared() mover.Event {
-	if len(mov.tail) > len(mov.caught) {
-		return mover.Behind{}
+// compared also returns how many of the second engine's tokens the caller has.
+func (mov *move) compared() (int, mover.Event) {
+	mov.mu.Lock()
+	defer mov.mu.Unlock()
+	had := mov.texts[mov.caught[0].Index-mov.first:]
+	if len(had) > len(mov.caught) {
+		return 0, mover.Behind{}
 	}
-	for ind, txt := range mov.tail {
+	for ind, txt := range had {
 		if mov.caught[ind].Text != txt {
-			return mover.Failed{}
+			return 0, mover.Failed{}
 		}
 	}
-	return mover.Agreed{}
+	return len(had), mover.Agreed{}
 }
 
 // switchOver makes the second engine the request's own.
-func (exe *Executor) switchOver(gen *generation, mov *move, act mover.Switch) {
+func (exe *Executor) switchOver(gen *generation, mov *move, both int, act mover.Switch) {
 	old := gen.stream
 	gen.stream = mov.stream
-	gen.stream.Unread(mov.caught[len(mov.tail):])
+	gen.stream.Unread(mov.caught[both:])
 	gen.lease.Endpoint = mov.target.Endpoint
 	gen.lease.Address = mov.target.Address
 	gen.lease.Report = mov.target.Report
@@ -384,17 +369,14 @@
 		gen.move = nil
 		return false
 	}
-	for act := range mov.steps {
-		if exe.moveStep(gen, act, true) {
+	for gen.move != nil {
+		_, ok := <-mov.steps
+		if exe.compare(gen, ok) {
 			gen.state = gen.state.WithExcluded(mov.source.Endpoint)
 			exe.counters().movesRescued.Inc(1)
 			return true
 		}
-		if gen.move == nil {
-			return false
-		}
 	}
-	gen.move = nil
 	return false
 }
 
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -127,7 +127,7 @@
 		gen.lease.Prefilled()
 		gen.state = gen.state.WithDelivered(ass.Next)
 		gen.progress.at = exe.Clock()
-		gen.move.note(ass.Next, tok.Text)
+		gen.move.note(tok.Text)
 		exe.counters().tokens.Inc(1)
 		return gen.answer.Token(tok.Text)
 	case assembler.Drop:
--- a/request/mover/mover.go
+++ b/request/mover/mover.go
@@ -6,25 +6,23 @@
 import "time"
 
 const (
-	// MinTokens is the least number of tokens left for which a move is worth while.
-	MinTokens = 32
 	// MinTime is the least time left for which a move is worth while.
-	MinTime = 2 * time.Second
+	MinTime = time.Second
 	// CatchUpLimit bounds the time for which two engines work on one answer.
 	CatchUpLimit = time.Second
 	// MinCaught is the number of tokens from which the pace of the second engine
 	// shows; the first one tells its queue only.
 	MinCaught = 2
-	// PrepareLimit bounds the steps before the second dispatch.
-	PrepareLimit = 5 * time.Second
+	// StepLimit bounds each of the steps before the second dispatch.
+	StepLimit = 5 * time.Second
 
 	// A prompt is taken to move at transferRate tokens a second after
 	// transferBase, and an answer to take stepTime a token. What is left of an
 	// answer must take worth times as long as the move.
 	transferBase = 20 * time.Millisecond
-	transferRate = 1e6
+	transferRate = 2e6
 	stepTime     = 10 * time.Millisecond
-	worth        = 4
+	worth        = 3
 )
 
 // Step is how far a move has come.
@@ -36,8 +34,6 @@
 	Asking
 	Exporting
 	Importing
-	// Ready has all that the second engine needs but the request.
-	Ready
 	// CatchingUp has both engines generate.
 	CatchingUp
 	// Caught has the second engine ahead of the first.
@@ -46,7 +42,7 @@
 	Over
 )
 
-var names = [...]string{"Idle", "Ask", "Export", "Import", "Dispatch", "CatchUp", "Switch", "Over"}
+var names = [...]string{"Idle", "Ask", "Export", "Import", "CatchUp", "Switch", "Over"}
 
 // String returns the name of the step.
 func (ste Step) String() string { return names[ste] }
@@ -67,8 +63,8 @@
 	Time   time.Duration
 }
 
-// Event is a step of a move: Began, Offered, Exported, Imported, Dispatched,
-// CaughtUp, Behind, Agreed, Failed, SourceFailed or Ended.
+// Event is a step of a move: Began, Offered, Exported, Imported, CaughtUp,
+// Behind, Agreed, Failed, SourceFailed or Ended.
 type Event interface{ event() }
 
 // Began reports the first token of the answer.
@@ -83,9 +79,6 @@
 // Imported reports that the second engine has the prompt's blocks.
 type Imported struct{ Rest Rest }
 
-// Dispatched reports that the second engine's request is made out.
-type Dispatched struct{}
-
 // CaughtUp reports that the second engine has a token which the caller has not.
 type CaughtUp struct{}
 
@@ -108,7 +101,6 @@
 func (Offered) event()      {}
 func (Exported) event()     {}
 func (Imported) event()     {}
-func (Dispatched) event()   {}
 func (CaughtUp) event()     {}
 func (Behind) event()       {}
 func (Agreed) event()       {}
@@ -116,8 +108,8 @@
 func (SourceFailed) event() {}
 func (Ended) event()        {}
 
-// Action is what to do next: Ask, Export, Import, Dispatch, CatchUp, Compare,
-// Switch, Await, Abort or Nothing.
+// Action is what to do next: Ask, Export, Import, CatchUp, Compare, Switch,
+// Await, Abort or Nothing.
 type Action interface{ action() }
 
 // Ask looks for an engine that goes on with the answer.
@@ -129,11 +121,8 @@
 // Import makes the second engine fetch them.
 type Import struct{}
 
-// Dispatch makes out the second engine's request, from the next token on.
-type Dispatch struct{}
-
-// CatchUp sends it, unless that is done, and reads until the second engine is
-// ahead of the first.
+// CatchUp dispatches to the second engine from the next token on, unless that
+// is done, and reads until it is ahead of the first.
 type CatchUp struct{}
 
 // Compare holds the second engine's tokens against those that the caller has.
@@ -160,16 +149,15 @@
 // Nothing leaves things as they are.
 type Nothing struct{}
 
-func (Ask) action()      {}
-func (Export) action()   {}
-func (Import) action()   {}
-func (Dispatch) action() {}
-func (CatchUp) action()  {}
-func (Compare) action()  {}
-func (Switch) action()   {}
-func (Await) action()    {}
-func (Abort) action()    {}
-func (Nothing) action()  {}
+func (Ask) action()     {}
+func (Export) action()  {}
+func (Import) action()  {}
+func (CatchUp) action() {}
+func (Compare) action() {}
+func (Switch) action()  {}
+func (Await) action()   {}
+func (Abort) action()   {}
+func (Nothing) action() {}
 
 // Next decides on an event. An event that does not fit the step is late and
 // changes nothing.
@@ -183,8 +171,6 @@
 		return sta.advance(Exporting, Importing, Import{})
 	case Imported:
 		return sta.afterImport(eve.Rest)
-	case Dispatched:
-		return sta.advance(Ready, CatchingUp, CatchUp{})
 	case CaughtUp:
 		return sta.advance(CatchingUp, Caught, Compare{})
 	case Behind:
@@ -219,7 +205,7 @@
 // afterOffer passes no blocks on where the prompt is shorter than one.
 func (sta State) afterOffer() (State, Action) {
 	if sta.Blocks == 0 {
-		return sta.advance(Asking, Ready, Dispatch{})
+		return sta.advance(Asking, CatchingUp, CatchUp{})
 	}
 	return sta.advance(Asking, Exporting, Export{})
 }
@@ -228,7 +214,7 @@
 	if sta.Step == Importing && !sta.worthWhile(res) {
 		return sta.abort()
 	}
-	return sta.advance(Importing, Ready, Dispatch{})
+	return sta.advance(Importing, CatchingUp, CatchUp{})
 }
 
 // afterSourceFailure counts on the second engine only where it has the request.
@@ -255,11 +241,8 @@
 // worthWhile holds when what is left of the answer takes well longer than its
 // move.
 func (sta State) worthWhile(res Rest) bool {
-	if res.Tokens < MinTokens || res.Time < MinTime {
-		return false
-	}
 	lef := time.Duration(res.Tokens) * stepTime
-	return lef >= worth*sta.transferTime()
+	return res.Time >= MinTime && lef >= worth*sta.transferTime()
 }
 
 func (sta State) transferTime() time.Duration {
