--- a/request/executor/move_test.go
+++ b/request/executor/move_test.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// TestMoveTakesOver has the first engine die when the second gets the request.
+// Nothing but the move can save the answer: the allocator knows no other engine.
+func TestMoveTakesOver(t *testing.T) {
+	var dead atomic.Bool
+	_, src := startGenerator(t, 10*time.Millisecond, func(*generator.Generator, string) bool { return dead.Load() })
+	_, tar := startGenerator(t, 10*time.Millisecond, func(_ *generator.Generator, path string) bool {
+		if path == "/v1/generate" {
+			dead.Store(true)
+			src.CloseClientConnections()
+		}
+		return false
+	})
+	all := &movingAllocator{source: src.Listener.Addr().String(), target: tar.Listener.Addr().String()}
+	exe, bod := askPrompt(t, all, "Why?", 120)
+	require.NotContains(t, bod, "error")
+	exe.Settle()
+	require.Equal(t, int64(11), all.done.Load())
+	requireEmpty(t, tar.URL)
+}
+
 // requireEmpty waits until an engine holds no memory.
 func requireEmpty(t *testing.T, url string) {
 	t.Helper()
