Let a host's retry budget follow what the other hosts have left

Cause: each host's budget knew its own requests only, so in a storm the fleet spends as many bursts as it has hosts. Ruled out: asking a peer before each retry: a message a retry, in a storm. Before / After: go test ./request/budgeter; a host whose peers have nothing left saves up 16 retries instead of 128, and 10 s after the last news 128 again. Conclusion: the input is there (Budget.SetFleet, NewFleet from digests with their age); no host hands digests to it yet, so nothing changes in a fleet. Of n hosts the bound beyond what requests and time earn is n x 128 without news and n x 16 with it.

--- a/request/budgeter/budgeter.go
+++ b/request/budgeter/budgeter.go
@@ -16,14 +16,50 @@
 	// Burst is the most retries that a host saves up. It covers the streams
 	// that break when one engine dies.
 	Burst = 128.0
+	// MinBurst is what a host may save up when all others have nothing left.
+	MinBurst = 16.0
+	// FleetLife is the age at which what is known of the other hosts counts no
+	// more.
+	FleetLife = 10 * time.Second
 )
 
+// Fleet is what a host knows of the budgets of the others.
+type Fleet struct {
+	// Left is the mean of what they have left, as a part of Burst.
+	Left float64
+	// At is when the oldest of it was true.
+	At time.Time
+}
+
+// NewFleet sums up the digests of other hosts, the oldest of which is as of at.
+func NewFleet(digs []Digest, at time.Time) Fleet {
+	if len(digs) == 0 {
+		return Fleet{}
+	}
+	var sum float64
+	for _, dig := range digs {
+		sum += min(Burst, max(0, dig.Available))
+	}
+	return Fleet{Left: sum / Burst / float64(len(digs)), At: at}
+}
+
+// burst is the most retries that a host may save up: the less the others have
+// left, the less it adds to what the fleet sends. Without fresh knowledge each
+// host has its own burst, so n hosts exceed what their requests and the time
+// earn by n times Burst at most, and by n times MinBurst once they know that
+// nothing is left.
+func (fle Fleet) burst(now time.Time) float64 {
+	old := min(1, max(0, now.Sub(fle.At).Seconds()/FleetLife.Seconds()))
+	return max(MinBurst, Burst*(fle.Left+(1-fle.Left)*old))
+}
+
 // Budget is the retry budget of one host. Its zero value is a full budget.
 type Budget struct {
 	mu    sync.Mutex
 	spent float64
 	at    time.Time
 	total Digest
+	fleet Fleet
 }
 
 // Digest counts what a host's budget was asked for.
@@ -35,6 +71,13 @@
 	Available float64
 }
 
+// SetFleet tells the budget of the other hosts.
+func (bud *Budget) SetFleet(fle Fleet) {
+	bud.mu.Lock()
+	defer bud.mu.Unlock()
+	bud.fleet = fle
+}
+
 // Earn credits one admitted request.
 func (bud *Budget) Earn(now time.Time) {
 	bud.mu.Lock()
@@ -48,25 +91,28 @@
 func (bud *Budget) Take(now time.Time) bool {
 	bud.mu.Lock()
 	defer bud.mu.Unlock()
-	ok := bud.take(Burst, now)
+	ok := bud.take(1, now)
 	if !ok {
 		bud.total.Denied++
 	}
 	return ok
 }
 
+// spareShare is the part of the burst that is left to TakeSpare.
+const spareShare = 0.5
+
 // TakeSpare spends one retry if more than half of the burst is left. It is for
 // what can wait, so that failures keep the rest.
 func (bud *Budget) TakeSpare(now time.Time) bool {
 	bud.mu.Lock()
 	defer bud.mu.Unlock()
-	return bud.take(Burst/2, now)
+	return bud.take(spareShare, now)
 }
 
-// take spends one retry within a limit. The caller holds the lock.
-func (bud *Budget) take(lim float64, now time.Time) bool {
+// take spends one retry within a part of the burst. The caller holds the lock.
+func (bud *Budget) take(part float64, now time.Time) bool {
 	bud.refill(now)
-	if bud.spent+1 > lim {
+	if bud.spent+1 > part*bud.fleet.burst(now) {
 		return false
 	}
 	bud.spent++
--- a/request/budgeter/budgeter_test.go
+++ b/request/budgeter/budgeter_test.go
@@ -60,3 +60,17 @@
 		require.LessOrEqual(rap, float64(retries), lim+1e-6)
 	})
 }
+
+// TestFleet has a host learn that the others have nothing left, and forget it.
+func TestFleet(t *testing.T) {
+	var bud Budget
+	require.Equal(t, 10, take(&bud, 10, start))
+	bud.SetFleet(NewFleet([]Digest{{Available: 0}, {Available: -3}}, start))
+	require.Equal(t, int(MinBurst)-10, take(&bud, 1000, start))
+	require.False(t, bud.TakeSpare(start))
+	bud.SetFleet(NewFleet([]Digest{{Available: Burst}, {Available: 0}}, start))
+	require.Equal(t, int(Burst/2-MinBurst), take(&bud, 1000, start))
+	// The bucket earns FloorRate a second meanwhile.
+	require.Equal(t, int(Burst/2+FleetLife.Seconds()*FloorRate), take(&bud, 1000, start.Add(FleetLife)))
+	require.Equal(t, Fleet{}, NewFleet(nil, start))
+}
