Let a pool's requests overflow to another region

Cause: a host sees the endpoints of its own region only, so a pool whose engines there are dead, full or too slow refused although another region had room. Change: a pool's Overflow names the regions that take what the callers' region can't serve (off by default, "*" for all). Schedulers sum their cells up in digests (engines, wait, full, age) each 2 s; heartbeats carry at most 8, newest first, never a region's own to its hosts (process/overflower). Where the own cell has no live engine, refuses all, or would queue too long, the host asks one scheduler of another region once and sends the prompt to the engine granted. A cell that refused is left alone for 1 s, a silent region for 3 s; a scheduler never passes an ask on. Ejection may take out a whole pool where another region can serve it, since requests otherwise spent their retries on dead engines. Ruled out: listing all regions' endpoints (hosts times endpoints); asking without digests (a round trip a refusal). Not done: the regions cut from each other with processes while both serve.

--- a/process/allocator/cells.go
+++ b/process/allocator/cells.go
@@ -10,6 +10,7 @@
 
 	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
+	"hemlockpin/process/overflower"
 	"hemlockpin/process/scheduler"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/placer"
@@ -59,7 +60,9 @@
 	Entries   func() []persister.Entry
 	Caller    Caller
 	Scheduler *scheduler.Scheduler
-	Scope     tally.Scope
+	// Far holds the digests of other regions' cells.
+	Far   overflower.Digests
+	Scope tally.Scope
 
 	sequence atomic.Uint64
 
@@ -72,12 +75,21 @@
 
 type digest struct {
 	wait time.Duration
+	// full says that the cell has no live engine or no place in its queue.
+	full bool
 	at   time.Time
 }
 
-// fromCell asks the scheduler of a cell. errNoScheduler tells the caller to
-// place by itself.
-func (all *Allocator) fromCell(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+// grantor names the scheduler of a grant, its cell and the ask.
+type grantor struct {
+	host host
+	cell string
+	ask  string
+}
+
+// fromOwnCell asks the scheduler of a cell of the own region. It fails with
+// errNoScheduler or errNoEngine where that can't place any request.
+func (all *Allocator) fromOwnCell(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
 	for try := 1; ; try++ {
 		lea, err := all.fromCellOnce(ctx, req, poo)
 		var ref *executor.RefusedError
@@ -99,21 +111,29 @@
 	all.mu.Unlock()
 	cells := all.Cells
 	nam := cells.choose(cells.Region+"/"+poo.Name, cou, req, now)
-	ask := scheduler.Ask{
-		ID:   req.ID + "-" + strconv.FormatUint(cells.sequence.Add(1), 10),
-		Host: cells.Self, Incarnation: cells.Incarnation, Request: req,
-	}
+	ask := cells.newAsk(req)
 	act, hos, err := cells.ask(ctx, nam, poo.Name, ask)
 	if err != nil {
 		return executor.Lease{}, err
 	}
-	notify := func(kin messenger.GrantNotice_Kind) { cells.notify(hos, nam, ask.ID, kin) }
+	return all.granted(ctx, req, act, grantor{hos, nam, ask.ID})
+}
+
+func (cel *Cells) newAsk(req placer.Request) scheduler.Ask {
+	id := req.ID + "-" + strconv.FormatUint(cel.sequence.Add(1), 10)
+	return scheduler.Ask{ID: id, Host: cel.Self, Incarnation: cel.Incarnation, Request: req}
+}
+
+// granted makes a lease of what a scheduler answered, or the error that says why
+// there is none.
+func (all *Allocator) granted(ctx context.Context, req placer.Request, act scheduler.Action, gra grantor) (executor.Lease, error) {
+	notify := func(kin messenger.GrantNotice_Kind) { all.Cells.notify(gra.host, gra.cell, gra.ask, kin) }
 	switch act := act.(type) {
 	case scheduler.Grant:
 		all.mu.Lock()
 		defer all.mu.Unlock()
 		lea := all.lease(act.Endpoint, act.Address, req.PromptTokens, time.Now())
-		return withNotices(all.withMove(lea, hos, nam, ask.ID), notify), nil
+		return withNotices(all.withMove(lea, gra.host, gra.cell, gra.ask), notify), nil
 	case scheduler.GrantGroup:
 		lea, err := all.group(ctx, req, placer.PlaceGroup{Parts: act.Parts})
 		if err != nil {
@@ -123,11 +143,11 @@
 		return withNotices(lea, notify), nil
 	case scheduler.Refuse:
 		if act.Code == scheduler.CodeUnavailable {
-			return executor.Lease{}, errNoScheduler
+			return executor.Lease{}, errNoEngine
 		}
 		return executor.Lease{}, &executor.RefusedError{Refuse: act.Refuse}
 	default:
-		return executor.Lease{}, eris.Errorf("Allocator.fromCell: unexpected action %T", act)
+		return executor.Lease{}, eris.Errorf("Allocator.granted: unexpected action %T", act)
 	}
 }
 
@@ -181,19 +201,22 @@
 	return time.Duration(float64(dig.wait) * (1 - age.Seconds()/digestLife.Seconds()))
 }
 
-func (cel *Cells) learn(nam string, wait time.Duration, now time.Time) {
+// learn notes the wait that the scheduler of a cell told with an answer.
+func (cel *Cells) learn(nam string, wait time.Duration, act scheduler.Action, now time.Time) {
+	ref, _ := act.(scheduler.Refuse)
+	full := ref.Code == scheduler.CodePoolFull || ref.Code == scheduler.CodeUnavailable
 	cel.mu.Lock()
 	defer cel.mu.Unlock()
 	if cel.digests == nil {
 		cel.digests = map[string]digest{}
 	}
-	cel.digests[nam] = digest{wait, now}
+	cel.digests[nam] = digest{wait, full, now}
 }
 
 // ask tries the hosts in the order of the cell's candidates.
 func (cel *Cells) ask(ctx context.Context, nam, pool string, ask scheduler.Ask) (scheduler.Action, host, error) {
-	for _, hos := range cel.candidates(nam, time.Now()) {
-		act, err := cel.askHost(ctx, hos, nam, pool, ask)
+	for _, hos := range cel.candidates(nam, cel.Region, time.Now()) {
+		act, err := cel.askHost(ctx, hos, nam, pool, ask, 0)
 		if err == nil {
 			return act, hos, nil
 		}
@@ -217,17 +240,17 @@
 	at    time.Time
 }
 
-// candidates returns the hosts that may schedule a cell, the first choice
-// first. The order is kept for a short time, so that a request does not cost
+// candidates returns the hosts of a region that may schedule a cell, the first
+// choice first. The order is kept for a short time, so that a request does not cost
 // what grows with the hosts.
-func (cel *Cells) candidates(nam string, now time.Time) []host {
+func (cel *Cells) candidates(nam, region string, now time.Time) []host {
 	cel.mu.Lock()
 	ran, ok := cel.rankings[nam]
 	cel.mu.Unlock()
 	if ok && now.Sub(ran.at) < rankingLife {
 		return ran.hosts
 	}
-	ran = ranking{cel.rank(nam, now), now}
+	ran = ranking{cel.rank(nam, region, now), now}
 	cel.mu.Lock()
 	defer cel.mu.Unlock()
 	if cel.rankings == nil {
@@ -237,13 +260,17 @@
 	return ran.hosts
 }
 
-func (cel *Cells) rank(nam string, now time.Time) []host {
+func (cel *Cells) rank(nam, region string, now time.Time) []host {
 	ents := cel.Entries()
-	adds := map[string]string{cel.Self: ""}
-	ids := []string{cel.Self}
+	adds := map[string]string{}
+	var ids []string
+	if region == cel.Region {
+		adds[cel.Self] = ""
+		ids = append(ids, cel.Self)
+	}
 	cel.mu.Lock()
 	for _, ent := range ents {
-		if ent.Kind != persister.KindEntry || ent.Leaving || ent.ID == cel.Self || ent.Region != cel.Region && ent.Region != "" {
+		if ent.Kind != persister.KindEntry || ent.Leaving || ent.ID == cel.Self || ent.Region != region && ent.Region != "" {
 			continue
 		}
 		if now.Before(cel.suspects[ent.ID]) {
--- a/process/allocator/explain.go
+++ b/process/allocator/explain.go
@@ -21,7 +21,7 @@
 		return "", ""
 	}
 	cell = all.Cells.choose(all.Cells.Region+"/"+poo.Name, scheduler.Count(len(ends)), req, now)
-	for _, hos := range all.Cells.candidates(cell, now) {
+	for _, hos := range all.Cells.candidates(cell, all.Cells.Region, now) {
 		return cell, hos.id
 	}
 	return cell, ""
--- a/process/allocator/health.go
+++ b/process/allocator/health.go
@@ -17,7 +17,7 @@
 // Acquire places a request on an endpoint that has not failed lately, or on
 // any if no other is left.
 func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
-	out := all.ejected(poo, time.Now())
+	out := all.ejected(req, poo, time.Now())
 	if len(out) == 0 {
 		return all.reported(all.acquire(ctx, req, poo))
 	}
@@ -31,7 +31,7 @@
 	return all.reported(lea, err)
 }
 
-func (all *Allocator) ejected(poo parser.Pool, now time.Time) []string {
+func (all *Allocator) ejected(req placer.Request, poo parser.Pool, now time.Time) []string {
 	if all.Ejector.Ejected() == 0 {
 		return nil
 	}
@@ -42,7 +42,8 @@
 		_, ok := vie.index[id]
 		return ok
 	}
-	return all.Ejector.Excluded(len(vie.endpoints), has, now)
+	_, far := all.far(req, poo, now)
+	return all.Ejector.Excluded(len(vie.endpoints), far, has, now)
 }
 
 // reported makes the lease report how its endpoint did, and that of its move.
--- /dev/null
+++ b/process/allocator/overflow_test.go
@@ -0,0 +1,77 @@
+package allocator
+
+import (
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+	"hemlockpin/process/overflower"
+	"hemlockpin/process/scheduler"
+	"hemlockpin/request/executor"
+	"hemlockpin/request/placer"
+	"hemlockpin/version/parser"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+// A request asks one scheduler of another region, and the region or the cell is
+// left alone after silence or a refusal.
+func TestFarCell(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		answer   *messenger.Grant
+		endpoint string
+		again    bool
+	}{
+		{"granted", &messenger.Grant{Endpoint: "far-engine", Address: "a"}, "far-engine", true},
+		{"refused", &messenger.Grant{Refusal: scheduler.CodePoolFull}, "", false},
+		{"no live engine", &messenger.Grant{Refusal: scheduler.CodeUnavailable}, "", false},
+		{"silent", nil, "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Now()
+			ents := []persister.Entry{
+				{ID: "near-host", Kind: persister.KindEntry, Address: "near", Region: "near"},
+				{ID: "far-host", Kind: persister.KindEntry, Address: "far", Region: "far"},
+			}
+			cel := &Cells{
+				Self: "self", Region: "near", Entries: func() []persister.Entry { return ents },
+				Caller: answers{"far": tt.answer, "near": {Endpoint: "near-engine"}}, Scope: tally.NoopScope,
+			}
+			all := &Allocator{Cells: cel}
+			req := placer.Request{ID: "r", Deadline: now.Add(time.Minute)}
+			poo := parser.Pool{Name: "p", Overflow: []string{"far"}}
+			cel.Far.Note(overflower.Digest{Region: "near", Pool: "p", Cells: 1, Engines: 4, At: now})
+			cel.Far.Note(overflower.Digest{Region: "far", Pool: "p", Cells: 1, Engines: 4, At: now})
+			_, ok := all.far(req, parser.Pool{Name: "p"}, now)
+			require.False(t, ok, "the pool has no overflow")
+			lea, ok := all.fromFarCell(t.Context(), req, poo)
+			require.Equal(t, tt.endpoint != "", ok)
+			require.Equal(t, tt.endpoint, lea.Endpoint)
+			_, ok = all.far(req, poo, time.Now())
+			require.Equal(t, tt.again, ok, "left alone at once")
+			_, ok = all.far(req, poo, time.Now().Add(4*time.Second))
+			require.True(t, ok, "tried again later")
+			if tt.answer == nil {
+				require.Equal(t, messenger.GrantNotice_KIND_RELEASED, cel.notices["far"][0].GetKind(), "what the silent scheduler may grant is given back")
+			}
+		})
+	}
+}
+
+// Only what another region can mend goes there.
+func TestOverflows(t *testing.T) {
+	for cod, want := range map[string]bool{
+		scheduler.CodeOverloaded: true, scheduler.CodePoolFull: true, scheduler.CodeNoEndpoint: true, codeGroupUnavailable: true,
+		scheduler.CodeInfeasible: false, scheduler.CodeTooLarge: false,
+	} {
+		require.Equal(t, want, overflows(&executor.RefusedError{Refuse: placer.Refuse{Code: cod}}), cod)
+	}
+	require.True(t, overflows(errNoEngine))
+	require.False(t, overflows(errNoScheduler))
+	require.False(t, overflows(eris.New("other")))
+	require.False(t, overflows(nil))
+}
--- a/process/allocator/remote.go
+++ b/process/allocator/remote.go
@@ -23,32 +23,33 @@
 )
 
 // askHost repeats an ask until it is granted or refused, or the host does not
-// answer.
-func (cel *Cells) askHost(ctx context.Context, hos host, nam, pool string, ask scheduler.Ask) (scheduler.Action, error) {
+// answer. extra is added to the time that it has for that.
+func (cel *Cells) askHost(ctx context.Context, hos host, nam, pool string, ask scheduler.Ask, extra time.Duration) (scheduler.Action, error) {
 	if hos.id == cel.Self {
 		return cel.askSelf(ctx, nam, pool, ask)
 	}
-	hold, grace := firstHold, callGrace
+	hold, grace := firstHold, callGrace+extra
 	for {
 		gra, err := cel.call(ctx, hos, nam, pool, ask, hold, grace)
 		if err != nil {
 			return nil, err
 		}
-		cel.learn(nam, time.Duration(gra.GetWaitMs())*time.Millisecond, time.Now())
-		if !gra.GetWaiting() {
-			return actionOf(ask.ID, gra), nil
+		act := actionOf(ask.ID, gra)
+		cel.learn(nam, time.Duration(gra.GetWaitMs())*time.Millisecond, act, time.Now())
+		if act != nil {
+			return act, nil
 		}
 		if !pause(ctx, repeatPause) {
 			return nil, eris.Wrapf(ctx.Err(), "Cells.askHost: scheduler %s", hos.id)
 		}
-		hold, grace = laterHold, laterGrace
+		hold, grace = laterHold, laterGrace+extra
 	}
 }
 
 func (cel *Cells) askSelf(ctx context.Context, nam, pool string, ask scheduler.Ask) (scheduler.Action, error) {
 	for {
 		act, wai := cel.Scheduler.Ask(ctx, nam, pool, ask, laterHold)
-		cel.learn(nam, wai, time.Now())
+		cel.learn(nam, wai, act, time.Now())
 		if ctx.Err() != nil {
 			return nil, eris.Wrap(ctx.Err(), "Cells.askSelf")
 		}
@@ -104,6 +105,7 @@
 		Deadline: now.Add(time.Duration(req.GetBudgetMs()) * time.Millisecond), Prefix: req.GetPrefixHashes(), Excluded: req.GetExcluded(),
 	}}
 	act, wai := cel.Scheduler.Ask(ctx, req.GetCell(), req.GetPool(), ask, time.Duration(req.GetHoldMs())*time.Millisecond)
+	cel.learn(req.GetCell(), wai, act, now)
 	gra := grantOf(act)
 	gra.WaitMs = wai.Milliseconds()
 	return &messenger.Envelope{Body: &messenger.Envelope_Grant{Grant: gra}}
@@ -157,7 +159,11 @@
 	}
 }
 
+// actionOf returns nil for an ask that waits.
 func actionOf(id string, gra *messenger.Grant) scheduler.Action {
+	if gra.GetWaiting() {
+		return nil
+	}
 	if gra.GetRefusal() != "" {
 		return scheduler.Refuse{ID: id, Refuse: placer.Refuse{
 			Code: gra.GetRefusal(), Message: gra.GetMessage(), RetryAfter: time.Duration(gra.GetRetryAfterMs()) * time.Millisecond,
--- a/process/ejector/ejector.go
+++ b/process/ejector/ejector.go
@@ -86,8 +86,9 @@
 }
 
 // Excluded returns the endpoints of a pool that take no request now. One whose
-// trial is due is left in, once.
-func (eje *Ejector) Excluded(size int, has func(id string) bool, now time.Time) []string {
+// trial is due is left in, once. elsewhere says that requests can be served
+// without the pool's endpoints, so that all of them may be out.
+func (eje *Ejector) Excluded(size int, elsewhere bool, has func(id string) bool, now time.Time) []string {
 	eje.mu.Lock()
 	defer eje.mu.Unlock()
 	var out []string
@@ -101,7 +102,7 @@
 			out = append(out, id)
 		}
 	}
-	if float64(len(out)) > maxShare*float64(size) {
+	if !elsewhere && float64(len(out)) > maxShare*float64(size) {
 		return nil
 	}
 	return out
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -11,29 +11,48 @@
 // ping builds the probe of a peer.
 func (gos *Gossiper) ping(target string) *messenger.Envelope {
 	now := time.Now()
-	upds, self := gos.updates(target)
+	upds, self, reg := gos.updates(target)
 	rev, age := gos.Publisher.Freshness(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
-		Notices: gos.notices(now), List: gos.listStamp(now),
+		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now),
 	}}}
 }
 
 func (gos *Gossiper) pong(target string) *messenger.Envelope {
 	now := time.Now()
-	upds, self := gos.updates(target)
+	upds, self, reg := gos.updates(target)
 	rev, age := gos.Publisher.Freshness(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
-		Notices: gos.notices(now), List: gos.listStamp(now),
+		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now),
 	}}}
 }
 
-func (gos *Gossiper) updates(target string) ([]*messenger.Member, *messenger.Member) {
+// updates returns the changes of membership for a peer, this host and the
+// peer's region.
+func (gos *Gossiper) updates(target string) ([]*messenger.Member, *messenger.Member, string) {
 	gos.mu.Lock()
 	defer gos.mu.Unlock()
-	upds := gos.state().Updates(target)
-	return membersOf(upds), gos.state().Self.Member()
+	ros := gos.state()
+	reg := ""
+	if mem := ros.members[target]; mem != nil {
+		reg = mem.Region
+	}
+	return membersOf(ros.Updates(target)), ros.Self.Member(), reg
+}
+
+func (gos *Gossiper) cells(region string, now time.Time) []*messenger.CellDigest {
+	if gos.Cargo.Cells == nil {
+		return nil
+	}
+	return gos.Cargo.Cells(region, now)
+}
+
+func (gos *Gossiper) takeCells(digs []*messenger.CellDigest, now time.Time) {
+	if gos.Cargo.TakeCells != nil {
+		gos.Cargo.TakeCells(digs, now)
+	}
 }
 
 func (gos *Gossiper) notices(now time.Time) []*messenger.EndpointNotice {
@@ -52,6 +71,7 @@
 	fro.TablesRevision = pin.GetTablesRevision()
 	gos.step(ctx, Heard{From: fro, Updates: peersOf(pin.GetUpdates())}, now)
 	gos.takeCargo(ctx, pin.GetNotices(), now)
+	gos.takeCells(pin.GetCells(), now)
 	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), now.Add(-time.Duration(pin.GetTablesAgeMs())*time.Millisecond))
 	if gos.wantsList(pin.GetList(), now) {
 		go gos.pullList(context.WithoutCancel(ctx), gos.address(fro))
@@ -96,6 +116,7 @@
 	fro.TablesRevision = pon.GetTablesRevision()
 	gos.step(ctx, Heard{From: fro, Reached: reached, Updates: peersOf(pon.GetUpdates())}, now)
 	gos.takeCargo(ctx, pon.GetNotices(), now)
+	gos.takeCells(pon.GetCells(), now)
 	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), now.Add(-time.Duration(pon.GetTablesAgeMs())*time.Millisecond))
 	if reached != "" && gos.wantsList(pon.GetList(), now) {
 		gos.pullList(ctx, reached)
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -37,6 +37,9 @@
 	Notices func(now time.Time) []*messenger.EndpointNotice
 	// TakeNotices merges notices and returns those that were news.
 	TakeNotices func(nots []*messenger.EndpointNotice, now time.Time) []*messenger.EndpointNotice
+	// Cells returns digests of cells that are of use to hosts of a region.
+	Cells     func(region string, now time.Time) []*messenger.CellDigest
+	TakeCells func(digs []*messenger.CellDigest, now time.Time)
 }
 
 // Gossiper carries out the decisions of a Roster.
--- a/process/server/schedule.go
+++ b/process/server/schedule.go
@@ -9,6 +9,7 @@
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/allocator"
 	"hemlockpin/process/limiter"
+	"hemlockpin/process/overflower"
 	"hemlockpin/process/scheduler"
 	"hemlockpin/request/placer"
 	"hemlockpin/version/parser"
@@ -41,6 +42,34 @@
 	return all
 }
 
+// farCells returns digests of cells for a host of a region.
+func (ser *Server) farCells(region string, now time.Time) []*messenger.CellDigest {
+	return ser.cells.Far.Outgoing(region, now)
+}
+
+func (ser *Server) takeFarCells(digs []*messenger.CellDigest, now time.Time) {
+	ser.cells.Far.Take(digs, now)
+}
+
+// announceCells lets other regions know what the cells of this host can take.
+func (ser *Server) announceCells(ctx context.Context) {
+	tic := time.NewTicker(overflower.AnnounceInterval)
+	defer tic.Stop()
+	for {
+		now := time.Now()
+		for _, poo := range ser.publisher.Current().Tables().Pools {
+			if poo.Takes(ser.Settings.Region) {
+				ser.cells.Announce(poo.Name, len(ser.watcher.Pool(poo).Endpoints), now)
+			}
+		}
+		select {
+		case <-tic.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // newExchanger joins the limits of the teams' rates over all hosts.
 func (ser *Server) newExchanger() *limiter.Exchanger {
 	lim := &limiter.Limiter{}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -124,6 +124,7 @@
 	gro.Go(func() { ser.reclaimer.Run(work, reclaimInterval) })
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
+	gro.Go(func() { ser.announceCells(work) })
 	gro.Go(func() { ser.exchanger.Run(work) })
 	gro.Go(func() { ser.watchOwners(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -36,7 +36,7 @@
 		},
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
 		Lister: ser.lister, ListChanged: ser.relist, Seeds: set.SeedPeers, Scope: ser.scope, Log: ser.Log,
-		Cargo: gossiper.Cargo{Notices: ser.watcher.Notices.Outgoing, TakeNotices: ser.watcher.Notices.Take},
+		Cargo: gossiper.Cargo{Notices: ser.watcher.Notices.Outgoing, TakeNotices: ser.watcher.Notices.Take, Cells: ser.farCells, TakeCells: ser.takeFarCells},
 	}
 	ser.watcher.Noticed = func(nots []*messenger.EndpointNotice) {
 		go ser.forward(func(ctx context.Context) { ser.gossiper.SpreadNotices(ctx, nots, true) })
@@ -92,6 +92,7 @@
 	ser.scope.Gauge("tables_revision").Update(float64(rev))
 	ser.scope.Gauge("tables_age_seconds").Update(age.Seconds())
 	ser.scope.Gauge("peers_live").Update(float64(len(ser.gossiper.Live(now))))
+	ser.scope.Gauge("far_cells").Update(float64(ser.cells.Far.Count(ser.Settings.Region, now)))
 	ser.scope.Gauge("peer_sessions").Update(float64(ser.multiplexer.Sessions()))
 	for kin, tra := range map[string]*counter.Traffic{
 		"peer": &ser.multiplexer.Traffic, "platform": &ser.platformTraffic, "endpoint": &ser.invoker.Control,
--- a/version/parser/pool.go
+++ b/version/parser/pool.go
@@ -1,6 +1,10 @@
 package parser
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // PoolKind is the kind of endpoint that a pool names.
 type PoolKind string
@@ -31,6 +35,18 @@
 	// LongShare is the share of the engines, 0 to 1, that long prompts may
 	// occupy at a time; 0 stands for the default.
 	LongShare float64 `json:",omitempty"`
+	// Overflow names the regions that take requests of the pool which the
+	// caller's region can't serve in time; AnyRegion stands for all, and none
+	// for no overflow.
+	Overflow []string `json:",omitempty"`
+}
+
+// AnyRegion stands for all regions in Overflow.
+const AnyRegion = "*"
+
+// Takes reports whether a region takes requests of the pool from others.
+func (poo Pool) Takes(region string) bool {
+	return slices.Contains(poo.Overflow, region) || slices.Contains(poo.Overflow, AnyRegion)
 }
 
 // Defaults fills in the fields left empty.
@@ -59,5 +75,23 @@
 	if poo.LongShare < 0 || poo.LongShare > 1 {
 		fas = append(fas, fmt.Sprintf("pool %q: LongShare %g is outside 0 to 1", poo.Name, poo.LongShare))
 	}
+	return append(fas, poo.validateOverflow()...)
+}
+
+func (poo Pool) validateOverflow() []string {
+	var fas []string
+	if len(poo.Overflow) > 0 && poo.Kind != PoolEngine {
+		fas = append(fas, fmt.Sprintf("pool %q: Overflow is for engine pools", poo.Name))
+	}
+	for ind, reg := range poo.Overflow {
+		switch {
+		case reg == "" || strings.ContainsRune(reg, '/'):
+			fas = append(fas, fmt.Sprintf("pool %q: Overflow names no region by %q", poo.Name, reg))
+		case slices.Contains(poo.Overflow[:ind], reg):
+			fas = append(fas, fmt.Sprintf("pool %q: Overflow names %q twice", poo.Name, reg))
+		case reg == AnyRegion && len(poo.Overflow) > 1:
+			fas = append(fas, fmt.Sprintf("pool %q: Overflow names %q beside other regions", poo.Name, reg))
+		}
+	}
 	return fas
 }
