Set more engines apart for answers

Change: a decoder for each 16 answers or 35 % of an engine's memory; short prompts go there unless that takes 10 ms longer. What is left is the wait of large prompts when all engines read long ones, and moves that end because the second engine is not quicker.

--- a/process/scheduler/mover.go
+++ b/process/scheduler/mover.go
@@ -10,8 +10,8 @@
 const (
 	// decoderAnswers is the number of answers that one decoder is meant for,
 	// and decoderFill the part of its memory that they take in the mean.
-	decoderAnswers = 32
-	decoderFill    = 0.5
+	decoderAnswers = 16
+	decoderFill    = 0.35
 	// minDecoderCell is the least number of live engines of which some decode
 	// the answers of others, and maxDecoderShare bounds the decoders' share.
 	minDecoderCell  = 4
@@ -26,7 +26,7 @@
 	maxMoves = 8
 	// shortDetour is how much longer a short prompt may take on a decoder than
 	// elsewhere, since its answer needs no move from there.
-	shortDetour = 20 * time.Millisecond
+	shortDetour = 10 * time.Millisecond
 	// maxReread bounds the prefill of what the copy of a prompt leaves out, as
 	// it holds up the answers on the decoder.
 	maxReread = 11 * time.Millisecond
