Report to the keepers of limits at the same time

Cause: a host reported to up to eight keepers one after another. Keepers that don't answer took a second each, and with seven of them the shares that the eighth had given lapsed in between (they are valid for 6 s). Ruled out: a shorter timeout; a slow keeper's reply would be lost more often. Before: `go test ./process/limiter -run Silent` (40 silent hosts, 100 teams): expected 1s, actual 7s. After: 1s, by the fake clock of testing/synctest. Without wai.Go the test fails as before. Conclusion: an exchange ends within one timeout.

--- a/process/limiter/exchanger.go
+++ b/process/limiter/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"hemlockpin/connection/messenger"
@@ -67,9 +68,12 @@
 		gro := xxhash.Sum64String(dem.Team) % keepers
 		gros[gro] = append(gros[gro], dem)
 	}
+	// A keeper that does not answer must not use up the life of other shares.
+	var wai sync.WaitGroup
+	defer wai.Wait()
 	for num, dems := range gros {
 		if len(dems) > 0 {
-			exc.report(ctx, keeperOf(num, exc.Self, hoss), dems, now)
+			wai.Go(func() { exc.report(ctx, keeperOf(num, exc.Self, hoss), dems, now) })
 		}
 	}
 }
