--- a/load/driver/driver.go
+++ b/load/driver/driver.go
@@ -79,6 +79,7 @@
 	rep.Seed = run.Seed
 	rep.Rate = run.rate()
 	rep.Started = beg
+	rep.LoadAverage = loadAverage()
 	rep.NotSent = run.dropped.Load()
 	rep.Hosts = usageBetween(bef, readUsage(ctx, run.Operators), time.Since(beg))
 	return rep, ctx.Err()
--- a/load/driver/usage.go
+++ b/load/driver/usage.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"hemlockpin/load/summarizer"
@@ -39,6 +42,17 @@
 	return usa, json.NewDecoder(res.Body).Decode(&usa)
 }
 
+// loadAverage is the machine's over the last minute; 0 where it is not known.
+func loadAverage() float64 {
+	buf, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	fir, _, _ := strings.Cut(string(buf), " ")
+	val, _ := strconv.ParseFloat(fir, 64)
+	return val
+}
+
 // usageBetween turns two readings into rates. A host that was restarted in
 // between is left out.
 func usageBetween(bef, aft map[string]server.Usage, dur time.Duration) []summarizer.HostUsage {
--- a/load/reporter/reporter.go
+++ b/load/reporter/reporter.go
@@ -93,7 +93,7 @@
 {{range $rep := .Reports}}
 <h2>{{.Name}}</h2>
 <p>Mix {{.Mix}}, seed {{.Seed}}, {{printf "%.1f" .Rate}} requests a second for {{.Duration}}, started {{.Started.Format "2006-01-02 15:04:05"}}.
-In time: {{printf "%.2f" .Goodput}} requests a second.{{if .NotSent}} Not sent: {{.NotSent}}.{{end}}</p>
+In time: {{printf "%.2f" .Goodput}} requests a second. The machine's load average: {{printf "%.1f" .LoadAverage}}.{{if .NotSent}} Not sent: {{.NotSent}}.{{end}}</p>
 <table><tr><th>class</th><th>requests</th>{{range $.Outcomes}}<th>{{.}}</th>{{end}}<th>in time %</th>
 <th>first token p50 ms</th><th>p95</th><th>p99</th><th>between tokens p50 ms</th><th>p95</th><th>total p95 ms</th></tr>
 {{range $cla := .Classes}}<tr><td>{{.Name}}</td><td>{{.Count}}</td>
--- a/load/summarizer/summarizer.go
+++ b/load/summarizer/summarizer.go
@@ -110,17 +110,20 @@
 
 // Report is the result of one load run.
 type Report struct {
-	Name     string
-	Mix      string
-	Seed     uint64
-	Rate     float64
-	Started  time.Time
-	Duration time.Duration
-	Classes  []ClassReport
-	Codes    map[string]int64
-	Hosts    []HostUsage
-	Timeline []Second
-	NotSent  int64
+	Name    string
+	Mix     string
+	Seed    uint64
+	Rate    float64
+	Started time.Time
+	// LoadAverage is the machine's over the last minute, at the end. The run's
+	// own processes are in it.
+	LoadAverage float64
+	Duration    time.Duration
+	Classes     []ClassReport
+	Codes       map[string]int64
+	Hosts       []HostUsage
+	Timeline    []Second
+	NotSent     int64
 	// Goodput is the number of requests a second answered whole and in time.
 	Goodput float64
 	// Cell and Setup are the zero value outside of a grid. Setup describes what
--- a/tools/experimenter/experiment.go
+++ b/tools/experimenter/experiment.go
@@ -232,8 +232,8 @@
 }
 
 func printReport(wri io.Writer, rep summarizer.Report) {
-	fmt.Fprintf(wri, "\n%s: seed %d, %.1f requests a second, in time %.1f a second, long slowdown p50 %.2f, p95 %.2f (%d)\n",
-		rep.Name, rep.Seed, rep.Rate, rep.Goodput, rep.Long.P50, rep.Long.P95, rep.Long.Count)
+	fmt.Fprintf(wri, "\n%s: seed %d, %.1f requests a second, in time %.1f a second, long slowdown p50 %.2f, p95 %.2f (%d), load average %.1f\n",
+		rep.Name, rep.Seed, rep.Rate, rep.Goodput, rep.Long.P50, rep.Long.P95, rep.Long.Count, rep.LoadAverage)
 	_ = reporter.Print(wri, rep)
 	if par := rep.Parts; par != nil {
 		fmt.Fprintf(wri, "large and huge (%d traced): wait for an engine p50 %.0f ms, p95 %.0f ms; from the grant to the first token p50 %.0f ms, p95 %.0f ms, over idle engines p50 %.2f, p95 %.2f\n",
