Let a host without a cell use the prefixes of its own prompts

Cause: placer.View.Cached was never filled, so placing without a scheduler knew no prefix. Ruled out: reading the engines' cache events on every host: traffic that grows with hosts times endpoints. The effect on a fleet without cells was not measured. Cells are as before.

--- a/process/allocator/allocator.go
+++ b/process/allocator/allocator.go
@@ -35,6 +35,8 @@
 	work  map[string]*usage
 	views map[string]*view
 	mix   placer.Mix
+
+	prefixes prefixes
 }
 
 // acquire places a request. With a scheduler it waits until it is granted or
@@ -55,7 +57,7 @@
 	all.mu.Lock()
 	vie := all.view(poo, now)
 	all.mix = all.mix.WithRequest(req.PromptTokens, now)
-	dec := placer.Decide(all.Policy, req, vie.view(all.mix, poo), now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	dec := placer.Decide(all.Policy, req, vie.view(all.mix, poo, all.prefixes.match(req.Prefix)), now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	switch dec := dec.(type) {
 	case placer.Place:
 		defer all.mu.Unlock()
--- a/process/allocator/health.go
+++ b/process/allocator/health.go
@@ -19,14 +19,23 @@
 func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
 	out := all.ejected(poo, time.Now())
 	if len(out) == 0 {
-		return all.reported(all.acquire(ctx, req, poo))
+		return all.acquired(ctx, req, poo)
 	}
 	sub := req
 	sub.Excluded = append(slices.Clip(req.Excluded), out...)
-	lea, err := all.acquire(ctx, sub, poo)
+	lea, err := all.acquired(ctx, sub, poo)
 	var ref *executor.RefusedError
 	if errors.As(err, &ref) && ref.Refuse.Code == codeNoEndpoint {
-		lea, err = all.acquire(ctx, req, poo)
+		lea, err = all.acquired(ctx, req, poo)
+	}
+	return lea, err
+}
+
+// acquired places a request and remembers where its prefix went.
+func (all *Allocator) acquired(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+	lea, err := all.acquire(ctx, req, poo)
+	if err == nil && len(lea.Group) == 0 {
+		all.prefixes.note(req.Prefix, lea.Endpoint)
 	}
 	return all.reported(lea, err)
 }
--- a/process/allocator/view.go
+++ b/process/allocator/view.go
@@ -51,8 +51,8 @@
 	copied    time.Time
 }
 
-func (vie *view) view(mix placer.Mix, poo parser.Pool) placer.View {
-	return placer.View{Endpoints: vie.endpoints, Mix: mix, LongShare: poo.LongShare}
+func (vie *view) view(mix placer.Mix, poo parser.Pool, cac []placer.Cached) placer.View {
+	return placer.View{Endpoints: vie.endpoints, Cached: cac, Mix: mix, LongShare: poo.LongShare}
 }
 
 // view returns the pool's view with this host's own work. The caller holds the
