Name no cached tokens for an answer that has moved

Cause: the second engine ends the answer and counts the blocks that it fetched as cached, so callers and counters were told a cache hit that did not happen. Ruled out: the first engine's count: it comes with its end, which is not awaited. Before / After: go test -run 'TestMove/moves$' ./request/executor: "should not contain cached_tokens:3072" before, passes after. Conclusion: such answers are left out of the ratio of cached tokens.

--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -39,6 +39,8 @@
 	progress progress
 	// move is set while the answer is about to go on at another engine.
 	move *move
+	// moved marks an answer that went on at another engine.
+	moved bool
 }
 
 // Generate answers a prompt.
--- a/request/executor/move.go
+++ b/request/executor/move.go
@@ -294,6 +294,7 @@
 // switchOver makes the second engine the request's own.
 func (exe *Executor) switchOver(gen *generation, mov *move, both int, act mover.Switch) {
 	old := gen.stream
+	gen.moved = true
 	gen.stream = mov.stream
 	gen.stream.Unread(mov.caught[both:])
 	gen.lease.Endpoint = mov.target.Endpoint
--- a/request/executor/move_test.go
+++ b/request/executor/move_test.go
@@ -89,6 +89,7 @@
 				want.WriteString(generator.TokenText(pro, 0, ind))
 			}
 			require.Contains(t, bod, want.String())
+			require.NotContains(t, bod, `"cached_tokens":3072`)
 			exe.Settle()
 			require.Equal(t, tt.outcome, all.done.Load())
 			_, running := exe.Attempt("")
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -157,13 +157,20 @@
 	return errComplete
 }
 
-// usage replaces counts of the engine that can't be true by the host's own.
+// usage replaces counts of the engine that can't be true by the host's own. What
+// was cached for an answer that has moved is not known, so it is told as nothing
+// and left out of the counters.
 func (exe *Executor) usage(gen *generation, fin invoker.Finish) invoker.Finish {
 	if fin.PromptTokens != gen.prompt.Tokens || fin.CachedTokens < 0 || fin.CachedTokens > fin.PromptTokens {
 		exe.counters().usage.Inc(1)
 		fin.PromptTokens = gen.prompt.Tokens
 		fin.CachedTokens = 0
 	}
+	if gen.moved {
+		// The second engine takes the blocks that it fetched for cached ones.
+		fin.CachedTokens = 0
+		return fin
+	}
 	exe.counters().prompt.Inc(fin.PromptTokens)
 	exe.counters().cached.Inc(fin.CachedTokens)
 	return fin
