--- a/process/allocator/allocator.go
+++ b/process/allocator/allocator.go
@@ -39,6 +39,8 @@
 	// waiting counts the requests placed from the own view that have no first
 	// token, by pool of engines.
 	waiting map[string]int
+
+	prefixes prefixes
 }
 
 // acquire places a request. With a scheduler it waits until it is granted or
@@ -67,7 +69,7 @@
 	}
 	vie := all.view(poo, now)
 	all.mix = all.mix.WithRequest(req.PromptTokens, now)
-	own := vie.view(all.mix, poo)
+	own := vie.view(all.mix, poo, all.prefixes.match(req.Prefix))
 	own.MaxOutstanding = poo.MaxOutstanding
 	dec := placer.Decide(all.Policy, req, own, now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	switch dec := dec.(type) {
