Prove with processes that a peer's notice tells of a leaving endpoint

The check of TestLeavingEndpoint looks at the engine's work, but a leaving engine refuses new work itself, so it also passed on hosts that had heard nothing. Before: go test -run TestLeaving/by_a_peer ./internal/tableproof with TakeNotices set to nil: "Should be true, host host-1". After: go test -race -count=1 -run TestLeaving ./internal/tableproof: 3 rows pass. Conclusion: proved.

--- a/internal/tableproof/drain_test.go
+++ b/internal/tableproof/drain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +16,7 @@
 
 	"hemlockpin/connection/persister"
 	"hemlockpin/internal/testkit"
+	"hemlockpin/process/server"
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -139,23 +141,34 @@
 // A leaving endpoint gets no new work on any host after the bound, and its
 // running work finishes whole.
 func TestLeavingEndpoint(t *testing.T) {
+	itself := func(fle *fleet, eng *testkit.Process) error {
+		return fle.Fault(fle.t.Context(), eng, struct{ Leaving bool }{true})
+	}
+	// Only the first host reads the engines' reports after the start.
+	blind := func(ind int) []string {
+		args := []string{"--placement", "two-choices"}
+		if ind > 0 {
+			args = append(args, "--load-interval", "1h")
+		}
+		return args
+	}
 	tts := []struct {
 		name  string
+		args  func(ind int) []string
 		leave func(fle *fleet, eng *testkit.Process) error
 	}{
-		{"by the list", func(fle *fleet, eng *testkit.Process) error {
+		{"by the list", nil, func(fle *fleet, eng *testkit.Process) error {
 			return fle.List(fle.t.Context(), persister.Entry{
 				ID: eng.ID, Kind: persister.KindEngine, Service: testkit.Model, Address: eng.Address, DataCenter: "colombo",
 				Models: []string{testkit.Model}, Leaving: true,
 			})
 		}},
-		{"by itself", func(fle *fleet, eng *testkit.Process) error {
-			return fle.Fault(fle.t.Context(), eng, struct{ Leaving bool }{true})
-		}},
+		{"by itself", nil, itself},
+		{"by a peer's notice", blind, itself},
 	}
 	for _, tt := range tts {
 		t.Run(tt.name, func(t *testing.T) {
-			fle := start(t, testkit.Plan{Hosts: 3, Engines: 2, PlatformArgs: []string{"--list-lag", "1s"}})
+			fle := start(t, testkit.Plan{Hosts: 3, Engines: 2, PlatformArgs: []string{"--list-lag", "1s"}, HostArgsFor: tt.args})
 			var gro sync.WaitGroup
 			for ind := range 6 {
 				gro.Go(func() {
@@ -169,6 +182,9 @@
 			require.NoError(t, testkit.Poll(t.Context(), settleBound, func() bool { return load(t, eng).Running > 0 }))
 			require.NoError(t, tt.leave(fle, eng))
 			time.Sleep(leavingBound)
+			for _, hos := range fle.Hosts {
+				require.True(t, holdsLeaving(t, hos, eng.ID), "host %s", hos.ID)
+			}
 			running := load(t, eng).Running
 			for ind := range 30 {
 				require.NoError(t, ask(t.Context(), fle.Hosts[ind%3].Address, fmt.Sprintf("new %d", ind), 2))
@@ -181,6 +197,13 @@
 	}
 }
 
+// holdsLeaving reports whether a host holds an endpoint to be leaving.
+func holdsLeaving(t *testing.T, hos *testkit.Process, id string) bool {
+	var ends []server.EndpointStatus
+	require.NoError(t, testkit.GetJSON(t.Context(), "http://"+hos.Operator+"/v1/status/endpoints", &ends))
+	return slices.ContainsFunc(ends, func(end server.EndpointStatus) bool { return end.ID == id && end.Leaving })
+}
+
 func load(t *testing.T, eng *testkit.Process) (loa struct{ Running, Queued int }) {
 	require.NoError(t, testkit.GetJSON(t.Context(), "http://"+eng.Address+"/v1/load", &loa))
 	return loa
