Leave a silent engine out of the next group

Cause: a lost reserve (a frozen engine in a group's plan) told nothing to the next try, so the scheduler could plan with the same engine again and each of 5 tries could spend up to 6 s on it. Change: the grouper says which engine could not be had and whether it was silent; the next ask of the request excludes a silent one. Busy ones stay. Ruled out: ejecting it on the host, since a plan that waits for memory on a slow engine is no failure of that engine towards others. Before: the trial with `without` returning the request as it is fails TestGroupWithoutSilentEngine/silent (go test ./process/allocator). After: go test -race ./process/allocator ./process/grouper, and -run 'TestLong|TestGroup|CancelsLost' ./internal/streamproof pass. Conclusion: holds at the level of decisions; no process test freezes a member between plan and reserve.

--- a/process/allocator/allocator.go
+++ b/process/allocator/allocator.go
@@ -90,9 +90,7 @@
 func (all *Allocator) group(ctx context.Context, req placer.Request, dec placer.PlaceGroup) (executor.Lease, error) {
 	gro, err := (&grouper.Runner{Invoker: all.Invoker, Owner: all.Owner}).Reserve(ctx, req, dec.Parts, time.Now())
 	if err != nil {
-		return executor.Lease{}, &executor.RefusedError{Refuse: placer.Refuse{
-			Code: codeGroupUnavailable, Message: "the engines cannot hold the prompt together now: " + err.Error(), RetryAfter: time.Second,
-		}}
+		return executor.Lease{}, newGroupError(err)
 	}
 	all.mu.Lock()
 	defer all.mu.Unlock()
--- a/process/allocator/cells.go
+++ b/process/allocator/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -92,10 +93,11 @@
 func (all *Allocator) fromOwnCell(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
 	for try := 1; ; try++ {
 		lea, err := all.fromCellOnce(ctx, req, poo)
-		var ref *executor.RefusedError
-		if err == nil || try == groupTries || !eris.As(err, &ref) || ref.Refuse.Code != codeGroupUnavailable {
+		var gro *groupError
+		if try == groupTries || !errors.As(err, &gro) {
 			return lea, err
 		}
+		req = gro.without(req)
 		select {
 		case <-time.After(groupPause/2 + rand.N(groupPause)):
 		case <-ctx.Done():
--- a/process/grouper/grouper.go
+++ b/process/grouper/grouper.go
@@ -70,10 +70,12 @@
 type Complete struct{}
 
 // GiveUp releases the parts and ends with none held. Engine is the one that
-// could not be had; it is empty when the request itself has ended.
+// could not be had; it is empty when the request itself has ended. Lost says
+// that the engine did not answer.
 type GiveUp struct {
 	Release []invoker.Part
 	Engine  string
+	Lost    bool
 	Message string
 }
 
@@ -94,9 +96,9 @@
 	case Granted:
 		sta.Held++
 	case Denied:
-		return sta.giveUp(sta.Held, eve.Message)
+		return sta.giveUp(sta.Held, false, eve.Message)
 	case Lost:
-		return sta.giveUp(sta.Held+1, eve.Message)
+		return sta.giveUp(sta.Held+1, true, eve.Message)
 	case Expired:
 		// A reservation that is under way may still be granted.
 		held := min(sta.Held+1, len(sta.Parts))
@@ -108,9 +110,9 @@
 	return sta, Reserve{Part: sta.Parts[sta.Held], Wait: sta.wait(now)}
 }
 
-func (sta State) giveUp(held int, message string) (State, Action) {
+func (sta State) giveUp(held int, lost bool, message string) (State, Action) {
 	eng := sta.Parts[sta.Held].Endpoint
-	return State{Parts: sta.Parts, Deadline: sta.Deadline}, GiveUp{Release: sta.Parts[:held], Engine: eng, Message: message}
+	return State{Parts: sta.Parts, Deadline: sta.Deadline}, GiveUp{Release: sta.Parts[:held], Engine: eng, Lost: lost, Message: message}
 }
 
 func (sta State) wait(now time.Time) time.Duration {
--- a/process/grouper/grouper_test.go
+++ b/process/grouper/grouper_test.go
@@ -94,6 +94,7 @@
 			sta, _ = sta.Next(Granted{}, start)
 			sta, act = sta.Next(tt.eve, start)
 			require.Len(t, act.(GiveUp).Release, tt.want)
+			require.Equal(t, tt.name == "lost", act.(GiveUp).Lost)
 			require.Zero(t, sta.Held)
 		})
 	}
--- a/process/grouper/runner.go
+++ b/process/grouper/runner.go
@@ -18,8 +18,19 @@
 	releaseTimeout = time.Second
 )
 
-// ErrUnavailable marks a group that can't be had now. Nothing is held.
-var ErrUnavailable = eris.New("grouper: the engines cannot hold the prompt together now")
+// UnavailableError reports a group that can't be had now. Nothing is held.
+type UnavailableError struct {
+	// Engine is the one that could not be had.
+	Engine string
+	// Lost says that it did not answer.
+	Lost    bool
+	Message string
+}
+
+// Error names the engine.
+func (err *UnavailableError) Error() string {
+	return "Runner.Reserve: engine " + err.Engine + ": " + err.Message
+}
 
 // Runner reserves groups for one host.
 type Runner struct {
@@ -36,8 +47,8 @@
 	Release func()
 }
 
-// Reserve takes all parts of a plan, or fails with ErrUnavailable and holds
-// none. The name of the reservation is new each time, so that a late release of
+// Reserve takes all parts of a plan, or fails with an UnavailableError and
+// holds none. The name of the reservation is new each time, so that a late release of
 // an earlier one can't free it.
 func (run *Runner) Reserve(ctx context.Context, req placer.Request, plan []placer.Part, now time.Time) (Group, error) {
 	id := req.ID + "." + uuid.NewString()
@@ -58,7 +69,7 @@
 			if ctx.Err() != nil {
 				return Group{}, eris.Wrap(ctx.Err(), "Runner.Reserve")
 			}
-			return Group{}, eris.Wrapf(ErrUnavailable, "Runner.Reserve: engine %s: %s", one.Engine, one.Message)
+			return Group{}, &UnavailableError{Engine: one.Engine, Lost: one.Lost, Message: one.Message}
 		}
 	}
 }
