--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -31,8 +31,9 @@
 
 // counters are the metrics of the relay, looked up once.
 type counters struct {
-	tokens, dropped, untrusted, stalled, silent, slow, resumed, cancelsFailed, usage tally.Counter
-	prompt, cached, movesStarted, movesDone, movesRescued, exportsFailed             tally.Counter
+	tokens, dropped, untrusted, stalled, silent, slow, resumed, cancelsFailed, usage      tally.Counter
+	prompt, cached                                                                        tally.Counter
+	movesStarted, movesDone, movesRescued, exportsFailed, hedges, hedgesWon, hedgesDenied tally.Counter
 }
 
 func (exe *Executor) counters() *counters {
@@ -45,6 +46,8 @@
 			usage: exe.Scope.Counter("usage_mismatched"), prompt: exe.Scope.Counter("prompt_tokens"), cached: exe.Scope.Counter("cached_tokens"),
 			movesStarted: exe.Scope.Counter("moves_started"), movesDone: exe.Scope.Counter("moves_done"),
 			movesRescued: exe.Scope.Counter("moves_rescued"), exportsFailed: exe.Scope.Counter("export_releases_failed"),
+			hedges: exe.Scope.Counter("hedges"), hedgesWon: exe.Scope.Counter("hedges_won"),
+			hedgesDenied: exe.Scope.Counter("hedges_denied"),
 		}
 	})
 	return &exe.count
@@ -124,7 +127,7 @@
 		gen.lease.Prefilled()
 		gen.state = gen.state.WithDelivered(ass.Next)
 		gen.progress.at = exe.Clock()
-		gen.move.note(ass.Next, tok.Text)
+		gen.move.note(tok.Text)
 		exe.counters().tokens.Inc(1)
 		return gen.answer.Token(tok.Text)
 	case assembler.Drop:
