Prove with processes that an edit outlives its host before the push

Change: TestEditorDies holds the store's answer to the write back, kills the host that edits (one that does not watch) once the store shows the write, and wants the revision on all others within 7 s. Before: go test -count=1 -run TestEditorDies ./internal/tableproof with the refresher not started: "Poll: not true within 7s, host host-0 has revision 1". After: the same with -race passes (4.3 s). Conclusion: proved.

--- a/internal/tableproof/tables_test.go
+++ b/internal/tableproof/tables_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"hemlockpin/internal/testkit"
 	"hemlockpin/request/responder"
+	"hemlockpin/standin/keeper"
 	"hemlockpin/version/parser"
 
 	"github.com/stretchr/testify/require"
@@ -50,6 +52,40 @@
 	require.Equal(t, 7, markOf(tab))
 }
 
+// A host that dies between the write of an edit and its push leaves the edit to
+// those that watch the store.
+func TestEditorDies(t *testing.T) {
+	fle := start(t, testkit.Plan{Hosts: 4, PlatformArgs: []string{"--list-lag", "200ms"}})
+	var editor int
+	require.NoError(t, testkit.Poll(t.Context(), settleBound, func() bool {
+		num := 0
+		for ind, hos := range fle.Hosts {
+			if fle.status(hos).TablesWatched {
+				num++
+			} else {
+				editor = ind
+			}
+		}
+		return num == 2
+	}))
+	shots := []keeper.OneShot{{Method: http.MethodPut, PathPrefix: "tables/current", Kind: keeper.SlowAnswer, SlowMs: 5000}}
+	require.NoError(t, fle.Fault(t.Context(), fle.Platform, keeper.Faults{OneShots: shots}))
+	res := make(chan error, 1)
+	go func() {
+		_, err := fle.Edit(context.Background(), editor, tables(7), 1)
+		res <- err
+	}()
+	left := slices.Delete(slices.Clone(fle.Hosts), editor, editor+1)
+	require.NoError(t, testkit.Poll(t.Context(), inForceBound, func() bool {
+		var chas []keeper.Change
+		err := testkit.GetJSON(t.Context(), "http://"+fle.Platform.Address+"/control/changes/tables/current", &chas)
+		return err == nil && len(chas) == 2
+	}), "the write has had its effect")
+	fle.Hosts[editor].Kill()
+	require.Error(t, <-res)
+	fle.waitRevision(2, inForceBound, left...)
+}
+
 // outcomes are the ends of raced edits, by their marks.
 type outcomes struct {
 	mu      sync.Mutex
