Join entries of claims in segments

Cause: 64 shards of at most 1 MB with a retention of 10 minutes hold about 7,750 claims each: 750 calls a second. Apply copied the map of claims for each batch, and a base rewrote the whole shard. Ruled out: more shards (more writes a second, or a slower rate of each and so slower calls; keys would move between shards of two builds); bases split by key (each changes with each batch); one entry for several shards (two writers would share a log). After: a shard of 12 MB. Entries are joined into segments, a second log with the same conditional writes; each claim is written once in an entry and about once in a segment, and a segment goes when its claims are past the retention or carried over. A batch is a change over the shard, not a copy. Bodies are dropped by a mark of key time, so that an entry stays as small as its batch. A finished claim keeps neither host nor nonce. An idle writer gives its memory back. The data files of TestShard change in the nonce of finished claims only. TestShardFull measures a segment in place of a base. TestLogMatrix is new: 9 faults x 6 calls of the store and pairs, the reader compared with the accepted entries, and one writer for each entry. Switched off, one at a time, TestLogMatrix fails: the number of the object that is overwritten (versionOf): "one writer writes each entry"; the free segment (writeSegment): "the log moved on while it was read"; the oldest segment that holds claims (first): claims missing; the free entry (append): "the log moved on while it was read"; slots of entries joined (dirty): "the log moved on"; lapped entries (applyEntry), reading anew after a conflict (reset) and carrying claims over (carry): fewer commits told. TestOldFormat fails without the check of the format: "Expected error with journaler: the store holds claims in another format ... but got nil". errLapped of joinSegment: passes without it; the entries tell it too. Found on the way by the counts of the data file: a writer whose segment was written without an answer found no free segment any more (238 of 288 commits); the oldest needed segment is now taken from the claims themselves.

--- a/process/journaler/batch.go
+++ b/process/journaler/batch.go
@@ -7,7 +7,8 @@
 )
 
 // Batch decides how the changes that wait for one shard get into the store with
-// one conditional write. It is an immutable value and does no input or output.
+// one conditional write. It is an immutable value beside the shard that it reads,
+// and does no input or output.
 //
 // A result is answered only when a conditional write of the batch succeeded or
 // a read that began after the batch shows it. A write without an answer is
@@ -15,7 +16,7 @@
 type Batch struct {
 	Changes []*messenger.ClaimCommit
 
-	shard   Shard
+	shard   *Shard
 	version uint64
 	// loaded says that shard is what the log held at version.
 	loaded bool
@@ -29,7 +30,7 @@
 
 // NewBatch begins a batch with what the writer remembers of the shard. The
 // version counts the entries of its log.
-func NewBatch(changes []*messenger.ClaimCommit, sha Shard, version uint64, known bool) Batch {
+func NewBatch(changes []*messenger.ClaimCommit, sha *Shard, version uint64, known bool) Batch {
 	return Batch{Changes: changes, shard: sha, version: version, loaded: known}
 }
 
@@ -41,7 +42,7 @@
 
 // Loaded reports what a read returned.
 type Loaded struct {
-	Shard   Shard
+	Shard   *Shard
 	Version uint64
 }
 
@@ -78,9 +79,10 @@
 // Load reads the log, after a pause if Pause is set.
 type Load struct{ Pause bool }
 
-// Store writes the shard on the condition that its log ends at the version.
+// Store writes the change on the condition that the log of the shard ends at the
+// version.
 type Store struct {
-	Shard   Shard
+	Delta   Delta
 	Version uint64
 }
 
@@ -121,12 +123,12 @@
 }
 
 func (bat Batch) attempt(now time.Time) (Batch, Action) {
-	sha, ress, cha := bat.shard.Apply(bat.Changes, now)
+	del, ress, cha := bat.shard.Apply(bat.Changes, now)
 	switch {
 	case cha:
-		bat.shard, bat.results = sha, ress
+		bat.results = ress
 		bat.loaded = false
-		return bat, Store{Shard: sha, Version: bat.version}
+		return bat, Store{Delta: del, Version: bat.version}
 	case bat.fresh:
 		return bat, Answer{ress}
 	default:
--- a/process/journaler/encode.go
+++ b/process/journaler/encode.go
@@ -8,90 +8,104 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// base is a shard as it was after an entry of its log.
-type base struct {
+// format is that of the head. Format 1 was one base object with all claims.
+const format = 2
+
+var errFormat = eris.New("journaler: the store holds claims in another format; end the hosts that write it and wait until its claims are past the retention, then remove its objects")
+
+// entry is the change of a shard by one commit.
+type entry struct {
 	seq   uint64
-	shard Shard
+	delta Delta
 }
 
-func (bas base) encode() ([]byte, error) {
-	rec := &BaseRecord{Seq: bas.seq, Shard: &ShardRecord{ForgottenMs: bas.shard.forgottenMs, Claims: make([]*ClaimRecord, 0, len(bas.shard.claims))}}
-	for _, cla := range bas.shard.claims {
-		rec.Shard.Claims = append(rec.Shard.Claims, cla.record())
-	}
-	val, err := proto.Marshal(rec)
-	return val, eris.Wrap(err, "base.encode")
+func (ent entry) encode() ([]byte, error) {
+	cha, rem := ent.delta.record()
+	val, err := proto.Marshal(&EntryRecord{Seq: ent.seq, Change: cha, Removed: rem})
+	return val, eris.Wrap(err, "entry.encode")
 }
 
-func decodeBase(val []byte) (base, error) {
-	var rec BaseRecord
+func decodeEntry(val []byte) (entry, error) {
+	var rec EntryRecord
 	if err := proto.Unmarshal(val, &rec); err != nil {
-		return base{}, eris.Wrap(err, "decodeBase")
+		return entry{}, eris.Wrap(err, "decodeEntry")
 	}
-	bas := base{seq: rec.GetSeq(), shard: Shard{claims: make(map[string]*Claim, len(rec.GetShard().GetClaims()))}}
-	entry{change: rec.GetShard()}.apply(&bas.shard)
-	return bas, nil
+	return entry{seq: rec.GetSeq(), delta: newDelta(rec.GetChange(), rec.GetRemoved())}, nil
 }
 
-// entry is the change of a shard by one commit.
-type entry struct {
-	seq     uint64
-	change  *ShardRecord
-	removed []string
+// segment joins the changes of entries.
+type segment struct {
+	number  uint64
+	through uint64
+	delta   Delta
 }
 
-// newEntry returns the change that leads from one shard to another.
-func newEntry(seq uint64, old, nex Shard) entry {
-	ent := entry{seq: seq, change: &ShardRecord{ForgottenMs: nex.forgottenMs}}
-	for slo, cla := range nex.claims {
-		if old.claims[slo] != cla {
-			ent.change.Claims = append(ent.change.Claims, cla.record())
-		}
-	}
-	for slo, cla := range old.claims {
-		if _, ok := nex.claims[slo]; !ok && cla.KeyTimeMs > nex.forgottenMs {
-			ent.removed = append(ent.removed, slo)
-		}
-	}
-	return ent
+func (seg segment) encode() ([]byte, error) {
+	cha, rem := seg.delta.record()
+	val, err := proto.Marshal(&SegmentRecord{Number: seg.number, Through: seg.through, Change: cha, Removed: rem})
+	return val, eris.Wrap(err, "segment.encode")
 }
 
-// apply carries the change out on a shard that nobody else uses.
-func (ent entry) apply(sha *Shard) {
-	if ent.change.GetForgottenMs() > sha.forgottenMs {
-		sha.forgottenMs = ent.change.GetForgottenMs()
-		for _, cla := range sha.claims {
-			if cla.KeyTimeMs <= sha.forgottenMs {
-				sha.remove(cla)
-			}
-		}
+func decodeSegment(val []byte) (segment, error) {
+	var rec SegmentRecord
+	if err := proto.Unmarshal(val, &rec); err != nil {
+		return segment{}, eris.Wrap(err, "decodeSegment")
 	}
-	for _, slo := range ent.removed {
-		if cla, ok := sha.claims[slo]; ok {
-			sha.remove(cla)
-		}
+	return segment{number: rec.GetNumber(), through: rec.GetThrough(), delta: newDelta(rec.GetChange(), rec.GetRemoved())}, nil
+}
+
+// head names the segments that a reader needs: those from first on. There may
+// be more than last.
+type head struct {
+	first uint64
+	last  uint64
+}
+
+func (hea head) encode() ([]byte, error) {
+	val, err := proto.Marshal(&HeadRecord{Format: format, First: hea.first, Last: hea.last})
+	return val, eris.Wrap(err, "head.encode")
+}
+
+func decodeHead(val []byte) (head, error) {
+	var rec HeadRecord
+	if err := proto.Unmarshal(val, &rec); err != nil {
+		return head{}, eris.Wrap(err, "decodeHead")
 	}
-	for _, rec := range ent.change.GetClaims() {
-		sha.put(rec.claim())
+	if rec.GetFormat() != format {
+		return head{}, eris.Wrap(errFormat, "decodeHead")
 	}
+	return head{first: rec.GetFirst(), last: rec.GetLast()}, nil
 }
 
-func (ent entry) encode() ([]byte, error) {
-	val, err := proto.Marshal(&EntryRecord{Seq: ent.seq, Change: ent.change, Removed: ent.removed})
-	return val, eris.Wrap(err, "entry.encode")
+// record returns the claims that are put, and the slots that are removed.
+func (del Delta) record() (*ShardRecord, []string) {
+	rec := &ShardRecord{ForgottenMs: del.forgottenMs, BodilessMs: del.bodilessMs, Claims: make([]*ClaimRecord, 0, len(del.claims))}
+	var rem []string
+	for slo, cla := range del.claims {
+		if cla == nil {
+			rem = append(rem, slo)
+		} else {
+			rec.Claims = append(rec.Claims, cla.record())
+		}
+	}
+	return rec, rem
 }
 
-func decodeEntry(val []byte) (entry, error) {
-	var rec EntryRecord
-	if err := proto.Unmarshal(val, &rec); err != nil {
-		return entry{}, eris.Wrap(err, "decodeEntry")
+func newDelta(rec *ShardRecord, rem []string) Delta {
+	del := Delta{forgottenMs: rec.GetForgottenMs(), bodilessMs: rec.GetBodilessMs(), claims: make(map[string]*Claim, len(rec.GetClaims())+len(rem))}
+	for _, slo := range rem {
+		del.claims[slo] = nil
+	}
+	for _, one := range rec.GetClaims() {
+		cla := one.claim()
+		del.claims[cla.slot()] = cla
 	}
-	return entry{seq: rec.GetSeq(), change: rec.GetChange(), removed: rec.GetRemoved()}, nil
+	return del
 }
 
 func (cla *Claim) record() *ClaimRecord {
 	return &ClaimRecord{
-		Key: cla.Key, BodyDigest: cla.BodyDigest, Host: cla.Host, Nonce: packNonce(cla.Nonce), KeyTimeMs: cla.KeyTimeMs,
+		Key: cla.Key, BodyDigest: []byte(cla.BodyDigest), Host: cla.Host, Nonce: packNonce(cla.Nonce), KeyTimeMs: cla.KeyTimeMs,
 		State: int32(cla.State), Status: cla.Outcome.GetStatus(), ContentType: cla.Outcome.GetContentType(),
 		Body: cla.Outcome.GetBody(), Truncated: cla.Outcome.GetTruncated(),
 	}
@@ -99,7 +113,7 @@
 
 func (rec *ClaimRecord) claim() *Claim {
 	cla := &Claim{
-		Key: rec.GetKey(), BodyDigest: rec.GetBodyDigest(), Host: rec.GetHost(), Nonce: unpackNonce(rec.GetNonce()),
+		Key: rec.GetKey(), BodyDigest: string(rec.GetBodyDigest()), Host: rec.GetHost(), Nonce: unpackNonce(rec.GetNonce()),
 		KeyTimeMs: rec.GetKeyTimeMs(), State: ClaimState(rec.GetState()),
 	}
 	if cla.State == ClaimFinished {
--- a/process/journaler/shard.go
+++ b/process/journaler/shard.go
@@ -1,7 +1,6 @@
 package journaler
 
 import (
-	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -16,84 +15,75 @@
 	// MaxClockSkew is the difference of clocks up to which no key is refused
 	// wrongly. At most one run does not depend on it.
 	MaxClockSkew = time.Minute
-	// MaxShardBytes bounds the encoded shard. It lies below the platform's
-	// limit of a value.
-	MaxShardBytes = 1_000_000
+	// MaxShardBytes bounds the encoded claims of a shard, and so the memory of
+	// its writer.
+	MaxShardBytes = 12_000_000
 	// maxBodyShareBytes is the size of a shard above which recorded bodies are
 	// dropped; dropping goes down to keptBodyShareBytes.
-	maxBodyShareBytes  = MaxShardBytes * 3 / 4
-	keptBodyShareBytes = MaxShardBytes / 2
-	// finishBytes is the room that each claim keeps for its outcome without a body.
-	finishBytes = 16
-	// maxContentTypeBytes bounds the recorded content type.
-	maxContentTypeBytes = 128
-	claimOverheadBytes  = 32
-)
-
-// ClaimState says how far the call of a claim has come.
-type ClaimState int32
+	maxBodyShareBytes  = MaxShardBytes * 5 / 6
+	keptBodyShareBytes = MaxShardBytes * 3 / 4
+	// maxSharedOutcomes bounds the outcomes without body that claims share.
+	maxSharedOutcomes = 256
 
-// States of a claim. A released claim is kept beside the claims that follow it,
-// so that a delayed commit of its nonce can't bring it back.
-const (
-	ClaimHeld ClaimState = iota
-	ClaimFinished
-	ClaimReleased
+	millisPerAge = 1000
 )
 
-// Claim is one key in a shard. It is an immutable value.
-type Claim struct {
-	Key        string
-	BodyDigest []byte
-	Host       string
-	Nonce      string
-	KeyTimeMs  int64
-	State      ClaimState
-	Outcome    *messenger.Outcome
+// Shard holds the claims of a shard for its writer. Its zero value is the shard
+// of an empty log. Apply reads it; only take changes it, by a Delta that is in
+// the log.
+type Shard struct {
+	claims map[string]*Claim
+	// ages holds the claims by the second of their key time, so that dropping
+	// the old ones costs what is dropped.
+	ages map[int64]*age
+	// oldest is not above any second of ages.
+	oldest int64
+	// forgottenMs is the newest key time of a dropped claim. Keys up to it are
+	// refused, so that a dropped claim can't be claimed again, whatever the
+	// clocks of the writers show.
+	forgottenMs int64
+	// bodilessMs is the newest key time whose outcomes have lost their bodies.
+	bodilessMs int64
+	bytes      int
+	answers    int
+	outcomes   map[sharedOutcome]*messenger.Outcome
 }
 
-// size is an upper bound of the encoded claim, with the room for its outcome.
-func (cla *Claim) size() int {
-	return claimOverheadBytes + finishBytes + len(cla.Key) + len(cla.BodyDigest) + len(cla.Host) + len(packNonce(cla.Nonce)) +
-		len(cla.Outcome.GetContentType()) + len(cla.Outcome.GetBody())
+// age is the claims whose key times lie in one second.
+type age struct {
+	// slots may name claims that were removed since.
+	slots    []string
+	newestMs int64
+	bytes    int
+	// answers is the part of bytes that goes with the bodies.
+	answers int
+	claims  int
 }
 
-// slot is the place of the claim in the shard.
-func (cla *Claim) slot() string {
-	if cla.State == ClaimReleased {
-		return releasedSlot(cla.Key, cla.Nonce)
-	}
-	return cla.Key
+// sharedOutcome is an outcome without body.
+type sharedOutcome struct {
+	status      int32
+	contentType string
+	truncated   bool
 }
 
-// releasedSlot joins key and nonce by a character that no key contains.
-func releasedSlot(key, nonce string) string { return key + "\n" + nonce }
-
-func (cla *Claim) withoutBody() *Claim {
-	out := *cla
-	out.Outcome = &messenger.Outcome{Status: cla.Outcome.GetStatus(), Truncated: true}
-	return &out
-}
-
-// Shard is the state of a shard. It is an immutable value; its zero value is the
-// shard of an empty log.
-type Shard struct {
-	claims map[string]*Claim
-	// forgottenMs is the newest key time of a dropped claim. Keys up to it are
-	// refused, so that a dropped claim can't be claimed again, whatever the
-	// clocks of the writers show.
+// Delta is a change of a shard, as one commit or one segment makes it. Claims
+// up to its marks are dropped, or lose their bodies; a slot without a claim is
+// removed.
+type Delta struct {
 	forgottenMs int64
-	bytes       int
+	bodilessMs  int64
+	claims      map[string]*Claim
 }
 
 // Len returns the number of claims kept.
-func (sha Shard) Len() int { return len(sha.claims) }
+func (sha *Shard) Len() int { return len(sha.claims) }
 
 // Bytes returns an upper bound of the encoded size.
-func (sha Shard) Bytes() int { return sha.bytes }
+func (sha *Shard) Bytes() int { return sha.bytes }
 
 // Claim returns the claim of a key.
-func (sha Shard) Claim(key string) (Claim, bool) {
+func (sha *Shard) Claim(key string) (Claim, bool) {
 	cla, ok := sha.claims[key]
 	if !ok {
 		return Claim{}, false
@@ -101,185 +91,166 @@
 	return *cla, true
 }
 
-// Apply carries out changes in their order and returns the shard afterwards,
-// a result for each change, and whether the shard must be written. Without a
-// change to write, the shard is returned as it was.
-func (sha Shard) Apply(coms []*messenger.ClaimCommit, now time.Time) (Shard, []*messenger.ClaimResult, bool) {
-	out := Shard{claims: maps.Clone(sha.claims), forgottenMs: sha.forgottenMs, bytes: sha.bytes}
-	if out.claims == nil {
-		out.claims = map[string]*Claim{}
-	}
-	out.forget(now)
+// Apply carries out changes in their order and returns how they change the
+// shard, a result for each, and whether the shard must be written. The shard
+// stays as it is. The cost follows the changes, not the shard.
+func (sha *Shard) Apply(coms []*messenger.ClaimCommit, now time.Time) (Delta, []*messenger.ClaimResult, bool) {
+	dra := newDraft(sha, len(coms))
+	dra.forget(now)
 	ress := make([]*messenger.ClaimResult, 0, len(coms))
 	cha := false
 	for _, com := range coms {
-		res, one := out.apply(com, now)
+		res, one := dra.apply(com, now)
 		ress = append(ress, res)
 		cha = cha || one
 	}
-	if !cha {
-		return sha, ress, false
-	}
-	return out, ress, true
+	return dra.delta, ress, cha
 }
 
-// forget drops the claims past the retention.
-func (sha *Shard) forget(now time.Time) {
-	lim := now.Add(-Retention - MaxClockSkew).UnixMilli()
-	for _, cla := range sha.claims {
-		if cla.KeyTimeMs < lim {
-			sha.remove(cla)
-			sha.forgottenMs = max(sha.forgottenMs, cla.KeyTimeMs)
+// take carries a change out.
+func (sha *Shard) take(del Delta) {
+	if sha.claims == nil {
+		sha.claims, sha.ages = map[string]*Claim{}, map[int64]*age{}
+		sha.outcomes = map[sharedOutcome]*messenger.Outcome{}
+	}
+	sha.forget(del.forgottenMs)
+	sha.dropBodies(del.bodilessMs)
+	for slo, cla := range del.claims {
+		if cla == nil {
+			sha.remove(slo)
+		} else {
+			sha.put(cla)
 		}
 	}
 }
 
 func (sha *Shard) put(cla *Claim) {
-	if old, ok := sha.claims[cla.slot()]; ok {
-		sha.bytes -= old.size()
+	if cla.KeyTimeMs <= sha.bodilessMs {
+		cla = cla.withoutBody()
 	}
-	sha.claims[cla.slot()] = cla
-	sha.bytes += cla.size()
-}
-
-func (sha *Shard) remove(cla *Claim) {
-	delete(sha.claims, cla.slot())
-	sha.bytes -= cla.size()
-}
-
-func (sha *Shard) isReleased(com *messenger.ClaimCommit) bool {
-	_, ok := sha.claims[releasedSlot(com.GetKey(), com.GetNonce())]
-	return ok
-}
-
-func (sha *Shard) apply(com *messenger.ClaimCommit, now time.Time) (*messenger.ClaimResult, bool) {
-	switch com.GetStep() {
-	case messenger.ClaimCommit_STEP_FINISH:
-		return sha.finish(com)
-	case messenger.ClaimCommit_STEP_RELEASE:
-		return sha.release(com)
-	default:
-		return sha.claim(com, now)
+	sha.shareOutcome(cla)
+	slo := cla.slot()
+	old := sha.ageOf(cla)
+	if was, ok := sha.claims[slo]; ok && was.KeyTimeMs == cla.KeyTimeMs {
+		sha.count(old, was, -1)
+	} else {
+		sha.remove(slo)
+		old = sha.ageOf(cla)
+		old.slots = append(old.slots, slo)
 	}
+	sha.claims[slo] = cla
+	old.newestMs = max(old.newestMs, cla.KeyTimeMs)
+	sha.count(old, cla, 1)
 }
 
-func newClaim(com *messenger.ClaimCommit, sta ClaimState) *Claim {
-	return &Claim{
-		Key: com.GetKey(), BodyDigest: com.GetBodyDigest(), Host: com.GetHost(), Nonce: com.GetNonce(),
-		KeyTimeMs: com.GetKeyTimeMs(), State: sta,
+func (sha *Shard) ageOf(cla *Claim) *age {
+	sec := cla.KeyTimeMs / millisPerAge
+	old, ok := sha.ages[sec]
+	if ok {
+		return old
+	}
+	if len(sha.ages) == 0 {
+		sha.oldest = sec
 	}
+	sha.oldest = min(sha.oldest, sec)
+	sha.ages[sec] = &age{}
+	return sha.ages[sec]
 }
 
-func (sha *Shard) claim(com *messenger.ClaimCommit, now time.Time) (*messenger.ClaimResult, bool) {
-	if sha.isReleased(com) {
-		return result(messenger.ClaimResult_STATE_RELEASED), false
-	}
-	old, fou := sha.claims[com.GetKey()]
-	if !fou {
-		return sha.claimFree(com, now)
+// remove takes the claim of a slot away, if there is one.
+func (sha *Shard) remove(slo string) {
+	cla, ok := sha.claims[slo]
+	if !ok {
+		return
 	}
-	switch {
-	case !bytes.Equal(old.BodyDigest, com.GetBodyDigest()):
-		return result(messenger.ClaimResult_STATE_CONFLICT), false
-	case old.KeyTimeMs != com.GetKeyTimeMs():
-		// A repeat whose time moves could outlive the claim, so it is refused
-		// even where the outcome is known.
-		return &messenger.ClaimResult{State: messenger.ClaimResult_STATE_HELD, Message: "the key was used with another time"}, false
-	case old.State == ClaimFinished:
-		return &messenger.ClaimResult{State: messenger.ClaimResult_STATE_FINISHED, Outcome: old.Outcome}, false
-	case old.Nonce == com.GetNonce():
-		return result(messenger.ClaimResult_STATE_COMMITTED), false
-	default:
-		return &messenger.ClaimResult{State: messenger.ClaimResult_STATE_HELD, Message: "host " + old.Host + " holds the claim"}, false
+	delete(sha.claims, slo)
+	sec := cla.KeyTimeMs / millisPerAge
+	old := sha.ages[sec]
+	sha.count(old, cla, -1)
+	if old.claims == 0 {
+		delete(sha.ages, sec)
 	}
 }
 
-// claimFree commits a claim on a key that nobody holds.
-func (sha *Shard) claimFree(com *messenger.ClaimCommit, now time.Time) (*messenger.ClaimResult, bool) {
-	if com.GetKeyTimeMs() <= sha.forgottenMs || com.GetKeyTimeMs() < now.Add(-Retention).UnixMilli() {
-		return result(messenger.ClaimResult_STATE_EXPIRED), false
-	}
-	cla := newClaim(com, ClaimHeld)
-	if !sha.makeRoom(cla.size()) {
-		return &messenger.ClaimResult{State: messenger.ClaimResult_STATE_FULL, Message: "the shard of the key is full"}, false
-	}
-	sha.put(cla)
-	return result(messenger.ClaimResult_STATE_COMMITTED), true
+// count adds a claim to the sums of an age and the shard, or takes it away.
+func (sha *Shard) count(old *age, cla *Claim, sign int) {
+	size, ans := sign*cla.size(), sign*cla.answerSize()
+	old.claims += sign
+	old.bytes += size
+	old.answers += ans
+	sha.bytes += size
+	sha.answers += ans
 }
 
-func (sha *Shard) finish(com *messenger.ClaimCommit) (*messenger.ClaimResult, bool) {
-	old, fou := sha.claims[com.GetKey()]
-	switch {
-	case !fou:
-		return result(messenger.ClaimResult_STATE_EXPIRED), false
-	case old.Nonce != com.GetNonce():
-		return result(messenger.ClaimResult_STATE_CONFLICT), false
-	case old.State == ClaimFinished:
-		return result(messenger.ClaimResult_STATE_FINISHED), false
-	}
-	cla := *old
-	cla.State = ClaimFinished
-	cla.Outcome = com.GetOutcome()
-	if len(cla.Outcome.GetContentType()) > maxContentTypeBytes {
-		cla.Outcome = cla.withoutBody().Outcome
+// shareOutcome replaces an outcome without body by an equal one.
+func (sha *Shard) shareOutcome(cla *Claim) {
+	out := cla.Outcome
+	if out == nil || len(out.GetBody()) > 0 {
+		return
 	}
-	add := len(cla.Outcome.GetBody()) + len(cla.Outcome.GetContentType())
-	if sha.bytes+add > maxBodyShareBytes {
-		sha.dropBodies()
+	key := sharedOutcome{status: out.GetStatus(), contentType: out.GetContentType(), truncated: out.GetTruncated()}
+	if old, ok := sha.outcomes[key]; ok {
+		cla.Outcome = old
+		return
 	}
-	if sha.bytes+add > maxBodyShareBytes {
-		cla.Outcome = cla.withoutBody().Outcome
+	if len(sha.outcomes) < maxSharedOutcomes {
+		sha.outcomes[key] = out
 	}
-	sha.put(&cla)
-	return result(messenger.ClaimResult_STATE_FINISHED), true
 }
 
-// release gives a claim back. An absent claim is noted as released too, so that
-// a delayed commit of it has no effect.
-func (sha *Shard) release(com *messenger.ClaimCommit) (*messenger.ClaimResult, bool) {
-	res := result(messenger.ClaimResult_STATE_RELEASED)
-	old, fou := sha.claims[com.GetKey()]
-	own := fou && old.Nonce == com.GetNonce()
-	if sha.isReleased(com) || own && old.State == ClaimFinished {
-		return res, false
-	}
-	if own {
-		sha.remove(old)
+// forget drops the claims up to a key time.
+func (sha *Shard) forget(untilMs int64) {
+	if untilMs <= sha.forgottenMs {
+		return
 	}
-	cla := newClaim(com, ClaimReleased)
-	if com.GetKeyTimeMs() <= sha.forgottenMs || !sha.makeRoom(cla.size()) {
-		return res, own
+	sha.forgottenMs = untilMs
+	for _, sec := range sha.agesUntil(untilMs) {
+		for _, slo := range sha.ages[sec].slots {
+			if cla, ok := sha.claims[slo]; ok && cla.KeyTimeMs <= untilMs {
+				sha.remove(slo)
+			}
+		}
 	}
-	sha.put(cla)
-	return res, true
+	sha.oldest = untilMs / millisPerAge
 }
 
-// makeRoom drops recorded bodies if that is needed to fit more bytes in, and
-// reports whether they fit.
-func (sha *Shard) makeRoom(more int) bool {
-	if sha.bytes+more > MaxShardBytes {
-		sha.dropBodies()
+// dropBodies drops the bodies of outcomes up to a key time.
+func (sha *Shard) dropBodies(untilMs int64) {
+	if untilMs <= sha.bodilessMs {
+		return
 	}
-	return sha.bytes+more <= MaxShardBytes
-}
-
-// dropBodies drops the bodies of the oldest recorded outcomes.
-func (sha *Shard) dropBodies() {
-	var with []*Claim
-	for _, cla := range sha.claims {
-		if len(cla.Outcome.GetBody()) > 0 {
-			with = append(with, cla)
+	sha.bodilessMs = untilMs
+	for _, sec := range sha.agesUntil(untilMs) {
+		old := sha.ages[sec]
+		if old.answers == 0 {
+			continue
 		}
-	}
-	slices.SortFunc(with, func(one, two *Claim) int { return int(one.KeyTimeMs - two.KeyTimeMs) })
-	for _, cla := range with {
-		if sha.bytes <= keptBodyShareBytes {
-			return
+		for _, slo := range old.slots {
+			cla, ok := sha.claims[slo]
+			if !ok || cla.KeyTimeMs > untilMs || len(cla.Outcome.GetBody()) == 0 {
+				continue
+			}
+			sha.count(old, cla, -1)
+			cla = cla.withoutBody()
+			sha.shareOutcome(cla)
+			sha.claims[slo] = cla
+			sha.count(old, cla, 1)
 		}
-		sha.put(cla.withoutBody())
 	}
 }
 
-func result(sta messenger.ClaimResult_State) *messenger.ClaimResult {
-	return &messenger.ClaimResult{State: sta}
+// agesUntil returns the seconds of claims up to that of a key time, oldest first.
+func (sha *Shard) agesUntil(untilMs int64) []int64 {
+	las := untilMs / millisPerAge
+	if len(sha.ages) == 0 || sha.oldest > las {
+		return nil
+	}
+	var secs []int64
+	for sec := range maps.Keys(sha.ages) {
+		if sec <= las {
+			secs = append(secs, sec)
+		}
+	}
+	slices.Sort(secs)
+	return secs
 }
--- a/process/journaler/writer.go
+++ b/process/journaler/writer.go
@@ -30,6 +30,11 @@
 	// The pauses between tries of a batch.
 	minRetryPause = 25 * time.Millisecond
 	maxRetryPause = time.Second
+	// restPeriod is how long a writer without changes keeps what it has read.
+	restPeriod = time.Minute
+	// joinWrites is the number of writes of a segment, which count against the
+	// rate of the shard.
+	joinWrites = 2
 )
 
 // waiter is one change that waits for its result.
@@ -47,6 +52,8 @@
 	mu      sync.Mutex
 	queue   []*waiter
 	running bool
+	// rest forgets the log once no changes have come for restPeriod.
+	rest *time.Timer
 
 	// The fields below belong to the running batch.
 	limiter *rate.Limiter
@@ -54,14 +61,11 @@
 }
 
 func newWriter(jou *Journal, ind uint32) *writer {
-	rin := jou.ring
-	if rin == 0 {
-		rin = ringEntries
-	}
-	return &writer{
-		jou: jou, limiter: rate.NewLimiter(WritesPerShard, writeBurst),
-		log: shardLog{store: jou.Store, path: fmt.Sprintf("claims/%02d", ind), ring: rin},
+	log := shardLog{store: jou.Store, path: fmt.Sprintf("claims/%02d", ind), ring: ringEntries, segments: ringSegments}
+	if jou.ring > 0 {
+		log.ring, log.segments = jou.ring, jou.ring
 	}
+	return &writer{jou: jou, limiter: rate.NewLimiter(WritesPerShard, writeBurst), log: log}
 }
 
 // commit waits for the result of one change. A change that was not picked up in
@@ -88,10 +92,14 @@
 	wri.mu.Lock()
 	defer wri.mu.Unlock()
 	wri.queue = append(wri.queue, wai)
-	if !wri.running {
-		wri.running = true
-		go wri.run()
+	if wri.running {
+		return
 	}
+	wri.running = true
+	if wri.rest != nil {
+		wri.rest.Stop()
+	}
+	go wri.run()
 }
 
 // withdraw takes a change out of the queue and reports whether it was there.
@@ -112,9 +120,21 @@
 	wri.mu.Lock()
 	defer wri.mu.Unlock()
 	wri.running = len(wri.queue) > 0
+	if !wri.running {
+		wri.rest = time.AfterFunc(restPeriod, wri.forget)
+	}
 	return wri.running
 }
 
+// forget gives the memory of the log back, unless changes came.
+func (wri *writer) forget() {
+	wri.mu.Lock()
+	defer wri.mu.Unlock()
+	if !wri.running {
+		wri.log.reset()
+	}
+}
+
 // take removes the next batch from the queue.
 func (wri *writer) take() []*waiter {
 	wri.mu.Lock()
@@ -149,16 +169,17 @@
 	}
 }
 
-// shorten writes the base of the log when it is due. A failure leaves the log
-// as it is.
+// shorten joins the entries of the log when that is due. A failure leaves the
+// log as it is.
 func (wri *writer) shorten() {
-	if !wri.log.baseDue() {
+	if !wri.log.segmentDue() {
 		return
 	}
+	_ = wri.limiter.WaitN(context.Background(), joinWrites)
 	ctx, stop := context.WithTimeout(context.Background(), storeTimeout)
 	defer stop()
-	if err := wri.log.writeBase(ctx); err != nil {
-		wri.jou.scope().Counter("claim_bases_failed").Inc(1)
+	if err := wri.log.writeSegment(ctx); err != nil {
+		wri.jou.scope().Counter("claim_segments_failed").Inc(1)
 	}
 }
 
@@ -174,7 +195,7 @@
 	}
 	ctx, stop := context.WithDeadline(context.Background(), dea)
 	defer stop()
-	bat := NewBatch(coms, wri.log.shard, wri.log.seq, wri.log.known)
+	bat := NewBatch(coms, &wri.log.shard, wri.log.seq, wri.log.known())
 	bac := &backoff.ExponentialBackOff{InitialInterval: minRetryPause, MaxInterval: maxRetryPause, Multiplier: 2, RandomizationFactor: 0.5}
 	bac.Reset()
 	var eve Event = Begun{}
@@ -220,16 +241,16 @@
 	if err := wri.log.load(ctx); err != nil {
 		return LoadFailed{eris.Wrapf(err, "writer.load: %s", wri.log.path).Error()}
 	}
-	return Loaded{Shard: wri.log.shard, Version: wri.log.seq}
+	return Loaded{Shard: &wri.log.shard, Version: wri.log.seq}
 }
 
 func (wri *writer) store(ctx context.Context, sto Store) Event {
-	if sto.Version != wri.log.seq {
+	if !wri.log.known() || sto.Version != wri.log.seq {
 		return Conflicted{}
 	}
 	ctx, stop := context.WithTimeout(ctx, storeTimeout)
 	defer stop()
-	err := wri.log.append(ctx, sto.Shard)
+	err := wri.log.append(ctx, sto.Delta)
 	switch {
 	case err == nil:
 		return Stored{wri.log.seq}
