--- a/process/scheduler/cell.go
+++ b/process/scheduler/cell.go
@@ -40,15 +40,24 @@
 	queue    queue
 	prefixes prefixes
 	promise  *promise
-	demand   demand
-	swept    time.Time
-	actions  []Action
+	// shorts and longs are the prefills by class; answers and held are the
+	// answers that can move, in sequences and in tokens of memory.
+	shorts  demand
+	longs   demand
+	answers demand
+	held    demand
+	// decoders counts the engines set apart for answers that move.
+	decoders  int
+	moveAsked time.Time
+	swept     time.Time
+	actions   []Action
 }
 
 // Next takes an event and returns the actions that follow. The returned slice
 // is valid until the next call.
 func (cel *Cell) Next(eve Event, now time.Time) []Action {
 	cel.prepare()
+	cel.chooseDecoders(now)
 	cel.actions = cel.actions[:0]
 	switch eve := eve.(type) {
 	case Ask:
@@ -61,9 +70,14 @@
 		cel.end(eve.ID, now)
 	case Move:
 		cel.move(eve.ID, now)
-	case Moved, Stayed:
+	case Moved:
+		cel.moved(eve.ID, now)
+	case Stayed:
+		cel.stayed(eve.ID, now)
 	case Report:
 		cel.report(eve, now)
+	case Unreachable:
+		cel.unreachable(eve.Endpoint)
 	case Listing:
 		cel.list(eve, now)
 	case OwnerGone:
@@ -142,9 +156,10 @@
 
 func (cel *Cell) release(gra *grant, now time.Time) {
 	for _, par := range gra.parts {
-		par.eng.advance(now)
-		par.eng.remove(par)
+		par.eng.doubted = par.eng.doubted || !gra.prefilled
+		par.give(now)
 	}
+	cel.giveTarget(gra, now)
 	delete(cel.grants, gra.ask.id)
 	id := gra.ask.req.ID
 	if cel.requests[id]--; cel.requests[id] <= 0 {
@@ -153,13 +168,8 @@
 	}
 }
 
-// move answers whether the answer of a grant goes on elsewhere.
-func (cel *Cell) move(id string, _ time.Time) {
-	cel.actions = append(cel.actions, Stay{ID: id})
-}
-
 // prefilled notes that the lead engine is done with the prompt and holds its
-// prefix. It makes the cell's own work known before the engine's events do.
+// prefix.
 func (cel *Cell) prefilled(id string) {
 	gra := cel.grants[id]
 	if gra == nil || gra.prefilled {
@@ -170,7 +180,7 @@
 		par.eng.prefilled(par)
 	}
 	if len(gra.parts) == 1 {
-		cel.prefixes.store(gra.parts[0].eng.slot, gra.ask.req.Prefix)
+		cel.cache(gra.parts[0])
 	}
 }
 
@@ -179,6 +189,11 @@
 	if eng == nil {
 		return
 	}
+	if eng.incarnation != rep.Load.Incarnation {
+		// Another process of the engine has none of the blocks.
+		eng.incarnation = rep.Load.Incarnation
+		cel.prefixes.clear(eng.slot)
+	}
 	known := func(id string) bool {
 		_, ended := cel.released[id]
 		return ended || cel.requests[id] > 0
@@ -198,20 +213,26 @@
 		listed[seq.RequestID] = true
 	}
 	for _, gra := range cel.grants {
-		if gra.parts[0].eng != eng {
-			continue
+		lis := listed[gra.ask.req.ID]
+		if tar := gra.target; tar != nil && tar.eng == eng && tar.lost(lis, now) {
+			cel.stayed(gra.ask.id, now)
 		}
-		switch {
-		case listed[gra.ask.req.ID] || now.Sub(gra.grantedAt) < missingGrace:
-			gra.missing = time.Time{}
-		case gra.missing.IsZero():
-			gra.missing = now
-		case now.Sub(gra.missing) >= releasedGrace:
-			cel.release(gra, now)
+		if sou := gra.parts[0]; sou.eng == eng && sou.lost(lis, now) {
+			cel.leave(gra, now)
 		}
 	}
 }
 
+// leave ends a grant whose engine no longer has its request, or its move, if
+// the request has gone on elsewhere.
+func (cel *Cell) leave(gra *grant, now time.Time) {
+	if gra.target != nil {
+		cel.moved(gra.ask.id, now)
+		return
+	}
+	cel.release(gra, now)
+}
+
 // list takes engines in and out of the cell. An engine that went keeps its
 // account until its grants have ended, as it may come back.
 func (cel *Cell) list(lis Listing, now time.Time) {
@@ -260,18 +281,19 @@
 	return nil
 }
 
-// Cached notes what an engine has published about its prefix cache. A gap means
-// that events were lost, so all that was known of the engine is forgotten.
-func (cel *Cell) Cached(endpoint string, eve invoker.CacheEvent, gap bool) {
+// Doubted reports whether an engine may have failed, so that its report should
+// be read soon.
+func (cel *Cell) Doubted(endpoint string) bool {
 	eng := cel.byID[endpoint]
-	if eng == nil {
-		return
-	}
-	if gap || eve.Cleared {
-		cel.prefixes.clear(eng.slot)
+	return eng != nil && (eng.lost || eng.doubted)
+}
+
+// unreachable keeps new asks from an engine until a report is read.
+func (cel *Cell) unreachable(endpoint string) {
+	if eng := cel.byID[endpoint]; eng != nil {
+		eng.lost = true
+		cel.unpromiseOn(eng)
 	}
-	cel.prefixes.evict(eng.slot, eve.Evicted)
-	cel.prefixes.store(eng.slot, eve.Stored)
 }
 
 func (cel *Cell) ownerGone(own OwnerGone, now time.Time) {
@@ -318,7 +340,7 @@
 		return false
 	}
 	cel.drop(one)
-	cel.refuse(one.id, CodeOverloaded, "no engine could start the prompt in time", cel.wait(one.team, one.long))
+	cel.refuse(one.id, CodeOverloaded, "no engine could start the prompt in time", cel.wait(one.team, one.long, now))
 	return true
 }
 
--- a/process/scheduler/engine.go
+++ b/process/scheduler/engine.go
@@ -21,7 +21,7 @@
 	overdueGrace  = 200 * time.Millisecond
 	// reportTimeout is the age at which an engine without a new load report
 	// gets no more grants.
-	reportTimeout = 3 * time.Second
+	reportTimeout = 20 * time.Second
 	// releasedGrace is the time for which load reports may still list a
 	// request that has ended.
 	releasedGrace = time.Second
@@ -43,6 +43,11 @@
 	// listedLeaving and leaving come from the list and from the engine itself.
 	listedLeaving bool
 	leaving       bool
+	incarnation   uint64
+	// lost says that the last read of a report failed; doubted says that a
+	// prompt has left the engine before its first token since the last report.
+	lost    bool
+	doubted bool
 
 	memory     int64
 	rate       float64
@@ -55,11 +60,16 @@
 	// used, running and prefills account for the cell's own grants. The
 	// prefills are in the order in which the engine takes them.
 	used int64
+	// shared is the part of used that is cached blocks of prefilled prompts.
+	shared int64
 	// shortUsed is the part of used that short prompts have.
 	shortUsed int64
 	running   int
 	prefills  []*part
 	advanced  time.Time
+	// decoder engines take answers that move; moves counts those on their way.
+	decoder bool
+	moves   int
 }
 
 // part is the share of one engine in a grant.
@@ -67,23 +77,50 @@
 	gra    *grant
 	eng    *engine
 	memory int64
+	// shared is the part of memory that the engine shares with later prompts.
+	shared int64
 	// left counts the prompt tokens that the engine still has to prefill. It
 	// is estimated from the rate and stays at 1 until the first token arrives.
 	left int64
 	// overdue is when the first token should long have arrived, so that its
 	// notice may be lost.
 	overdue time.Time
+	// since is when the memory was granted, missing when a report first did
+	// not list the request.
+	since   time.Time
+	missing time.Time
 }
 
 // grant is an ask that has been granted.
 type grant struct {
 	ask       *ask
 	parts     []*part
-	grantedAt time.Time
 	expires   time.Time
 	prefilled bool
-	// missing is when a report first did not list the request.
-	missing time.Time
+	// target is the memory on the engine that the request moves to, until the
+	// move is over; then answer says how a repeated Move is answered.
+	target *part
+	answer Action
+}
+
+// give returns the memory of a part to its engine.
+func (par *part) give(now time.Time) {
+	par.eng.advance(now)
+	par.eng.remove(par)
+}
+
+// lost notes whether the engine lists the request of a part, and reports
+// whether it has not done so for too long.
+func (par *part) lost(listed bool, now time.Time) bool {
+	switch {
+	case listed || now.Sub(par.since) < missingGrace:
+		par.missing = time.Time{}
+	case par.missing.IsZero():
+		par.missing = now
+	default:
+		return now.Sub(par.missing) >= releasedGrace
+	}
+	return false
 }
 
 func (eng *engine) prefillRate() float64 {
@@ -115,13 +152,18 @@
 	}
 }
 
-// efficiency is the part of the prefill rate that the engine reaches: while it
-// decodes, a step of decoding follows each chunk.
+// efficiency is the part of the prefill rate that the engine reaches.
 func (eng *engine) efficiency() float64 {
 	if eng.running == len(eng.prefills) {
 		return 1
 	}
-	return chunkTime.Seconds() / (chunkTime + eng.step).Seconds()
+	return 1 / eng.slowdown()
+}
+
+// slowdown is the factor by which prefills take longer while the engine
+// decodes, as a step of decoding follows each chunk.
+func (eng *engine) slowdown() float64 {
+	return (chunkTime + eng.step).Seconds() / chunkTime.Seconds()
 }
 
 // ahead returns the prompt tokens that the engine prefills before a new prompt
@@ -165,7 +207,7 @@
 func (eng *engine) free() int64 { return eng.memory - eng.used - eng.foreign }
 
 func (eng *engine) live(now time.Time) bool {
-	return !eng.gone() && eng.memory > 0 && now.Sub(eng.reportedAt) <= reportTimeout
+	return !eng.gone() && !eng.lost && eng.memory > 0 && now.Sub(eng.reportedAt) <= reportTimeout
 }
 
 // add accounts for a part of a grant.
@@ -185,6 +227,8 @@
 
 func (eng *engine) remove(par *part) {
 	eng.account(par, -par.memory)
+	eng.shared -= par.shared
+	par.shared = 0
 	eng.running--
 	eng.prefilled(par)
 }
@@ -206,6 +250,7 @@
 func (eng *engine) accept(loa invoker.Load, known func(requestID string) bool, now time.Time) {
 	eng.advance(now)
 	eng.reportedAt = now
+	eng.lost, eng.doubted = false, false
 	eng.memory = loa.MemoryTokens
 	eng.rate = loa.PrefillRate
 	eng.step = time.Duration(loa.StepMs * float64(time.Millisecond))
@@ -235,6 +280,10 @@
 func (eng *engine) estimate(ask *ask, cachedBlocks int) time.Duration {
 	own := max(1, ask.req.PromptTokens-int64(cachedBlocks)*hasher.BlockTokens)
 	est := eng.prefillTime(eng.ahead(ask.req.Priority)+own) + time.Duration(eng.running)*runningPenalty
+	if ask.long && eng.running > 0 {
+		// What runs there decodes for a part of the prompt at least.
+		est = time.Duration(float64(est) * eng.slowdown())
+	}
 	if eng.sharesChunks() {
 		// The engine fills the ask's own chunk up with the long prompt.
 		est += chunkTime
