Kill the holder of a lease while it holds it

Cause: the rows of orders with processes were marked proved, but no trial with a mechanism off stood behind them. In such a trial 'holder killed' passed without the taking of expired leases (0.04 s): the killed host did not surely hold the lease. 'Holder frozen' compared no fencing numbers. Ruled out: a longer sleep before the kill: how long an order takes depends on the tokens of the weight store. Before: go test ./internal/orderproof, lease of a host that died never taken (leaser.wanted without term and margin): holder_killed passes, holder_frozen fails with expected Applied, actual NotApplied. After: the engine is frozen until the lease names the host, which is then killed. Same switch: holder_killed fails in both fleets, expected Applied, actual Unknown. Orders without a lease (Giver takes fence 1 for granted): at_once fails with '"1" is not less than "1"', holder_frozen with 'one lease for two hosts'. All on: passes in 45.8 s, both fleets.

--- a/internal/orderproof/orderproof_test.go
+++ b/internal/orderproof/orderproof_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -127,17 +128,29 @@
 	switch fir.Effect {
 	case orderer.Applied:
 		require.Contains(t, cfg.Orders, "frozen-first")
+		require.NotEqual(t, fir.Fence, second.Fence, "one lease for two hosts")
+		require.Equal(t, fir.Fence < second.Fence, slices.Index(cfg.Orders, "frozen-first") < slices.Index(cfg.Orders, "frozen-second"), "carried out in the order of the leases")
 	case orderer.NotApplied:
 		require.NotContains(t, cfg.Orders, "frozen-first")
 	}
 	t.Logf("first %s under fence %d, second %s under fence %d, orders %v", fir.Effect, fir.Fence, second.Effect, second.Fence, cfg.Orders)
 }
 
-// killed kills a host that gives an order; another takes the lease in time.
+// holder returns the host that holds the lease of the engine, if any.
+func holder(t *testing.T, fle *testkit.Fleet) string {
+	var lea leaser.Lease
+	_ = testkit.GetJSON(t.Context(), "http://"+fle.Platform.Address+"/v1/objects/leases/orders-engine-0", &lea)
+	return lea.Host
+}
+
+// killed kills a host that holds the lease; another takes it in time. The engine
+// is frozen until then, so that the first order can't end before.
 func killed(t *testing.T, fle *testkit.Fleet) {
+	require.NoError(t, fle.Engines[0].Freeze())
 	go order(context.Background(), fle.Hosts[2], "killed-first", "c")
-	time.Sleep(20 * time.Millisecond)
+	require.Eventually(t, func() bool { return holder(t, fle) == fle.Hosts[2].ID }, takeTime, time.Millisecond)
 	fle.Hosts[2].Kill()
+	require.NoError(t, fle.Engines[0].Wake())
 	ctx, stop := context.WithTimeout(t.Context(), takeTime+orderTime/2)
 	defer stop()
 	require.Equal(t, orderer.Applied, order(ctx, fle.Hosts[1], "killed-second", "d").Effect)
