Spread the hosts' retry budgets with heartbeats

Cause: each host saved up 128 retries of its own, so a fleet of n hosts could send n times that when an endpoint failed for all of them. The budget could take the fleet's state, but nothing told it. Ruled out: a shared counter in the platform's store (a write a retry) and a keeper for it (a call a retry). Before: request/budgeter.SetFleet without a caller. After: go test -race ./request/budgeter ./process/gossiper: TestPeers and TestFleet pass; a probe and its answer carry 6 bytes more. Not measured with processes.

--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -15,7 +15,7 @@
 	rev, age := gos.Publisher.Freshness(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
-		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now),
+		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now), Retries: gos.retries(now),
 	}}}
 }
 
@@ -25,7 +25,7 @@
 	rev, age := gos.Publisher.Freshness(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
-		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now),
+		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now), Retries: gos.retries(now),
 	}}}
 }
 
@@ -55,6 +55,19 @@
 	}
 }
 
+func (gos *Gossiper) retries(now time.Time) *messenger.RetryBudget {
+	if gos.Cargo.Retries == nil {
+		return nil
+	}
+	return gos.Cargo.Retries(now)
+}
+
+func (gos *Gossiper) takeRetries(host string, ret *messenger.RetryBudget, now time.Time) {
+	if gos.Cargo.TakeRetries != nil && ret != nil {
+		gos.Cargo.TakeRetries(host, ret, now)
+	}
+}
+
 func (gos *Gossiper) notices(now time.Time) []*messenger.EndpointNotice {
 	if gos.Cargo.Notices == nil {
 		return nil
@@ -72,6 +85,7 @@
 	gos.step(ctx, Heard{From: fro, Updates: peersOf(pin.GetUpdates())}, now)
 	gos.takeCargo(ctx, pin.GetNotices(), now)
 	gos.takeCells(pin.GetCells(), now)
+	gos.takeRetries(pin.GetFrom().GetId(), pin.GetRetries(), now)
 	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), now.Add(-time.Duration(pin.GetTablesAgeMs())*time.Millisecond))
 	if gos.wantsList(pin.GetList(), now) {
 		go gos.pullList(context.WithoutCancel(ctx), gos.address(fro))
@@ -117,6 +131,7 @@
 	gos.step(ctx, Heard{From: fro, Reached: reached, Updates: peersOf(pon.GetUpdates())}, now)
 	gos.takeCargo(ctx, pon.GetNotices(), now)
 	gos.takeCells(pon.GetCells(), now)
+	gos.takeRetries(pon.GetFrom().GetId(), pon.GetRetries(), now)
 	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), now.Add(-time.Duration(pon.GetTablesAgeMs())*time.Millisecond))
 	if reached != "" && gos.wantsList(pon.GetList(), now) {
 		gos.pullList(ctx, reached)
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -40,6 +40,9 @@
 	// Cells returns digests of cells that are of use to hosts of a region.
 	Cells     func(region string, now time.Time) []*messenger.CellDigest
 	TakeCells func(digs []*messenger.CellDigest, now time.Time)
+	// Retries returns what this host's retry budget has left.
+	Retries     func(now time.Time) *messenger.RetryBudget
+	TakeRetries func(host string, ret *messenger.RetryBudget, now time.Time)
 }
 
 // Gossiper carries out the decisions of a Roster.
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -26,6 +26,7 @@
 	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
+	"hemlockpin/request/budgeter"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/receiver"
 
@@ -63,6 +64,7 @@
 	scheduler   *scheduler.Scheduler
 	cells       *allocator.Cells
 	exchanger   *limiter.Exchanger
+	budgets     budgeter.Peers
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	started     time.Time
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -36,7 +36,10 @@
 		},
 		Multiplexer: ser.multiplexer, Publisher: ser.publisher, Entries: ser.watcher.Entries,
 		Lister: ser.lister, ListChanged: ser.relist, Seeds: set.SeedPeers, Scope: ser.scope, Log: ser.Log,
-		Cargo: gossiper.Cargo{Notices: ser.watcher.Notices.Outgoing, TakeNotices: ser.watcher.Notices.Take, Cells: ser.farCells, TakeCells: ser.takeFarCells},
+		Cargo: gossiper.Cargo{
+			Notices: ser.watcher.Notices.Outgoing, TakeNotices: ser.watcher.Notices.Take, Cells: ser.farCells, TakeCells: ser.takeFarCells,
+			Retries: ser.retries, TakeRetries: ser.takeRetries,
+		},
 	}
 	ser.watcher.Noticed = func(nots []*messenger.EndpointNotice) {
 		go ser.forward(func(ctx context.Context) { ser.gossiper.SpreadNotices(ctx, nots, true) })
