--- a/load/reporter/reporter.go
+++ b/load/reporter/reporter.go
@@ -93,7 +93,7 @@
 {{range $rep := .Reports}}
 <h2>{{.Name}}</h2>
 <p>Mix {{.Mix}}, seed {{.Seed}}, {{printf "%.1f" .Rate}} requests a second for {{.Duration}}, started {{.Started.Format "2006-01-02 15:04:05"}}.
-In time: {{printf "%.2f" .Goodput}} requests a second.{{if .NotSent}} Not sent: {{.NotSent}}.{{end}}</p>
+In time: {{printf "%.2f" .Goodput}} requests a second. The machine's load average: {{printf "%.1f" .LoadAverage}}.{{if .NotSent}} Not sent: {{.NotSent}}.{{end}}</p>
 <table><tr><th>class</th><th>requests</th>{{range $.Outcomes}}<th>{{.}}</th>{{end}}<th>in time %</th>
 <th>first token p50 ms</th><th>p95</th><th>p99</th><th>between tokens p50 ms</th><th>p95</th><th>total p95 ms</th></tr>
 {{range $cla := .Classes}}<tr><td>{{.Name}}</td><td>{{.Count}}</td>
@@ -101,6 +101,8 @@
 <td>{{printf "%.1f" (percent .InTime)}}</td><td>{{printf "%.1f" .First.P50}}</td><td>{{printf "%.1f" .First.P95}}</td><td>{{printf "%.1f" .First.P99}}</td>
 <td>{{printf "%.1f" .Gap.P50}}</td><td>{{printf "%.1f" .Gap.P95}}</td><td>{{printf "%.1f" .Total.P95}}</td></tr>
 {{end}}</table>
+{{with .Parts}}<p>{{.Placement.Count}} traced large and huge prompts: wait for an engine p50 {{printf "%.0f" .Placement.P50}} ms, p95 {{printf "%.0f" .Placement.P95}} ms;
+from the grant to the first token p50 {{printf "%.0f" .Rest.P50}} ms, p95 {{printf "%.0f" .Rest.P95}} ms, over idle engines p50 {{printf "%.2f" .Slowdown.P50}}, p95 {{printf "%.2f" .Slowdown.P95}}.</p>{{end}}
 {{if .Codes}}<table><tr><th>outcome and code</th><th>requests</th></tr>
 {{range $code, $count := .Codes}}<tr><td>{{$code}}</td><td>{{$count}}</td></tr>{{end}}</table>{{end}}
 {{if .Hosts}}<table><tr><th>host</th><th>% of a core</th><th>memory MB</th><th>peer bytes a second</th><th>endpoint bytes a second</th><th>platform bytes a second</th><th>platform calls an hour</th></tr>
--- a/process/allocator/health.go
+++ b/process/allocator/health.go
@@ -17,21 +17,30 @@
 // Acquire places a request on an endpoint that has not failed lately, or on
 // any if no other is left.
 func (all *Allocator) Acquire(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
-	out := all.ejected(poo, time.Now())
+	out := all.ejected(req, poo, time.Now())
 	if len(out) == 0 {
-		return all.reported(all.acquire(ctx, req, poo))
+		return all.acquired(ctx, req, poo)
 	}
 	sub := req
 	sub.Excluded = append(slices.Clip(req.Excluded), out...)
-	lea, err := all.acquire(ctx, sub, poo)
+	lea, err := all.acquired(ctx, sub, poo)
 	var ref *executor.RefusedError
 	if errors.As(err, &ref) && ref.Refuse.Code == codeNoEndpoint {
-		lea, err = all.acquire(ctx, req, poo)
+		lea, err = all.acquired(ctx, req, poo)
+	}
+	return lea, err
+}
+
+// acquired places a request and remembers where its prefix went.
+func (all *Allocator) acquired(ctx context.Context, req placer.Request, poo parser.Pool) (executor.Lease, error) {
+	lea, err := all.acquire(ctx, req, poo)
+	if err == nil && len(lea.Group) == 0 {
+		all.prefixes.note(req.Prefix, lea.Endpoint)
 	}
 	return all.reported(lea, err)
 }
 
-func (all *Allocator) ejected(poo parser.Pool, now time.Time) []string {
+func (all *Allocator) ejected(req placer.Request, poo parser.Pool, now time.Time) []string {
 	if all.Ejector.Ejected() == 0 {
 		return nil
 	}
@@ -42,7 +51,8 @@
 		_, ok := vie.index[id]
 		return ok
 	}
-	return all.Ejector.Excluded(len(vie.endpoints), has, now)
+	_, far := all.far(req, poo, now)
+	return all.Ejector.Excluded(len(vie.endpoints), far, has, now)
 }
 
 // reported makes the lease report how its endpoint did, and that of its move.
--- a/process/journaler/world_test.go
+++ b/process/journaler/world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
@@ -41,7 +42,7 @@
 // world joins the deciding code of hosts with one store and one service, all in
 // memory and one step at a time.
 type world struct {
-	value   Shard
+	value   *Shard
 	version uint64
 	stales  int
 	// late holds what takes effect when the world heals.
@@ -130,7 +131,16 @@
 func (wor *world) touch() {
 	wor.stales++
 	com := &messenger.ClaimCommit{Key: "other" + strconv.Itoa(wor.stales), Nonce: "other", KeyTimeMs: epoch.UnixMilli()}
-	wor.value, _, _ = wor.value.Apply([]*messenger.ClaimCommit{com}, epoch)
+	del, _, _ := wor.value.Apply([]*messenger.ClaimCommit{com}, epoch)
+	wor.put(del)
+}
+
+// put writes a change. Who has read the shard keeps what was read.
+func (wor *world) put(del Delta) {
+	nex := &Shard{}
+	nex.take(Delta{wor.value.forgottenMs, wor.value.bodilessMs, wor.value.claims})
+	nex.take(del)
+	wor.value = nex
 	wor.version++
 }
 
@@ -194,11 +204,15 @@
 
 func (cal *simCall) decide() {
 	res := cal.commit(messenger.ClaimCommit_STEP_CLAIM, "write")
-	var eve claimer.Event = claimer.Claimed{State: res.GetState(), Outcome: res.GetOutcome(), Message: res.GetMessage()}
+	// There is time for one pause.
+	var eve claimer.Event = claimer.Claimed{State: res.GetState(), Outcome: res.GetOutcome(), Message: res.GetMessage(), Left: time.Second}
 	for {
 		sta, act := cal.state.Next(eve)
 		cal.state = sta
 		switch act := act.(type) {
+		case claimer.Await:
+			res = cal.commit(messenger.ClaimCommit_STEP_CLAIM, "write")
+			eve = claimer.Claimed{State: res.GetState(), Outcome: res.GetOutcome(), Message: res.GetMessage()}
 		case claimer.Place:
 			eve = cal.place()
 		case claimer.Dispatch:
@@ -317,7 +331,7 @@
 
 // write drives a batch of one change against the store.
 func (cal *simCall) write(com *messenger.ClaimCommit, step string, at *simCall) *messenger.ClaimResult {
-	bat := NewBatch([]*messenger.ClaimCommit{com}, Shard{}, 0, at.host == "repeat")
+	bat := NewBatch([]*messenger.ClaimCommit{com}, &Shard{}, 0, at.host == "repeat")
 	var eve Event = Begun{}
 	at.expired = at.expired && com.GetStep() == messenger.ClaimCommit_STEP_CLAIM
 	for try := 0; ; try++ {
@@ -354,8 +368,7 @@
 		if sto.Version != wor.version {
 			return false
 		}
-		wor.value = sto.Shard
-		wor.version++
+		wor.put(sto.Delta)
 		return true
 	}
 	switch fau {
@@ -395,7 +408,7 @@
 // play runs the first call under its strikes, a repeat on a second host, and
 // after the world has healed a repeat on a third.
 func play(strikes ...*strike) string {
-	wor := &world{outage: map[string]bool{}}
+	wor := &world{value: &Shard{}, outage: map[string]bool{}}
 	for _, str := range strikes {
 		wor.endless = wor.endless || str.step == "release"
 		wor.forwards = wor.forwards || str.step == "forward"
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -26,6 +26,7 @@
 	"hemlockpin/process/scheduler"
 	"hemlockpin/process/watcher"
 	"hemlockpin/request/admitter"
+	"hemlockpin/request/budgeter"
 	"hemlockpin/request/executor"
 	"hemlockpin/request/receiver"
 
@@ -63,6 +64,7 @@
 	scheduler   *scheduler.Scheduler
 	cells       *allocator.Cells
 	exchanger   *limiter.Exchanger
+	budgets     budgeter.Peers
 	draining    atomic.Bool
 	inFlight    atomic.Int64
 	started     time.Time
@@ -124,6 +126,7 @@
 	gro.Go(func() { ser.reclaimer.Run(work, reclaimInterval) })
 	gro.Go(func() { ser.scheduler.Run(work) })
 	gro.Go(func() { ser.cells.Run(work) })
+	gro.Go(func() { ser.announceCells(work) })
 	gro.Go(func() { ser.exchanger.Run(work) })
 	gro.Go(func() { ser.watchOwners(work) })
 	gro.Go(func() { ser.refresher.Run(work) })
--- a/tools/experimenter/experiment.go
+++ b/tools/experimenter/experiment.go
@@ -105,14 +105,6 @@
 	limit float64
 }
 
-func (pla plan) rate() float64 {
-	sum := pla.mean
-	for _, str := range pla.strs {
-		sum += str.Rate
-	}
-	return sum
-}
-
 // plan returns the load of a run. Policies that are compared get the same
 // requests at the same times.
 func (exp *experiment) plan(cel summarizer.Cell) plan {
@@ -234,13 +226,14 @@
 	gro.Wait()
 	rep.Name = cellName(cel)
 	rep.Cell = cel
+	rep.Setup = exp.set.setup()
 	rep.Parts = tra.parts(ctx, war)
 	return rep, err
 }
 
 func printReport(wri io.Writer, rep summarizer.Report) {
-	fmt.Fprintf(wri, "\n%s: seed %d, %.1f requests a second, in time %.1f a second, long slowdown p50 %.2f, p95 %.2f (%d)\n",
-		rep.Name, rep.Seed, rep.Rate, rep.Goodput, rep.Long.P50, rep.Long.P95, rep.Long.Count)
+	fmt.Fprintf(wri, "\n%s: seed %d, %.1f requests a second, in time %.1f a second, long slowdown p50 %.2f, p95 %.2f (%d), load average %.1f\n",
+		rep.Name, rep.Seed, rep.Rate, rep.Goodput, rep.Long.P50, rep.Long.P95, rep.Long.Count, rep.LoadAverage)
 	_ = reporter.Print(wri, rep)
 	if par := rep.Parts; par != nil {
 		fmt.Fprintf(wri, "large and huge (%d traced): wait for an engine p50 %.0f ms, p95 %.0f ms; from the grant to the first token p50 %.0f ms, p95 %.0f ms, over idle engines p50 %.2f, p95 %.2f\n",
