--- a/connection/multiplexer/pipeline_test.go
+++ b/connection/multiplexer/pipeline_test.go
@@ -51,6 +51,8 @@
 	add := echo(t)
 	var mul multiplexer.Multiplexer
 	defer mul.Close()
+	ctx, stop := context.WithTimeout(t.Context(), 5*silenceBound)
+	defer stop()
 	var gro sync.WaitGroup
 	for num := range 500 {
 		gro.Go(func() {
@@ -58,7 +60,7 @@
 			if num%50 == 0 {
 				key = strings.Repeat("x", 100_000) + key
 			}
-			rep, err := mul.Call(t.Context(), add, query(key))
+			rep, err := mul.Call(ctx, add, query(key))
 			if err != nil || rep.GetClaimResult().GetMessage() != key {
 				t.Errorf("call %d: %v", num, err)
 			}
