Let more held calls share a stream

Cause: a scheduler holds the asks of a host for up to 1 s each. Beyond 1,024 of them the stream was not read on, so notices and the ends of calls waited behind. Ruled out: no bound, as a faulty peer could then open calls without end. Before / After: 1,024 and 4,096 held calls a session; go test -race ./connection/multiplexer passes. Conclusion: a host at the aimed rate has some 2,000 requests in progress for all cells together.

--- a/connection/multiplexer/pipeline.go
+++ b/connection/multiplexer/pipeline.go
@@ -23,7 +23,7 @@
 	maxWriteBytes = 64 << 10
 	// maxPipelinedCalls bounds the calls that a host serves on one stream at a
 	// time; more wait in the stream.
-	maxPipelinedCalls = 1024
+	maxPipelinedCalls = 4096
 )
 
 var errPipelineClosed = eris.New("multiplexer: the session of the call was closed")
