--- a/request/executor/move_test.go
+++ b/request/executor/move_test.go
@@ -1,7 +1,9 @@
 package executor_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -100,6 +102,28 @@
 	}
 }
 
+// TestMoveComparesTokens has the second engine draw other tokens: the answer
+// stays with the first.
+func TestMoveComparesTokens(t *testing.T) {
+	none := func(*generator.Generator, string) bool { return false }
+	_, src := startGenerator(t, 10*time.Millisecond, none)
+	eng, _ := startGenerator(t, time.Millisecond, none)
+	tar := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, htr *http.Request) {
+		bod, _ := io.ReadAll(htr.Body)
+		htr.Body = io.NopCloser(bytes.NewReader(bytes.Replace(bod, []byte(`"Seed":0`), []byte(`"Seed":7`), 1)))
+		eng.Handler().ServeHTTP(wri, htr)
+	}))
+	defer tar.Close()
+	all := &movingAllocator{source: src.Listener.Addr().String(), target: tar.Listener.Addr().String()}
+	exe, bod := askPrompt(t, all, "Why?", 120)
+	for ind := range int64(120) {
+		require.Contains(t, bod, generator.TokenText("Why?", 0, ind))
+	}
+	exe.Settle()
+	require.Equal(t, int64(1), all.done.Load())
+	requireEmpty(t, tar.URL)
+}
+
 // TestMoveTakesOver has the first engine die when the second gets the request.
 // Nothing but the move can save the answer: the allocator knows no other engine.
 func TestMoveTakesOver(t *testing.T) {
