--- a/cmd/hemlockpind/main.go
+++ b/cmd/hemlockpind/main.go
@@ -14,6 +14,7 @@
 	_ "runtime/cgo"
 
 	"hemlockpin/process/configurer"
+	"hemlockpin/process/logger"
 	"hemlockpin/process/server"
 	"hemlockpin/process/tracer"
 
@@ -45,7 +46,9 @@
 
 func run(set configurer.Settings) error {
 	lev, _ := zerolog.ParseLevel(set.LogLevel)
-	log := zerolog.New(os.Stderr).Level(lev).With().Timestamp().Logger()
+	wri := logger.New(os.Stdout, logger.DefaultBytes)
+	defer wri.Close()
+	log := zerolog.New(wri).Level(lev).With().Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	now := time.Now()
@@ -54,6 +57,9 @@
 		return err
 	}
 	defer flush()
+	if set.Interface == configurer.InterfaceForward {
+		return forward(ctx, set, log, now)
+	}
 	return server.New(set, log, server.Incarnation(ctx, set, now), now).Run(ctx)
 }
 
--- a/process/server/listener.go
+++ b/connection/acceptor/acceptor.go
@@ -1,9 +1,12 @@
-package server
+// Package acceptor accepts callers' connections up to a limit, and closes them
+// when a host drains.
+package acceptor
 
 import (
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +14,8 @@
 )
 
 const (
+	// closePause is how often a closing host looks at its connections.
+	closePause     = 20 * time.Millisecond
 	refusalTimeout = time.Second
 	// maxRefusals bounds the surplus connections that are told why; those
 	// beyond are closed at once.
@@ -24,36 +29,37 @@
 		"Retry-After: 1\r\nHemlockpin-Run: NotRun\r\nContent-Length: %d\r\n\r\n%s"
 )
 
-// limitedListener bounds the open connections. A surplus one is told so and
-// closed, so that the accept queue does not hold callers until their time-outs.
-type limitedListener struct {
+// Listener bounds the open connections. A surplus one is told so and closed, so
+// that the accept queue does not hold callers until their time-outs.
+type Listener struct {
 	net.Listener
-	max     int64
-	refused tally.Counter
+	// Max is the bound, Refused counts the surplus connections.
+	Max     int64
+	Refused tally.Counter
 
 	open     atomic.Int64
 	refusing atomic.Int64
 }
 
 // Accept returns the next connection within the limit.
-func (lis *limitedListener) Accept() (net.Conn, error) {
+func (lis *Listener) Accept() (net.Conn, error) {
 	for {
 		con, err := lis.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if lis.open.Add(1) <= lis.max {
-			return &limitedConn{Conn: con, open: &lis.open}, nil
+		if lis.open.Add(1) <= lis.Max {
+			return &conn{Conn: con, open: &lis.open}, nil
 		}
 		lis.open.Add(-1)
-		lis.refused.Inc(1)
+		lis.Refused.Inc(1)
 		go lis.refuse(con)
 	}
 }
 
 // refuse answers and then reads what the caller still sends, because closing
 // with unread data would discard the answer.
-func (lis *limitedListener) refuse(con net.Conn) {
+func (lis *Listener) refuse(con net.Conn) {
 	defer con.Close()
 	defer lis.refusing.Add(-1)
 	if lis.refusing.Add(1) > maxRefusals {
@@ -69,15 +75,30 @@
 	_, _ = io.CopyN(io.Discard, con, refusalReadBytes)
 }
 
-// limitedConn leaves its place when it is closed.
-type limitedConn struct {
+// Open returns the number of open connections.
+func (lis *Listener) Open() int64 { return lis.open.Load() }
+
+// Drain takes no more connections and waits until the open ones have ended.
+// Server.Shutdown would close a connection without an answer whose request is
+// read after the shutdown began.
+func (lis *Listener) Drain(ser *http.Server) {
+	_ = lis.Close()
+	for lis.open.Load() > 0 {
+		// This also closes the idle connections.
+		ser.SetKeepAlivesEnabled(false)
+		time.Sleep(closePause)
+	}
+}
+
+// conn leaves its place when it is closed.
+type conn struct {
 	net.Conn
 	open   *atomic.Int64
 	closed atomic.Bool
 }
 
 // Close closes the connection.
-func (con *limitedConn) Close() error {
+func (con *conn) Close() error {
 	if !con.closed.Swap(true) {
 		con.open.Add(-1)
 	}
--- a/process/server/drain_test.go
+++ b/connection/acceptor/acceptor_test.go
@@ -1,4 +1,4 @@
-package server
+package acceptor
 
 import (
 	"bufio"
@@ -16,16 +16,16 @@
 func TestCloseAnswersAccepted(t *testing.T) {
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	lis := &limitedListener{Listener: raw, max: 8}
+	lis := &Listener{Listener: raw, Max: 8}
 	cal := &http.Server{Handler: http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) { wri.WriteHeader(http.StatusAccepted) })}
 	go func() { _ = cal.Serve(lis) }()
 	con, err := net.Dial("tcp", raw.Addr().String())
 	require.NoError(t, err)
 	defer con.Close()
-	require.Eventually(t, func() bool { return lis.open.Load() == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return lis.Open() == 1 }, 5*time.Second, time.Millisecond)
 	don := make(chan struct{})
 	go func() {
-		closeCallers(cal, lis)
+		lis.Drain(cal)
 		close(don)
 	}()
 	require.Eventually(t, func() bool {
--- /dev/null
+++ b/connection/exchanger/exchanger.go
@@ -0,0 +1,195 @@
+// Package exchanger sends one HTTP request to an endpoint on a connection of its
+// own and reads the answer.
+//
+// A connection serves one request only. So a late answer to an earlier request,
+// bytes after an answer, a connection that the endpoint has dropped while it was
+// idle, or a body that was answered before it was read can't touch another
+// request.
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"hemlockpin/connection/counter"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection, which takes milliseconds
+	// between data centres of a region.
+	dialTimeout = 400 * time.Millisecond
+	// readBuffer holds an answer's head and several events of a stream.
+	readBuffer = 4 << 10
+	// maxInterim bounds the interim answers before a final one.
+	maxInterim = 8
+	// concurrentBody is the size from which a body is sent while the answer is
+	// read, since an endpoint may answer before it has read it.
+	concurrentBody = 16 << 10
+)
+
+// DialError reports that no connection was made, so nothing was sent.
+type DialError struct {
+	Peer string
+	Err  error
+}
+
+// Error names the peer.
+func (err *DialError) Error() string { return fmt.Sprintf("dial %s: %v", err.Peer, err.Err) }
+
+// Unwrap returns the cause.
+func (err *DialError) Unwrap() error { return err.Err }
+
+// BrokenError reports that a request was sent, at least in part, and no answer
+// could be read. The endpoint may have run it.
+type BrokenError struct {
+	Peer string
+	Step string
+	Err  error
+}
+
+// Error names the step and the peer.
+func (err *BrokenError) Error() string {
+	return fmt.Sprintf("%s of %s: %v", err.Step, err.Peer, err.Err)
+}
+
+// Unwrap returns the cause.
+func (err *BrokenError) Unwrap() error { return err.Err }
+
+// Request is what is sent.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is the head of an answer; its body is read from Body. Close ends the
+// connection and must be called.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   *bufio.Reader
+	// Length is the announced length of the body; -1 if there is none.
+	Length int64
+	// Framed says that the end of the body is marked, by its length or by chunks.
+	Framed bool
+
+	con  net.Conn
+	stop func() bool
+	once sync.Once
+}
+
+// Close ends the connection. It is idempotent.
+func (ans *Answer) Close() {
+	ans.once.Do(func() {
+		ans.stop()
+		_ = ans.con.Close()
+	})
+}
+
+// Exchanger places requests. Its zero value is ready.
+type Exchanger struct {
+	// Traffic counts the bytes of the connections; nil counts nothing.
+	Traffic *counter.Traffic
+}
+
+// Exchange sends a request and waits for the head of its answer. The end of ctx
+// ends the connection at once, also while the body is read. It fails with a
+// DialError or a BrokenError.
+func (exc *Exchanger) Exchange(ctx context.Context, address string, req Request) (*Answer, error) {
+	dia := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	con, err := dia.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &DialError{Peer: address, Err: err}
+	}
+	con = exc.Traffic.Wrap(con)
+	stop := context.AfterFunc(ctx, func() { _ = con.Close() })
+	ans, bro := exchange(con, address, req)
+	if bro != nil {
+		stop()
+		_ = con.Close()
+		if ctx.Err() != nil {
+			bro.Err = errors.Join(context.Cause(ctx), bro.Err)
+		}
+		return nil, bro
+	}
+	ans.con, ans.stop = con, stop
+	return ans, nil
+}
+
+func exchange(con net.Conn, address string, req Request) (*Answer, *BrokenError) {
+	sent := make(chan error, 1)
+	if len(req.Body) >= concurrentBody {
+		go func() { sent <- send(con, req) }()
+	} else {
+		sent <- send(con, req)
+	}
+	res, err := receive(con, req.Method) //nolint:bodyclose // Answer.Close ends the connection.
+	if err != nil {
+		select {
+		case wri := <-sent:
+			if wri != nil {
+				return nil, &BrokenError{Peer: address, Step: "sending the request", Err: errors.Join(wri, err)}
+			}
+		default:
+		}
+		return nil, &BrokenError{Peer: address, Step: "reading the answer", Err: err}
+	}
+	return &Answer{
+		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: bufio.NewReaderSize(res.Body, readBuffer),
+		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
+	}, nil
+}
+
+// send writes the head and the body in one call.
+func send(con net.Conn, req Request) error {
+	var hea bytes.Buffer
+	fmt.Fprintf(&hea, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
+	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut {
+		fmt.Fprintf(&hea, "Content-Length: %d\r\n", len(req.Body))
+	}
+	if err := req.Header.Write(&hea); err != nil {
+		return err
+	}
+	hea.WriteString("\r\n")
+	bufs := net.Buffers{hea.Bytes(), req.Body}
+	_, err := bufs.WriteTo(con)
+	return err
+}
+
+// receive reads the head of the final answer.
+func receive(con net.Conn, method string) (*http.Response, error) {
+	rea := bufio.NewReaderSize(con, readBuffer)
+	for range maxInterim {
+		res, err := http.ReadResponse(rea, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
+// ReadAll reads the rest of a body of at most max bytes.
+func (ans *Answer) ReadAll(limit int64) ([]byte, error) {
+	buf, err := io.ReadAll(io.LimitReader(ans.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(buf)) > limit {
+		return nil, fmt.Errorf("the body of the answer is over %d bytes", limit)
+	}
+	return buf, nil
+}
--- /dev/null
+++ b/process/assigner/message.go
@@ -0,0 +1,82 @@
+package assigner
+
+import (
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/process/planner"
+)
+
+func request(pool string, ask planner.Ask, hold time.Duration, now time.Time) *messenger.PlanRequest {
+	pro := ask.Prompt
+	return &messenger.PlanRequest{
+		Id: ask.ID, Host: ask.Host, Incarnation: ask.Incarnation, Pool: pool, PromptTokens: pro.Tokens, MaxTokens: pro.MaxTokens,
+		AnswerTokens: pro.AnswerTokens, Priority: int32(pro.Priority), TargetMs: pro.Target.Sub(now).Milliseconds(), BudgetMs: pro.Deadline.Sub(now).Milliseconds(),
+		ObjectiveMs: pro.Objective.Milliseconds(), PauseMs: pro.Pause.Milliseconds(), Excluded: pro.Excluded, HoldMs: hold.Milliseconds(),
+	}
+}
+
+func askOf(req *messenger.PlanRequest, now time.Time) planner.Ask {
+	return planner.Ask{ID: req.GetId(), Host: req.GetHost(), Incarnation: req.GetIncarnation(), Prompt: planner.Prompt{
+		Tokens: req.GetPromptTokens(), MaxTokens: req.GetMaxTokens(), AnswerTokens: req.GetAnswerTokens(), Priority: int(req.GetPriority()),
+		Target: now.Add(millis(req.GetTargetMs())), Deadline: now.Add(millis(req.GetBudgetMs())),
+		Objective: millis(req.GetObjectiveMs()), Pause: millis(req.GetPauseMs()), Excluded: req.GetExcluded(),
+	}}
+}
+
+func millis(num int64) time.Duration { return time.Duration(num) * time.Millisecond }
+
+// replyOf returns an empty reply for an ask that waits.
+func replyOf(act planner.Action) *messenger.PlanReply {
+	switch act := act.(type) {
+	case planner.Assign:
+		rep := &messenger.PlanReply{FirstMs: act.First.Milliseconds()}
+		for _, par := range act.Parts {
+			rep.Parts = append(rep.Parts, &messenger.PlanPart{Endpoint: par.Endpoint, Address: par.Address, ReserveTokens: par.Reserve})
+		}
+		return rep
+	case planner.Refuse:
+		return &messenger.PlanReply{Refusal: act.Code, Message: act.Message, RetryAfterMs: act.RetryAfter.Milliseconds()}
+	default:
+		return &messenger.PlanReply{}
+	}
+}
+
+// actionOf returns nil for an ask that waits.
+func actionOf(id string, rep *messenger.PlanReply) planner.Action {
+	if rep.GetRefusal() != "" {
+		return planner.Refuse{ID: id, Code: rep.GetRefusal(), Message: rep.GetMessage(), RetryAfter: millis(rep.GetRetryAfterMs())}
+	}
+	if len(rep.GetParts()) == 0 {
+		return nil
+	}
+	act := planner.Assign{ID: id, First: millis(rep.GetFirstMs())}
+	for _, par := range rep.GetParts() {
+		act.Parts = append(act.Parts, planner.Part{Endpoint: par.GetEndpoint(), Address: par.GetAddress(), Reserve: par.GetReserveTokens()})
+	}
+	return act
+}
+
+func noticeOf(eve planner.Event) *messenger.PlanNotice {
+	switch eve := eve.(type) {
+	case planner.Began:
+		return &messenger.PlanNotice{Id: eve.ID, Kind: messenger.PlanNotice_KIND_BEGAN}
+	case planner.Failed:
+		return &messenger.PlanNotice{Id: eve.ID, Kind: messenger.PlanNotice_KIND_FAILED, Endpoint: eve.Endpoint}
+	case planner.Ended:
+		return &messenger.PlanNotice{Id: eve.ID, Kind: messenger.PlanNotice_KIND_ENDED}
+	default:
+		return &messenger.PlanNotice{}
+	}
+}
+
+func eventOf(not *messenger.PlanNotice) planner.Event {
+	switch not.GetKind() {
+	case messenger.PlanNotice_KIND_BEGAN:
+		return planner.Began{ID: not.GetId()}
+	case messenger.PlanNotice_KIND_FAILED:
+		return planner.Failed{ID: not.GetId(), Endpoint: not.GetEndpoint()}
+	default:
+		return planner.Ended{ID: not.GetId()}
+	}
+}
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -13,10 +13,12 @@
 	Limits      `group:"Limits towards callers"`
 	Placing     `group:"Placement and endpoints"`
 	Peering     `group:"Platform and other hosts"`
+	Forwarding  `group:"Forwarding"`
 	Stopping    `group:"Stopping"`
 	Observation `group:"Logs and traces"`
 
-	CheckSettings bool `long:"check-settings" description:"check the settings and exit"`
+	Config        string `long:"config" env:"HEMLOCKPIN_CONFIG" no-ini:"true" description:"file of settings, as name = value lines under the headings below; flags and environment go before it"`
+	CheckSettings bool   `long:"check-settings" description:"check the settings and exit"`
 }
 
 // Host says who the host is and where it listens.
@@ -55,6 +57,21 @@
 	SeedPeers    []string      `long:"seed-peer" env:"HEMLOCKPIN_SEED_PEERS" env-delim:"," description:"address of another host, as IP:port, to ask when the platform is out; may stand several times"`
 }
 
+// Interfaces that a host offers to callers.
+const (
+	InterfaceOpenAI  = "openai"
+	InterfaceForward = "forward"
+)
+
+// Forwarding says how calls are forwarded unchanged.
+type Forwarding struct {
+	Interface   string        `long:"interface" env:"HEMLOCKPIN_INTERFACE" default:"openai" description:"interface towards callers: openai, or forward for calls that are forwarded unchanged"`
+	ReadyListen string        `long:"ready-listen" env:"HEMLOCKPIN_READY_LISTEN" default:"127.0.0.1:8083" description:"address that tells a balancer whether the host takes calls, as IP:port; for forward"`
+	RetryRatio  float64       `long:"retry-ratio" env:"HEMLOCKPIN_RETRY_RATIO" default:"0.2" description:"repeats that all hosts may send to a pool in a window, as a share of its calls; for forward"`
+	RetrySlack  float64       `long:"retry-slack" env:"HEMLOCKPIN_RETRY_SLACK" default:"100" description:"repeats that all hosts may send to a pool in a window beyond that; for forward"`
+	RetryWindow time.Duration `long:"retry-window" env:"HEMLOCKPIN_RETRY_WINDOW" default:"10s" description:"window of the repeats; for forward"`
+}
+
 // Stopping says how the host ends.
 type Stopping struct {
 	DrainNotice  time.Duration `long:"drain-notice" env:"HEMLOCKPIN_DRAIN_NOTICE" default:"2s" description:"how long a draining host still takes requests, for the balancer to turn away"`
--- a/process/configurer/reader.go
+++ b/process/configurer/reader.go
@@ -35,7 +35,11 @@
 	var fas []string
 	for {
 		var set Settings
-		lef, err := NewParser(&set).ParseArgs(args)
+		par := NewParser(&set)
+		if err := readFile(par, args); err != nil {
+			return set, &FaultsError{append(fas, err.Error())}
+		}
+		lef, err := par.ParseArgs(args)
 		var fla *flags.Error
 		switch {
 		case err == nil:
@@ -51,6 +55,26 @@
 	}
 }
 
+// readFile takes the settings of the file that the arguments or the environment
+// name as defaults.
+func readFile(par *flags.Parser, args []string) error {
+	var one struct {
+		Config string `long:"config" env:"HEMLOCKPIN_CONFIG"`
+	}
+	if _, err := flags.NewParser(&one, flags.IgnoreUnknown).ParseArgs(args); err != nil {
+		return fmt.Errorf("--config: %w", err)
+	}
+	if one.Config == "" {
+		return nil
+	}
+	ini := flags.NewIniParser(par)
+	ini.ParseAsDefaults = true
+	if err := ini.ParseFile(one.Config); err != nil {
+		return fmt.Errorf("--config %s: %w", one.Config, err)
+	}
+	return nil
+}
+
 // faults joins the faults of reading with those of the values that could be read.
 func (set Settings) faults(fas []string) error {
 	var oth *FaultsError
--- a/process/configurer/validator.go
+++ b/process/configurer/validator.go
@@ -22,6 +22,7 @@
 	fas = append(fas, set.Limits.validate()...)
 	fas = append(fas, set.Placing.validate()...)
 	fas = append(fas, set.Peering.validate()...)
+	fas = append(fas, set.Forwarding.validate()...)
 	fas = append(fas, positive(number{"--drain-notice", int64(set.DrainNotice)}, number{"--drain-timeout", int64(set.DrainTimeout)})...)
 	fas = append(fas, set.Observation.validate()...)
 	if len(fas) > 0 {
@@ -112,6 +113,20 @@
 	return fas
 }
 
+func (fwd Forwarding) validate() []string {
+	var fas []string
+	if fwd.Interface != InterfaceOpenAI && fwd.Interface != InterfaceForward {
+		fas = append(fas, fmt.Sprintf("--interface %q must be %s or %s", fwd.Interface, InterfaceOpenAI, InterfaceForward))
+	}
+	if fwd.Interface == InterfaceForward && !validAddress(fwd.ReadyListen) {
+		fas = append(fas, fmt.Sprintf("--ready-listen %q must be IP:port", fwd.ReadyListen))
+	}
+	if !(fwd.RetryRatio >= 0 && fwd.RetryRatio <= 1) || !(fwd.RetrySlack >= 0) {
+		fas = append(fas, fmt.Sprintf("--retry-ratio %g must be 0 to 1, and --retry-slack %g not negative", fwd.RetryRatio, fwd.RetrySlack))
+	}
+	return append(fas, positive(number{"--retry-window", int64(fwd.RetryWindow)})...)
+}
+
 type number struct {
 	flag string
 	val  int64
--- /dev/null
+++ b/process/forwarder/knowledge.go
@@ -0,0 +1,172 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/persister"
+	"hemlockpin/process/follower"
+	"hemlockpin/process/gossiper"
+	"hemlockpin/process/planner"
+	"hemlockpin/process/registrar"
+)
+
+const (
+	// spreadTimeout bounds the spreading of news to peers.
+	spreadTimeout = 2 * time.Second
+	// hostsInterval is the interval at which replaced and dead hosts are looked for.
+	hostsInterval = 500 * time.Millisecond
+)
+
+// joinPeers joins membership with the tables and the records of endpoints.
+func (fwd *Forwarder) joinPeers() {
+	set := fwd.Settings
+	fwd.gossiper = &gossiper.Gossiper{
+		Self: &messenger.Member{
+			Id: set.HostID, Address: set.PeerListen, DataCenter: set.DataCenter, Region: set.Region, Incarnation: fwd.Incarnation,
+		},
+		Multiplexer: fwd.multiplexer, Publisher: fwd.publisher, Entries: func() []persister.Entry { return nil },
+		Seeds: set.SeedPeers, Scope: fwd.scope, Log: fwd.Log,
+		Cargo: gossiper.Cargo{
+			EndpointsRevision: func() uint64 {
+				rev, _ := fwd.registry.Revision()
+				return rev
+			},
+			SeeEndpoints: fwd.seeEndpoints,
+		},
+	}
+	fwd.publisher.OnAccept = func(fromStore bool) {
+		tab := fwd.publisher.Current().Tables()
+		fwd.Log.Info().Uint64("Revision", tab.Revision).Int("Routes", len(tab.Routes)).Int("Pools", len(tab.Pools)).Int("Teams", len(tab.Teams)).
+			Bool("FromStore", fromStore).Msg("tables in force")
+		fwd.runner.Refresh()
+		go fwd.spread(func(ctx context.Context) { fwd.gossiper.PushTables(ctx, true) })
+	}
+}
+
+func (fwd *Forwarder) spread(fun func(context.Context)) {
+	ctx, stop := context.WithTimeout(context.Background(), spreadTimeout)
+	defer stop()
+	fun(ctx)
+}
+
+// takeTables takes a reading of the store.
+func (fwd *Forwarder) takeTables(rea follower.Tables, now time.Time) {
+	if !rea.Found {
+		return
+	}
+	ok, err := fwd.publisher.Accept(rea.Tables)
+	switch {
+	case err != nil:
+		fwd.Log.Error().Uint64("Revision", rea.Tables.Revision).Err(err).Msg("tables not taken")
+	case ok:
+		fwd.publisher.OnAccept(true)
+	}
+	fwd.publisher.ConfirmAt(rea.Tables.Revision, now)
+}
+
+// takeEndpoints takes a reading of the store.
+func (fwd *Forwarder) takeEndpoints(rea follower.Endpoints, now time.Time) {
+	var news []registrar.Endpoint
+	if rea.Whole {
+		news = fwd.registry.Replace(rea.Endpoints, rea.Revision, now)
+	} else {
+		news = fwd.registry.Merge(rea.Endpoints, rea.Revision, now)
+	}
+	fwd.learned(news, "store")
+}
+
+// learned acts on news of endpoints and passes them on.
+func (fwd *Forwarder) learned(news []registrar.Endpoint, from string) {
+	if len(news) == 0 {
+		return
+	}
+	for _, end := range news {
+		fwd.Log.Info().Str("Endpoint", end.ID).Str("Service", end.Service).Str("Address", end.Address).Bool("Leaving", end.Leaving).
+			Bool("Gone", end.Gone).Uint64("Revision", end.Revision).Str("From", from).Msg("endpoint changed")
+	}
+	fwd.runner.Refresh()
+	go fwd.spread(func(ctx context.Context) {
+		fwd.gossiper.Spread(ctx, func() *messenger.Envelope {
+			return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: registrar.Message(news, 0)}}
+		})
+	})
+}
+
+// receiveEndpoints takes records that a peer spreads.
+func (fwd *Forwarder) receiveEndpoints(pus *messenger.EndpointsPush, now time.Time) *messenger.Envelope {
+	fwd.learned(fwd.registry.Merge(registrar.FromMessage(pus), 0, now), "peer")
+	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
+}
+
+// offerEndpoints answers with all records.
+func (fwd *Forwarder) offerEndpoints() *messenger.Envelope {
+	rev, known := fwd.registry.Revision()
+	pus := registrar.Message(fwd.registry.All(), rev)
+	if !known {
+		pus.Revision = 0
+	}
+	return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: pus}}
+}
+
+// seeEndpoints pulls the records of a peer that knows more than this host, where
+// the store does not answer.
+func (fwd *Forwarder) seeEndpoints(address string, revision uint64) {
+	rev, known := fwd.registry.Revision()
+	if revision <= rev || known && !fwd.storeAway.Load() || !fwd.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer fwd.pulling.Store(false)
+		fwd.spread(func(ctx context.Context) { fwd.pullEndpoints(ctx, address) })
+	}()
+}
+
+func (fwd *Forwarder) pullEndpoints(ctx context.Context, address string) {
+	rep, err := fwd.multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_EndpointsPull{EndpointsPull: &messenger.EndpointsPull{}}})
+	if err != nil {
+		fwd.Log.Warn().Str("Peer", address).Err(err).Msg("records of endpoints not pulled")
+		return
+	}
+	pus := rep.GetEndpointsPush()
+	if pus.GetRevision() == 0 {
+		return
+	}
+	news := fwd.registry.Replace(registrar.FromMessage(pus), pus.GetRevision(), time.Now())
+	fwd.learned(news, "peer")
+}
+
+// away and back follow whether the store answers this host.
+func (fwd *Forwarder) away() {
+	fwd.storeAway.Store(true)
+	fwd.registry.Away()
+}
+
+func (fwd *Forwarder) back(now time.Time) {
+	fwd.storeAway.Store(false)
+	fwd.registry.Back(now)
+}
+
+// watchHosts tells the plans of hosts that have died or were replaced.
+func (fwd *Forwarder) watchHosts(ctx context.Context) {
+	tic := time.NewTicker(hostsInterval)
+	defer tic.Stop()
+	las := map[string]uint64{}
+	for {
+		for _, per := range fwd.gossiper.Peers() {
+			if old, ok := las[per.ID]; ok && per.Started > old {
+				fwd.runner.HostGone(planner.HostGone{Host: per.ID, Incarnation: old})
+			}
+			if per.State == gossiper.StateDead {
+				fwd.runner.HostGone(planner.HostGone{Host: per.ID, Incarnation: per.Started})
+			}
+			las[per.ID] = per.Started
+		}
+		select {
+		case <-tic.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -16,6 +16,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now), Retries: gos.retries(now),
+		EndpointsRevision: gos.endpointsRevision(),
 	}}}
 }
 
@@ -26,6 +27,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now), Retries: gos.retries(now),
+		EndpointsRevision: gos.endpointsRevision(),
 	}}}
 }
 
@@ -68,6 +70,32 @@
 	}
 }
 
+func (gos *Gossiper) endpointsRevision() uint64 {
+	if gos.Cargo.EndpointsRevision == nil {
+		return 0
+	}
+	return gos.Cargo.EndpointsRevision()
+}
+
+func (gos *Gossiper) seeEndpoints(address string, revision uint64) {
+	if gos.Cargo.SeeEndpoints != nil && address != "" {
+		gos.Cargo.SeeEndpoints(address, revision)
+	}
+}
+
+// Spread sends a message to the peers to which news goes at once.
+func (gos *Gossiper) Spread(ctx context.Context, env func() *messenger.Envelope) {
+	var gro sync.WaitGroup
+	for _, per := range gos.fan(true) {
+		gro.Go(func() {
+			if _, err := gos.call(ctx, probeTimeout, per.Address, env()); err != nil {
+				gos.count("spreads_failed", nil)
+			}
+		})
+	}
+	gro.Wait()
+}
+
 func (gos *Gossiper) notices(now time.Time) []*messenger.EndpointNotice {
 	if gos.Cargo.Notices == nil {
 		return nil
@@ -86,6 +114,7 @@
 	gos.takeCargo(ctx, pin.GetNotices(), now)
 	gos.takeCells(pin.GetCells(), now)
 	gos.takeRetries(pin.GetFrom().GetId(), pin.GetRetries(), now)
+	gos.seeEndpoints(gos.address(fro), pin.GetEndpointsRevision())
 	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), now.Add(-time.Duration(pin.GetTablesAgeMs())*time.Millisecond))
 	if gos.wantsList(pin.GetList(), now) {
 		go gos.pullList(context.WithoutCancel(ctx), gos.address(fro))
@@ -132,6 +161,7 @@
 	gos.takeCargo(ctx, pon.GetNotices(), now)
 	gos.takeCells(pon.GetCells(), now)
 	gos.takeRetries(pon.GetFrom().GetId(), pon.GetRetries(), now)
+	gos.seeEndpoints(reached, pon.GetEndpointsRevision())
 	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), now.Add(-time.Duration(pon.GetTablesAgeMs())*time.Millisecond))
 	if reached != "" && gos.wantsList(pon.GetList(), now) {
 		gos.pullList(ctx, reached)
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -43,6 +43,10 @@
 	// Retries returns what this host's retry budget has left.
 	Retries     func(now time.Time) *messenger.RetryBudget
 	TakeRetries func(host string, ret *messenger.RetryBudget, now time.Time)
+	// EndpointsRevision returns that of the host's records of endpoints, and
+	// SeeEndpoints is told that of a peer with its address.
+	EndpointsRevision func() uint64
+	SeeEndpoints      func(address string, revision uint64)
 }
 
 // Gossiper carries out the decisions of a Roster.
@@ -187,6 +191,13 @@
 	return gos.Multiplexer.Call(ctx, address, env)
 }
 
+// SetSeeds changes the peers to ask when no others are known.
+func (gos *Gossiper) SetSeeds(seeds []string) {
+	gos.mu.Lock()
+	defer gos.mu.Unlock()
+	gos.Seeds = seeds
+}
+
 func (gos *Gossiper) self() *messenger.Member {
 	gos.mu.Lock()
 	defer gos.mu.Unlock()
--- a/process/server/metrics.go
+++ b/process/measurer/measurer.go
@@ -1,4 +1,5 @@
-package server
+// Package measurer makes the metrics of a host.
+package measurer
 
 import (
 	"net/http"
@@ -13,9 +14,9 @@
 
 const reportInterval = time.Second
 
-// newScope makes the metrics of one host, with those of the Go runtime and the
+// New makes the metrics of one host, with those of the Go runtime and the
 // process, in a registry of its own, so that several hosts fit into one program.
-func newScope(log zerolog.Logger) (tally.Scope, http.Handler) {
+func New(log zerolog.Logger) (tally.Scope, http.Handler) {
 	reg := prom.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	rep := prometheus.NewReporter(prometheus.Options{
--- /dev/null
+++ b/process/planner/plan.go
@@ -0,0 +1,239 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hemlockpin/version/parser"
+)
+
+const (
+	// grantGrace is the time after its deadline at which a grant ends.
+	grantGrace = time.Second
+	// askTimeout is the time after which an ask that its host does not repeat is
+	// dropped. Hosts repeat theirs every second.
+	askTimeout = 2500 * time.Millisecond
+	// demandPeriod is the time over which the work of long prompts is averaged.
+	demandPeriod = 3 * time.Second
+)
+
+// ask is a request that waits.
+type ask struct {
+	Ask
+	prompt  Prompt
+	read    ms
+	need    int64
+	arrived time.Time
+	seen    time.Time
+	// patience is when the caller gives up without an event.
+	patience time.Time
+}
+
+// Plan is the state of one pool. Next changes it; it must not be used by two
+// goroutines at a time. Its zero value is an empty pool.
+type Plan struct {
+	fig     figures
+	engines map[string]*engine
+	order   []*engine
+	waiting []*ask
+	grants  map[string]*grant
+	acts    []Action
+	// long is the recent work of long prompts, in engines.
+	long   float64
+	longAt time.Time
+}
+
+// Next takes an event and returns the actions that follow.
+func (pla *Plan) Next(eve Event, now time.Time) []Action {
+	if pla.engines == nil {
+		pla.engines = map[string]*engine{}
+		pla.grants = map[string]*grant{}
+		pla.fig = newFigures(parser.Batching{})
+	}
+	pla.acts = nil
+	for _, eng := range pla.order {
+		eng.advance(now)
+	}
+	pla.take(eve, now)
+	pla.expire(now)
+	pla.dispatch(now)
+	return pla.acts
+}
+
+func (pla *Plan) take(eve Event, now time.Time) {
+	switch eve := eve.(type) {
+	case Ask:
+		pla.ask(eve, now)
+	case Cancel:
+		pla.waiting = slices.DeleteFunc(pla.waiting, func(one *ask) bool { return one.ID == eve.ID })
+		pla.end(eve.ID)
+	case Began:
+		pla.began(eve.ID)
+	case Ended:
+		pla.end(eve.ID)
+	case Failed:
+		pla.failed(eve, now)
+	case Listing:
+		pla.list(eve.Engines, now)
+	case Report:
+		pla.report(eve, now)
+	case Unreachable:
+		if eng := pla.engines[eve.Endpoint]; eng != nil {
+			eng.misses++
+		}
+	case HostGone:
+		pla.hostGone(eve)
+	case Figures:
+		pla.fig = newFigures(eve.Batching)
+	}
+}
+
+// Waiting counts the asks that wait.
+func (pla *Plan) Waiting() int { return len(pla.waiting) }
+
+// Granted counts the grants that have not ended.
+func (pla *Plan) Granted() int { return len(pla.grants) }
+
+func (pla *Plan) ask(eve Ask, now time.Time) {
+	if gra := pla.grants[eve.ID]; gra != nil {
+		pla.assign(gra, now)
+		return
+	}
+	for _, one := range pla.waiting {
+		if one.ID == eve.ID {
+			one.seen = now
+			return
+		}
+	}
+	pro := eve.Prompt
+	one := &ask{Ask: eve, prompt: pro, read: pla.fig.read(pro.Tokens), arrived: now, seen: now}
+	one.need = pro.Tokens + pla.answerTokens(pro)
+	one.patience = patience(pro)
+	pla.waiting = append(pla.waiting, one)
+	if one.long() {
+		pla.countLong(one.read, now)
+	}
+}
+
+// answerTokens is the memory set aside for an answer.
+func (pla *Plan) answerTokens(pro Prompt) int64 {
+	if pro.MaxTokens > 0 {
+		return pro.MaxTokens
+	}
+	return 2 * cmp.Or(pro.AnswerTokens, pla.fig.UsualAnswer)
+}
+
+func (pla *Plan) countLong(read ms, now time.Time) {
+	pla.long = pla.longDemand(now) + float64(read)/float64(msOf(demandPeriod))
+	pla.longAt = now
+}
+
+// longDemand is the recent work of long prompts, in engines.
+func (pla *Plan) longDemand(now time.Time) float64 {
+	lef := 1 - now.Sub(pla.longAt).Seconds()/demandPeriod.Seconds()/2
+	return pla.long * max(0, lef)
+}
+
+func (pla *Plan) began(id string) {
+	gra := pla.grants[id]
+	if gra == nil || gra.began {
+		return
+	}
+	gra.began = true
+	for _, par := range gra.parts {
+		par.eng.remove(par)
+	}
+}
+
+func (pla *Plan) end(id string) {
+	gra := pla.grants[id]
+	if gra == nil {
+		return
+	}
+	delete(pla.grants, id)
+	delete(gra.lead.grants, id)
+	for _, par := range gra.parts {
+		par.eng.remove(par)
+		par.eng.memory -= par.memory
+	}
+}
+
+func (pla *Plan) failed(eve Failed, now time.Time) {
+	for _, eng := range pla.order {
+		if eng.ID == eve.Endpoint || eng.Address == eve.Endpoint {
+			eng.suspect = now.Add(suspectTime)
+		}
+	}
+}
+
+func (pla *Plan) list(ends []Engine, now time.Time) {
+	see := map[string]bool{}
+	for _, end := range ends {
+		see[end.ID] = true
+		eng := pla.engines[end.ID]
+		if eng == nil || !eng.Started.Equal(end.Started) && !end.Started.IsZero() {
+			eng = &engine{Engine: end, pace: 1, advanced: now, grants: map[string]*grant{}}
+			pla.engines[end.ID] = eng
+		}
+		eng.Engine, eng.gone = end, false
+	}
+	for id, eng := range pla.engines {
+		if !see[id] {
+			eng.gone = true
+			if len(eng.grants) == 0 {
+				delete(pla.engines, id)
+			}
+		}
+	}
+	pla.order = pla.order[:0]
+	for _, eng := range pla.engines {
+		pla.order = append(pla.order, eng)
+	}
+	slices.SortFunc(pla.order, func(one, two *engine) int { return cmp.Compare(one.ID, two.ID) })
+}
+
+func (pla *Plan) report(eve Report, now time.Time) {
+	eng := pla.engines[eve.Endpoint]
+	if eng == nil {
+		return
+	}
+	if !eve.Load.Started.IsZero() && !eng.Started.IsZero() && !eve.Load.Started.Equal(eng.Started) {
+		// Another process answers at the address; the listing will name it.
+		eng.misses++
+		return
+	}
+	eng.accept(eve.Load, now)
+	lag := time.Duration(pla.fig.ReportLagMs * float64(time.Millisecond))
+	own, mem := 0, int64(0)
+	for _, gra := range eng.grants {
+		own++
+		mem += gra.need
+		if now.Sub(gra.since) < 2*lag {
+			// The report may be older than the grant, so nothing can be concluded.
+			return
+		}
+	}
+	eng.foreign = max(0, eve.Load.Running+eve.Load.Waiting-own)
+	eng.foreignMemory = max(0, eve.Load.MemoryUsed-max(mem, eng.memory))
+}
+
+func (pla *Plan) hostGone(eve HostGone) {
+	gone := func(one *ask) bool { return one.Host == eve.Host && one.Incarnation <= eve.Incarnation }
+	pla.waiting = slices.DeleteFunc(pla.waiting, gone)
+	for id, gra := range pla.grants {
+		if gone(gra.ask) {
+			pla.end(id)
+		}
+	}
+}
+
+// expire ends what nobody waits for any more.
+func (pla *Plan) expire(now time.Time) {
+	for id, gra := range pla.grants {
+		if now.After(gra.ask.prompt.Deadline.Add(grantGrace)) {
+			pla.end(id)
+		}
+	}
+	pla.waiting = slices.DeleteFunc(pla.waiting, func(one *ask) bool { return now.Sub(one.seen) > askTimeout })
+}
--- a/process/publisher/spread.go
+++ b/process/publisher/spread.go
@@ -157,7 +157,7 @@
 	if differ.Checksum(doc) != pus.GetChecksum() {
 		return eris.Wrapf(differ.ErrMismatch, "Publisher.receiveWhole: revision %d", pus.GetRevision())
 	}
-	tab, err := parser.Parse(doc)
+	tab, err := parser.Decode(doc)
 	if err != nil {
 		return eris.Wrap(err, "Publisher.receiveWhole")
 	}
--- a/process/server/drain.go
+++ b/process/server/drain.go
@@ -9,13 +9,12 @@
 	"syscall"
 	"time"
 
+	"hemlockpin/connection/acceptor"
 	"hemlockpin/process/drainer"
 )
 
 const (
 	leaveTimeout = time.Second
-	// closePause is how often a closing host looks at its connections.
-	closePause = 20 * time.Millisecond
 )
 
 // countRequests counts the callers' requests in progress. While the host
@@ -33,7 +32,7 @@
 
 // drain ends readiness, waits for the requests in progress and stops. A second
 // signal, or the drain timeout, ends it at once.
-func (ser *Server) drain(cal *http.Server, lis *limitedListener) error {
+func (ser *Server) drain(cal *http.Server, lis *acceptor.Listener) error {
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(again)
@@ -42,7 +41,7 @@
 		Announce: ser.announceDrain,
 		Close: func() {
 			go func() {
-				closeCallers(cal, lis)
+				lis.Drain(cal)
 				closed.Store(true)
 			}()
 		},
@@ -61,18 +60,6 @@
 	return err
 }
 
-// closeCallers takes no more connections and waits until the open ones have
-// ended. Server.Shutdown would close a connection without an answer whose
-// request is read after the shutdown began.
-func closeCallers(cal *http.Server, lis *limitedListener) {
-	_ = lis.Close()
-	for lis.open.Load() > 0 {
-		// This also closes the idle connections.
-		cal.SetKeepAlivesEnabled(false)
-		time.Sleep(closePause)
-	}
-}
-
 func (ser *Server) announceDrain() {
 	ser.draining.Store(true)
 	ser.Log.Info().Int64("Requests", ser.inFlight.Load()).Msg("host drains")
--- a/process/server/edge_test.go
+++ b/process/server/edge_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"hemlockpin/connection/acceptor"
 	"hemlockpin/process/configurer"
 	"hemlockpin/request/responder"
 	"hemlockpin/version/parser"
@@ -66,7 +67,7 @@
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	htt := ser.callerServer(ser.edge(han))
-	go htt.Serve(&limitedListener{Listener: lis, max: int64(set.MaxConns), refused: tally.NoopScope.Counter("")})
+	go htt.Serve(&acceptor.Listener{Listener: lis, Max: int64(set.MaxConns), Refused: tally.NoopScope.Counter("")})
 	t.Cleanup(func() { htt.Close() })
 	return ser, lis.Addr().String()
 }
--- a/process/server/meter_bench_test.go
+++ b/process/server/meter_bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"hemlockpin/process/measurer"
 	"hemlockpin/request/responder"
 
 	"github.com/rs/zerolog"
@@ -38,7 +39,7 @@
 	for _, rous := range []int{100, 1000, 5000} {
 		b.Run(fmt.Sprintf("routes=%d", rous), func(b *testing.B) {
 			for range b.N {
-				sco, han := newScope(zerolog.Nop())
+				sco, han := measurer.New(zerolog.Nop())
 				met := newMeter(sco)
 				bef := heapBytes()
 				for ind := range rous {
@@ -55,7 +56,7 @@
 
 // BenchmarkObserve counts one request of a known route.
 func BenchmarkObserve(b *testing.B) {
-	sco, _ := newScope(zerolog.Nop())
+	sco, _ := measurer.New(zerolog.Nop())
 	met := newMeter(sco)
 	for b.Loop() {
 		observed(met, "questions", "tailors")
@@ -64,7 +65,7 @@
 
 // BenchmarkRecorderWrite passes one token on.
 func BenchmarkRecorderWrite(b *testing.B) {
-	sco, _ := newScope(zerolog.Nop())
+	sco, _ := measurer.New(zerolog.Nop())
 	met := newMeter(sco)
 	rec := &responder.Recorder{ResponseWriter: discard{}, Clock: time.Now, WriteTimeout: time.Second, Interval: met.interval}
 	buf := []byte("data: x\n\n")
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockpin/connection/acceptor"
 	"hemlockpin/connection/counter"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/multiplexer"
@@ -21,6 +22,7 @@
 	"hemlockpin/process/journaler"
 	"hemlockpin/process/limiter"
 	"hemlockpin/process/lister"
+	"hemlockpin/process/measurer"
 	"hemlockpin/process/publisher"
 	"hemlockpin/process/reclaimer"
 	"hemlockpin/process/scheduler"
@@ -85,7 +87,7 @@
 // New joins the parts of a host.
 func New(set configurer.Settings, log zerolog.Logger, incarnation uint64, now time.Time) *Server {
 	ser := &Server{Settings: set, Log: log, Incarnation: incarnation, started: now}
-	ser.scope, ser.metrics = newScope(log)
+	ser.scope, ser.metrics = measurer.New(log)
 	own := invoker.Owner{Host: set.HostID, Incarnation: ser.Incarnation}
 	ser.meter = newMeter(ser.scope)
 	ser.bodies.MaxBytes = set.MaxBodyMemory
@@ -134,7 +136,7 @@
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := ser.callerServer(ser.countRequests(ser.edge(ser.callerRoutes())))
 	ope := ser.operatorServer()
-	lis := &limitedListener{Listener: liss.caller, max: int64(ser.Settings.MaxConns), refused: ser.scope.Counter("connections_refused")}
+	lis := &acceptor.Listener{Listener: liss.caller, Max: int64(ser.Settings.MaxConns), Refused: ser.scope.Counter("connections_refused")}
 	gro.Go(func() { _ = cal.Serve(lis) })
 	gro.Go(func() { _ = ope.Serve(liss.operator) })
 	ser.Log.Info().Str("Host", ser.Settings.HostID).Str("Listen", ser.Settings.Listen).Msg("host started")
--- /dev/null
+++ b/request/relayer/finish.go
@@ -0,0 +1,73 @@
+package relayer
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// finish ends the call towards its caller.
+func (run *run) finish(dec Decision, retryAfter time.Duration) {
+	run.Scope.Tagged(map[string]string{"route": run.route.Name, "decision": verb(dec)}).Counter("forward_calls").Inc(1)
+	run.Scope.Tagged(map[string]string{"decision": verb(dec)}).Timer("forward_seconds").Record(run.Clock().Sub(run.arrived))
+	switch dec := dec.(type) {
+	case Deliver:
+		run.deliver()
+	case Refuse:
+		run.reject(&rejection{
+			status: http.StatusServiceUnavailable, code: dec.Code, message: "the call has not run and will not",
+			retryAfter: max(retryAfter, leastRetryAfter),
+		})
+	case Fail:
+		run.reject(&rejection{status: dec.Status, code: dec.Code, message: "the call failed and may have run"})
+	default:
+		run.log.Warn().Int("Events", run.state.Events).Interface("Decision", dec).Msg("answer cut")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func verb(dec Decision) string {
+	switch dec.(type) {
+	case Deliver:
+		return "deliver"
+	case Refuse:
+		return "refuse"
+	case Fail:
+		return "fail"
+	default:
+		return "cut"
+	}
+}
+
+// deliver passes a whole answer on. A stream has been passed on already.
+func (run *run) deliver() {
+	if run.answer.status == 0 {
+		return
+	}
+	run.copyHeader(run.answer.header)
+	run.wri.Header().Set("Content-Length", strconv.Itoa(len(run.answer.body)))
+	run.wri.WriteHeader(run.answer.status)
+	_, _ = run.wri.Write(run.answer.body)
+}
+
+func (run *run) copyHeader(from http.Header) {
+	hea := from.Clone()
+	strip(hea)
+	for nam, vals := range hea {
+		run.wri.Header()[nam] = vals
+	}
+}
+
+// reject answers a call itself.
+func (run *run) reject(rej *rejection) {
+	run.log.Warn().Int("Status", rej.status).Str("Code", rej.code).Str("Message", rej.message).Dur("RetryAfterMs", rej.retryAfter).
+		Dur("AfterMs", run.Clock().Sub(run.arrived)).Msg("call answered by the host")
+	run.Scope.Tagged(map[string]string{"code": rej.code}).Counter("forward_rejections").Inc(1)
+	run.Codec.Refuse(run.wri.Header(), run.call.ID, rej.retryAfter)
+	bod, _ := json.Marshal(struct{ Code, Message string }{rej.code, rej.message})
+	run.wri.Header().Set("Content-Type", "application/json")
+	run.wri.Header().Set("Content-Length", strconv.Itoa(len(bod)))
+	run.wri.WriteHeader(rej.status)
+	_, _ = run.wri.Write(bod)
+}
--- /dev/null
+++ b/request/relayer/relayer.go
@@ -0,0 +1,280 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"hemlockpin/connection/exchanger"
+	"hemlockpin/request/receiver"
+	"hemlockpin/version/matcher"
+	"hemlockpin/version/parser"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	// defaultTime bounds a call whose caller and route name no time.
+	defaultTime = 30 * time.Second
+	// maxAnswer bounds an answer that is no stream.
+	maxAnswer = 32 << 20
+	// startRetryAfter is told to callers of a host that has no tables yet. Hosts
+	// learn them within a second of their start.
+	startRetryAfter = 500 * time.Millisecond
+	// leastRetryAfter is the shortest time told to a refused caller.
+	leastRetryAfter = 100 * time.Millisecond
+)
+
+// Causes for which a send is ended.
+var (
+	errTimeLimit = errors.New("the time of the call is over")
+	errSilent    = errors.New("the endpoint has been silent for too long")
+)
+
+// Budget bounds the sends after the first ones of all calls.
+type Budget interface {
+	// Earn counts a call for a pool.
+	Earn(pool string, now time.Time)
+	// Take reports whether a call for a pool may be sent once more.
+	Take(pool string, now time.Time) bool
+}
+
+// Relayer forwards calls. All its fields but Budget's limits are needed.
+type Relayer struct {
+	Codec     Codec
+	Tables    func() *matcher.Matcher
+	Placer    Placer
+	Exchanger *exchanger.Exchanger
+	Budget    Budget
+	Bodies    *receiver.Budget
+	// Draining reports whether callers are to leave their connections.
+	Draining func() bool
+	// MaxBodyBytes bounds a body where the tables don't.
+	MaxBodyBytes int64
+	Clock        func() time.Time
+	Log          zerolog.Logger
+	Scope        tally.Scope
+	Tracer       trace.Tracer
+}
+
+// run is one call in progress.
+type run struct {
+	*Relayer
+	wri     http.ResponseWriter
+	htr     *http.Request
+	call    Call
+	route   parser.Route
+	pool    parser.Pool
+	team    parser.Team
+	body    []byte
+	arrived time.Time
+	end     time.Time
+	state   State
+	// excluded endpoints have failed the call; last is the last event forwarded.
+	excluded []string
+	last     string
+	log      zerolog.Logger
+	// answer is what the last endpoint answered, if it is whole.
+	answer answer
+}
+
+// answer is a whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ServeHTTP forwards one call.
+func (rel *Relayer) ServeHTTP(wri http.ResponseWriter, htr *http.Request) {
+	run := &run{Relayer: rel, wri: wri, htr: htr, arrived: rel.Clock()}
+	ctx, spa := rel.Tracer.Start(htr.Context(), "forward", trace.WithSpanKind(trace.SpanKindServer))
+	defer spa.End()
+	if rel.Draining() {
+		wri.Header().Set("Connection", "close")
+	}
+	if pro := run.accept(); pro != nil {
+		run.reject(pro)
+		return
+	}
+	spa.SetAttributes(attribute.String("RequestID", run.call.ID), attribute.String("Route", run.route.Name))
+	run.serve(ctx)
+}
+
+// rejection is an answer to a call that is not forwarded.
+type rejection struct {
+	status     int
+	code       string
+	message    string
+	retryAfter time.Duration
+}
+
+// accept reads the call, finds its route and checks its key.
+func (run *run) accept() *rejection {
+	var err error
+	if run.call, err = run.Codec.Call(run.htr.Header); err != nil {
+		return &rejection{status: http.StatusBadRequest, code: "bad_header", message: err.Error()}
+	}
+	mat := run.Tables()
+	run.log = run.Log.With().Str("RequestID", run.call.ID).Logger()
+	if mat.Revision() == 0 {
+		return &rejection{status: http.StatusServiceUnavailable, code: "host_starting", message: "the host has no tables yet", retryAfter: startRetryAfter}
+	}
+	rou, _, ok := mat.Route(matcher.Query{Kind: parser.PoolService, Host: run.htr.Host, Path: run.htr.URL.Path})
+	if !ok {
+		return &rejection{status: http.StatusNotFound, code: "route_not_found", message: "no route takes this call"}
+	}
+	run.route = rou
+	if pro := run.authorize(mat); pro != nil {
+		return pro
+	}
+	run.pool, ok = mat.Pool(rou.PoolFor(xxhash.Sum64String(run.call.ID)))
+	if !ok {
+		return &rejection{status: http.StatusServiceUnavailable, code: "no_pool", message: "the route's pool is not known", retryAfter: startRetryAfter}
+	}
+	if pro := run.readBody(mat.Tables().Caller); pro != nil {
+		return pro
+	}
+	tim := defaultTime
+	if run.call.TimeLeft > 0 {
+		tim = run.call.TimeLeft
+	}
+	run.end = run.arrived.Add(min(tim, time.Duration(rou.TimeLimit)))
+	run.last = run.call.LastEvent
+	run.log.Info().Str("Route", rou.Name).Str("Pool", run.pool.Name).Str("Team", run.team.Name).Uint64("TablesRevision", mat.Revision()).
+		Int64("PromptTokens", run.call.PromptTokens).Dur("LeftMs", run.end.Sub(run.arrived)).Msg("call accepted")
+	return nil
+}
+
+func (run *run) authorize(mat *matcher.Matcher) *rejection {
+	if run.route.Public || len(mat.Tables().Teams) == 0 {
+		return nil
+	}
+	tea, ok := mat.Team(run.call.Key)
+	if run.call.Key == "" || !ok {
+		return &rejection{status: http.StatusUnauthorized, code: "invalid_api_key", message: "the key belongs to no team"}
+	}
+	run.team = tea
+	return nil
+}
+
+func (run *run) readBody(lim parser.Limits) *rejection {
+	most := run.MaxBodyBytes
+	if lim.MaxBodyBytes > 0 {
+		most = lim.MaxBodyBytes
+	}
+	bod := receiver.NewBody(run.htr.Body, run.Bodies, run.htr.ContentLength, most)
+	defer bod.Release()
+	var err error
+	if run.body, err = receiver.ReadBody(bod, most); err == nil {
+		return nil
+	}
+	var bad *receiver.BadRequestError
+	if errors.As(err, &bad) {
+		return &rejection{status: bad.Status, code: bad.Code, message: bad.Message, retryAfter: bad.RetryAfter}
+	}
+	return &rejection{status: http.StatusBadRequest, code: "body_incomplete", message: err.Error()}
+}
+
+// serve sends the call until it has an answer.
+func (run *run) serve(ctx context.Context) {
+	run.Budget.Earn(run.pool.Name, run.arrived)
+	ctx, stop := context.WithDeadlineCause(ctx, run.end, errTimeLimit)
+	defer stop()
+	for {
+		lea, err := run.place(ctx)
+		if err != nil {
+			run.unplaced(ctx, err)
+			return
+		}
+		run.state = run.state.WithSend()
+		out := run.send(ctx, lea)
+		lea.End()
+		now := run.Clock()
+		var dec Decision
+		run.state, dec = Next(run.state, out, Terms{
+			Route: run.route, Left: run.end.Sub(now), Budget: func() bool { return run.Budget.Take(run.pool.Name, now) },
+		})
+		run.note(lea, out, dec, now)
+		if _, again := dec.(Resend); !again {
+			run.finish(dec, 0)
+			return
+		}
+		run.excluded = append(run.excluded, lea.Endpoint.ID)
+	}
+}
+
+func (run *run) place(ctx context.Context) (Lease, error) {
+	ctx, spa := run.Tracer.Start(ctx, "placement")
+	defer spa.End()
+	pri := run.route.Priority
+	if run.team.Priority != nil {
+		pri = *run.team.Priority
+	}
+	return run.Placer.Place(ctx, Ask{
+		ID: run.call.ID, Pool: run.pool.Name, Team: run.team.Name,
+		PromptTokens: run.call.PromptTokens, MaxTokens: run.call.MaxTokens, AnswerTokens: run.call.AnswerTokens,
+		Priority: pri, Arrived: run.arrived, Objective: time.Duration(run.route.FirstTarget), Pause: time.Duration(run.route.PauseTarget),
+		Deadline: run.end, Excluded: run.excluded, Sends: run.state.Sends,
+	})
+}
+
+// unplaced ends a call for which no endpoint could be had.
+func (run *run) unplaced(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		_, dec := Next(run.state, run.ended(ctx, false), Terms{Route: run.route})
+		run.finish(dec, 0)
+		return
+	}
+	var ref *RefusedError
+	if !errors.As(err, &ref) {
+		ref = &RefusedError{Code: "placement_failed", Message: err.Error()}
+	}
+	run.log.Warn().Str("Code", ref.Code).Str("Message", ref.Message).Dur("RetryAfterMs", ref.RetryAfter).Int("Sends", run.state.Sends).Msg("no endpoint")
+	run.finish(run.state.give(http.StatusBadGateway, ref.Code), ref.RetryAfter)
+}
+
+// ended names the reason for which a call was ended from outside.
+func (run *run) ended(ctx context.Context, sent bool) Outcome {
+	if errors.Is(context.Cause(ctx), errTimeLimit) {
+		return TimedOut{Sent: sent}
+	}
+	return CallerGone{}
+}
+
+func (run *run) note(lea Lease, out Outcome, dec Decision, now time.Time) {
+	lin := run.log.Info()
+	switch out.(type) {
+	case Whole:
+	default:
+		lin = run.log.Warn()
+	}
+	lin.Str("Endpoint", lea.Endpoint.ID).Uint64("EndpointRevision", lea.Endpoint.Revision).Type("Outcome", out).Interface("Detail", out).Type("Decision", dec).
+		Int("Sends", run.state.Sends).Int("Events", run.state.Events).Dur("AfterMs", now.Sub(run.arrived)).Msg("send ended")
+	run.Scope.Tagged(map[string]string{"route": run.route.Name, "outcome": name(out)}).Counter("forward_sends").Inc(1)
+}
+
+// name returns the label of an outcome.
+func name(out Outcome) string {
+	switch out.(type) {
+	case Whole:
+		return "whole"
+	case Answered:
+		return "failure"
+	case NotRun:
+		return "not_run"
+	case Unreached:
+		return "unreached"
+	case Broken:
+		return "broken"
+	case TimedOut:
+		return "time_limit"
+	default:
+		return "caller_gone"
+	}
+}
--- /dev/null
+++ b/request/relayer/send.go
@@ -0,0 +1,201 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"hemlockpin/connection/exchanger"
+)
+
+const (
+	// silenceFactor is how many times the expected time to the first event may
+	// pass before the call is sent elsewhere.
+	silenceFactor = 3
+	// silenceSlack is added to the objective for the same purpose: under load a
+	// pass of an engine takes some hundred milliseconds.
+	silenceSlack = 500 * time.Millisecond
+	// pauseFactor is how many times the pause's objective a stream may be silent.
+	// Callers give a stream up after eight times.
+	pauseFactor = 4
+	// leastPause is the shortest silence of a stream that counts.
+	leastPause = time.Second
+	// answerFactor is how many times the objective an answer that is no stream
+	// may take before the call is sent elsewhere.
+	answerFactor = 2
+)
+
+// perConnection are the headers that concern one connection only.
+var perConnection = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+// strip removes the headers of one connection, with those that it names itself.
+func strip(hea http.Header) {
+	for _, val := range hea.Values("Connection") {
+		for nam := range strings.SplitSeq(val, ",") {
+			hea.Del(strings.TrimSpace(nam))
+		}
+	}
+	for _, nam := range perConnection {
+		hea.Del(nam)
+	}
+}
+
+// send sends the call to one endpoint and passes events of a stream on.
+func (run *run) send(ctx context.Context, lea Lease) Outcome {
+	ctx, spa := run.Tracer.Start(ctx, "dispatch")
+	defer spa.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	now := run.Clock()
+	sil := time.AfterFunc(run.firstLimit(lea, now), func() { cancel(errSilent) })
+	defer sil.Stop()
+	hea := run.htr.Header.Clone()
+	strip(hea)
+	run.Codec.Dispatch(hea, Dispatch{
+		Endpoint: lea.Endpoint.ID, Team: run.team.Name, TimeLeft: run.end.Sub(now), LastEvent: run.last, Helpers: lea.Helpers,
+	})
+	hea.Set("Connection", "close")
+	ans, err := run.Exchanger.Exchange(ctx, lea.Endpoint.Address, exchanger.Request{
+		Method: run.htr.Method, Target: run.htr.RequestURI, Host: run.htr.Host, Header: hea, Body: run.body,
+	})
+	if err != nil {
+		return run.failed(ctx, lea, err)
+	}
+	defer ans.Close()
+	return run.take(ctx, lea, ans, sil)
+}
+
+// firstLimit is how long the endpoint may be silent before its first byte. Only
+// calls that can be sent again are given up before their time.
+func (run *run) firstLimit(lea Lease, now time.Time) time.Duration {
+	lef := run.end.Sub(now) + time.Second
+	obj := time.Duration(run.route.FirstTarget)
+	if !run.route.Reruns() || run.state.Sends >= run.route.Attempts() || obj <= 0 {
+		return lef
+	}
+	if !run.route.Stream {
+		return min(lef, answerFactor*obj)
+	}
+	return min(lef, max(silenceFactor*lea.First, obj)+silenceSlack)
+}
+
+// pauseLimit is how long a stream may be silent after an event.
+func (run *run) pauseLimit() time.Duration {
+	if !run.route.Resumable || run.state.Sends >= run.route.Attempts() {
+		return time.Hour
+	}
+	return max(leastPause, pauseFactor*time.Duration(run.route.PauseTarget))
+}
+
+// failed turns an error of a send into its outcome.
+func (run *run) failed(ctx context.Context, lea Lease, err error) Outcome {
+	var dia *exchanger.DialError
+	unreached := errors.As(err, &dia)
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent):
+		return run.ended(ctx, !unreached)
+	case unreached:
+		lea.Failed("")
+		run.log.Warn().Str("Endpoint", lea.Endpoint.ID).Str("Peer", lea.Endpoint.Address).Err(err).Msg("endpoint unreached")
+		return Unreached{}
+	default:
+		lea.Failed("")
+		run.log.Warn().Str("Endpoint", lea.Endpoint.ID).Str("Peer", lea.Endpoint.Address).AnErr("Cause", context.Cause(ctx)).Err(err).Msg("send broken")
+		return Broken{Step: err.Error()}
+	}
+}
+
+// take reads the answer of an endpoint.
+func (run *run) take(ctx context.Context, lea Lease, ans *exchanger.Answer, sil *time.Timer) Outcome {
+	hea := run.Codec.Answer(ans.Status, ans.Header)
+	switch {
+	case hea.ID != "" && hea.ID != run.call.ID:
+		return run.failed(ctx, lea, errors.New("the answer belongs to another call"))
+	case hea.NotRun:
+		if hea.Fault != "" || ans.Status != http.StatusTooManyRequests {
+			lea.Failed(hea.Fault)
+		}
+		run.log.Info().Str("Endpoint", lea.Endpoint.ID).Int("Status", ans.Status).Str("Fault", hea.Fault).Bool("OtherEndpoint", hea.OtherEndpoint).Msg("endpoint refused")
+		return NotRun{}
+	case promises(ans.Status):
+		return run.failed(ctx, lea, errors.New("the endpoint answered "+http.StatusText(ans.Status)+" without saying that it has not run the call"))
+	case !hea.Sealed:
+		return run.failed(ctx, lea, errors.New("the answer does not prove that the endpoint made it"))
+	case ans.Status == http.StatusOK && isStream(ans.Header):
+		return run.stream(ctx, lea, ans, sil)
+	}
+	bod, err := ans.ReadAll(maxAnswer)
+	if err != nil {
+		return run.failed(ctx, lea, err)
+	}
+	run.answer = answer{ans.Status, ans.Header, bod}
+	if ans.Status >= http.StatusInternalServerError {
+		return Answered{Status: ans.Status}
+	}
+	return Whole{}
+}
+
+// promises reports whether a status tells callers that nothing has run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+func isStream(hea http.Header) bool {
+	return strings.HasPrefix(hea.Get("Content-Type"), "text/event-stream")
+}
+
+// stream passes on whole events as they arrive.
+func (run *run) stream(ctx context.Context, lea Lease, ans *exchanger.Answer, sil *time.Timer) Outcome {
+	var buf []byte
+	lim := run.pauseLimit()
+	con := http.NewResponseController(run.wri)
+	beg := true
+	for {
+		eve, err := readEvent(ans.Body, buf)
+		switch {
+		case errors.Is(err, io.EOF):
+			run.begin(ans)
+			return Whole{}
+		case err != nil:
+			return run.failed(ctx, lea, err)
+		}
+		buf = eve.raw
+		sil.Reset(lim)
+		if beg {
+			beg = false
+			lea.Began()
+			run.log.Info().Str("Endpoint", lea.Endpoint.ID).Dur("AfterMs", run.Clock().Sub(run.arrived)).Dur("ExpectedMs", lea.First).Msg("stream began")
+		}
+		if !follows(eve.id, run.last) {
+			continue
+		}
+		run.begin(ans)
+		if _, err := run.wri.Write(eve.raw); err != nil {
+			return CallerGone{}
+		}
+		if err := con.Flush(); err != nil {
+			return CallerGone{}
+		}
+		run.state.Events++
+		if eve.id != "" {
+			run.last = eve.id
+		}
+	}
+}
+
+// begin sends the head of a stream once, with the headers of its first endpoint.
+func (run *run) begin(ans *exchanger.Answer) {
+	if run.state.Events > 0 {
+		return
+	}
+	run.copyHeader(ans.Header)
+	run.wri.WriteHeader(ans.Status)
+}
--- a/version/differ/differ.go
+++ b/version/differ/differ.go
@@ -3,6 +3,7 @@
 package differ
 
 import (
+	"cmp"
 	"encoding/json"
 	"reflect"
 
@@ -25,6 +26,8 @@
 	Routes       Section[parser.Route]
 	Pools        Section[parser.Pool]
 	Teams        Section[parser.Team]
+	// Caller is nil where the limits have not changed.
+	Caller *parser.Limits `json:",omitempty"`
 }
 
 // Section holds the changes of one table.
@@ -45,6 +48,9 @@
 		Pools:  diff(bas.Pools, nex.Pools, poolName),
 		Teams:  diff(bas.Teams, nex.Teams, teamName),
 	}
+	if bas.Caller != nex.Caller {
+		del.Caller = &nex.Caller
+	}
 	for _, edi := range nex.Recent {
 		if edi.Revision > bas.Revision {
 			del.Edits = append(del.Edits, edi)
@@ -86,6 +92,7 @@
 		Routes: apply(bas.Routes, del.Routes, routeName),
 		Pools:  apply(bas.Pools, del.Pools, poolName),
 		Teams:  apply(bas.Teams, del.Teams, teamName),
+		Caller: *cmp.Or(del.Caller, &bas.Caller),
 	}, nil
 }
 
@@ -132,6 +139,7 @@
 		Routes: then(del.Routes, nex.Routes, routeName),
 		Pools:  then(del.Pools, nex.Pools, poolName),
 		Teams:  then(del.Teams, nex.Teams, teamName),
+		Caller: cmp.Or(nex.Caller, del.Caller),
 	}
 }
 
--- a/version/matcher/matcher.go
+++ b/version/matcher/matcher.go
@@ -13,18 +13,21 @@
 	routes map[group][]*parser.Route
 }
 
-// group holds the routes of one kind that name a model and a team, or neither.
+// group holds the routes of one kind that name a model, a team and a host, or
+// none of them.
 type group struct {
-	kind        parser.PoolKind
-	model, team string
+	kind              parser.PoolKind
+	model, team, host string
 }
 
 // Query describes a request to match. Model is empty for calls to services.
 type Query struct {
 	// Kind is the kind of pool that can serve the request.
-	Kind         parser.PoolKind
-	Model        string
-	Team         string
+	Kind  parser.PoolKind
+	Model string
+	Team  string
+	// Host is that of a forwarded call.
+	Host         string
 	Path         string
 	PromptTokens int64
 }
@@ -47,12 +50,21 @@
 	}
 	for ind := range tab.Routes {
 		rou := &tab.Routes[ind]
-		gro := group{mat.pools[rou.Pool].Kind, rou.Match.Model, rou.Match.Team}
+		gro := group{mat.kindOf(rou), rou.Match.Model, rou.Match.Team, rou.Match.Host}
 		mat.routes[gro] = append(mat.routes[gro], rou)
 	}
 	return mat
 }
 
+// kindOf returns the kind of a route's pools.
+func (mat *Matcher) kindOf(rou *parser.Route) parser.PoolKind {
+	nam := rou.Pool
+	if nam == "" && len(rou.Split) > 0 {
+		nam = rou.Split[0].Pool
+	}
+	return mat.pools[nam].Kind
+}
+
 // Tables returns the indexed tables.
 func (mat *Matcher) Tables() parser.Tables { return mat.tab }
 
@@ -74,10 +86,10 @@
 // Route finds the innermost route that takes the query, with its pool.
 func (mat *Matcher) Route(que Query) (parser.Route, parser.Pool, bool) {
 	gros := [...]group{
-		{que.Kind, que.Model, que.Team},
-		{que.Kind, que.Model, ""},
-		{que.Kind, "", que.Team},
-		{que.Kind, "", ""},
+		{que.Kind, que.Model, que.Team, ""},
+		{que.Kind, que.Model, "", ""},
+		{que.Kind, "", que.Team, ""},
+		{que.Kind, "", "", ""},
 	}
 	var bes *parser.Route
 	for ind, gro := range gros {
@@ -86,6 +98,9 @@
 		}
 		bes = innermost(bes, mat.routes[gro], que)
 	}
+	if que.Host != "" {
+		bes = innermost(bes, mat.routes[group{kind: que.Kind, host: que.Host}], que)
+	}
 	if bes == nil {
 		return parser.Route{}, parser.Pool{}, false
 	}
@@ -94,7 +109,7 @@
 
 func innermost(bes *parser.Route, rous []*parser.Route, que Query) *parser.Route {
 	for _, rou := range rous {
-		if !rou.Match.Takes(que.Model, que.Team, que.Path, que.PromptTokens) {
+		if !rou.Match.Takes(que.Model, que.Team, que.Host, que.Path, que.PromptTokens) {
 			continue
 		}
 		if bes == nil || bes.Match.Contains(rou.Match) {
--- a/version/parser/overlap.go
+++ b/version/parser/overlap.go
@@ -9,6 +9,7 @@
 func (mat Match) Contains(oth Match) bool {
 	return containsText(mat.Model, oth.Model) &&
 		containsText(mat.Team, oth.Team) &&
+		containsText(mat.Host, oth.Host) &&
 		containsPath(mat.PathPrefix, oth.PathPrefix) &&
 		mat.MinPromptTokens <= oth.MinPromptTokens &&
 		mat.upper() >= oth.upper()
@@ -18,6 +19,7 @@
 func (mat Match) Overlaps(oth Match) bool {
 	return (containsText(mat.Model, oth.Model) || containsText(oth.Model, mat.Model)) &&
 		(containsText(mat.Team, oth.Team) || containsText(oth.Team, mat.Team)) &&
+		(containsText(mat.Host, oth.Host) || containsText(oth.Host, mat.Host)) &&
 		(containsPath(mat.PathPrefix, oth.PathPrefix) || containsPath(oth.PathPrefix, mat.PathPrefix)) &&
 		mat.MinPromptTokens <= oth.upper() &&
 		oth.MinPromptTokens <= mat.upper()
@@ -54,9 +56,10 @@
 }
 
 // Takes reports whether the match takes a request.
-func (mat Match) Takes(model, team, path string, promptTokens int64) bool {
+func (mat Match) Takes(model, team, host, path string, promptTokens int64) bool {
 	return containsText(mat.Model, model) &&
 		containsText(mat.Team, team) &&
+		containsText(mat.Host, host) &&
 		containsPath(mat.PathPrefix, path) &&
 		mat.MinPromptTokens <= promptTokens &&
 		promptTokens <= mat.upper()
--- a/version/parser/pool.go
+++ b/version/parser/pool.go
@@ -39,6 +39,44 @@
 	// caller's region can't serve in time; AnyRegion stands for all, and none
 	// for no overflow.
 	Overflow []string `json:",omitempty"`
+	// HealthPath answers whether an endpoint is healthy.
+	HealthPath string `json:",omitempty"`
+	// MaxConnections bounds the connections of one endpoint from all callers;
+	// 0 stands for no bound.
+	MaxConnections int `json:",omitempty"`
+	// Batching describes the engines of a pool whose prompts are forwarded; nil
+	// for plain services.
+	Batching *Batching `json:",omitempty"`
+}
+
+// Batching says how fast an engine works that reads prompts in pieces between
+// the steps of the answers that it writes.
+type Batching struct {
+	// Slots is the number of requests that are read or written at once.
+	Slots int
+	// MemoryTokens is the memory of an engine for prompts and answers.
+	MemoryTokens int64
+	// StepMs is the time of a step that writes a token of every answer;
+	// SequenceMs is added for each answer and ContextMs for each thousand
+	// tokens of their contexts.
+	StepMs     float64
+	SequenceMs float64
+	ContextMs  float64
+	// Stride is the number of steps of a pass, after which an event is sent.
+	Stride int
+	// ReadRate is the number of prompt tokens read in a second, and PairsMs the
+	// further time for a million pairs of a token and an earlier one.
+	ReadRate float64
+	PairsMs  float64
+	// ChunkTokens is the most prompt tokens that one step reads.
+	ChunkTokens int64
+	// HopMs is added to each step of an answer whose prompt lies on several engines.
+	HopMs float64
+	// ReportLagMs is the age of what an engine reports of itself.
+	ReportLagMs float64
+	// UsualPrompt and UsualAnswer are mean token counts.
+	UsualPrompt int64
+	UsualAnswer int64
 }
 
 // AnyRegion stands for all regions in Overflow.
--- a/version/parser/route.go
+++ b/version/parser/route.go
@@ -20,6 +20,8 @@
 	// Model matches the model of a prompt.
 	Model string `json:",omitempty"`
 	Team  string `json:",omitempty"`
+	// Host matches the host that a forwarded call names.
+	Host string `json:",omitempty"`
 	// PathPrefix matches the path of a call, in whole segments.
 	PathPrefix string `json:",omitempty"`
 	// MinPromptTokens and MaxPromptTokens bound the prompt, both inclusive.
@@ -39,8 +41,57 @@
 	Priority int `json:",omitempty"`
 	// Repeatable marks calls that may run more than once.
 	Repeatable bool `json:",omitempty"`
+
+	// The fields below hold for calls that are forwarded unchanged.
+
+	// Split divides the route's calls over several pools; Pool is then empty.
+	Split []Share `json:",omitempty"`
+	// Stream marks calls whose answers are streams of events; Resumable ones may
+	// go on at another endpoint after an event.
+	Stream    bool `json:",omitempty"`
+	Resumable bool `json:",omitempty"`
+	// Public calls need no key.
+	Public bool `json:",omitempty"`
+	// MaxAttempts bounds the endpoints to which one call may be sent; 0 stands
+	// for 1.
+	MaxAttempts int `json:",omitempty"`
+	// FirstTarget is the latency objective: of the answer, or of the first event
+	// of a stream. PauseTarget is that of the pauses between events.
+	FirstTarget Duration `json:",omitempty"`
+	PauseTarget Duration `json:",omitempty"`
+}
+
+// Share is the part of a route's calls that a pool gets.
+type Share struct {
+	Pool   string
+	Weight int
+}
+
+// PoolFor returns the pool of one call. draw is a uniform hash of the call, so
+// that a call that is sent again stays with its pool.
+func (rou Route) PoolFor(draw uint64) string {
+	sum := 0
+	for _, sha := range rou.Split {
+		sum += max(0, sha.Weight)
+	}
+	if sum == 0 {
+		return rou.Pool
+	}
+	at := int(draw % uint64(sum))
+	for _, sha := range rou.Split {
+		if at -= max(0, sha.Weight); at < 0 {
+			return sha.Pool
+		}
+	}
+	return rou.Pool
 }
 
+// Attempts returns the number of endpoints to which one call may be sent.
+func (rou Route) Attempts() int { return max(1, rou.MaxAttempts) }
+
+// Reruns reports whether a call of the route may run more than once.
+func (rou Route) Reruns() bool { return rou.Repeatable || rou.Stream && rou.Resumable }
+
 // Defaults fills in the fields left empty.
 func (rou Route) Defaults() Route {
 	if rou.TimeLimit == 0 {
@@ -55,9 +106,10 @@
 	if !validName(rou.Name) {
 		fas = append(fas, fmt.Sprintf("route %q: Name must be 1 to 63 of a-z, 0-9 and -", rou.Name))
 	}
-	if rou.Pool == "" {
+	if rou.Pool == "" && len(rou.Split) == 0 {
 		fas = append(fas, fmt.Sprintf("route %q: Pool is missing", rou.Name))
 	}
+	fas = append(fas, rou.validateForwarding()...)
 	lim := time.Duration(rou.TimeLimit)
 	if lim < MinTimeLimit || lim > MaxTimeLimit {
 		fas = append(fas, fmt.Sprintf("route %q: TimeLimit %s is outside %s to %s", rou.Name, lim, MinTimeLimit, MaxTimeLimit))
@@ -65,6 +117,22 @@
 	return append(fas, rou.Match.validate(rou.Name)...)
 }
 
+func (rou Route) validateForwarding() []string {
+	var fas []string
+	for _, sha := range rou.Split {
+		if sha.Weight < 0 || sha.Pool == "" {
+			fas = append(fas, fmt.Sprintf("route %q: a share of Split needs a Pool and a Weight of 0 or more", rou.Name))
+		}
+	}
+	if rou.MaxAttempts < 0 || rou.FirstTarget < 0 || rou.PauseTarget < 0 {
+		fas = append(fas, fmt.Sprintf("route %q: MaxAttempts and targets must not be negative", rou.Name))
+	}
+	if rou.Resumable && !rou.Stream {
+		fas = append(fas, fmt.Sprintf("route %q: Resumable is for streams", rou.Name))
+	}
+	return fas
+}
+
 func (mat Match) validate(name string) []string {
 	var fas []string
 	if mat.PathPrefix != "" && !strings.HasPrefix(mat.PathPrefix, "/") {
--- a/version/parser/tables.go
+++ b/version/parser/tables.go
@@ -51,6 +51,17 @@
 	Routes []Route
 	Pools  []Pool
 	Teams  []Team
+	// Caller bounds what callers of forwarded calls may send.
+	Caller Limits `json:",omitzero"`
+}
+
+// Limits bound what a caller may send, and how long it may take; 0 stands for
+// no bound of the tables.
+type Limits struct {
+	MaxHeaderBytes int      `json:",omitempty"`
+	MaxBodyBytes   int64    `json:",omitempty"`
+	HeaderTimeout  Duration `json:",omitempty"`
+	IdleTimeout    Duration `json:",omitempty"`
 }
 
 // Edit identifies an accepted change.
@@ -70,6 +81,19 @@
 
 // Parse decodes a document, fills in defaults and validates it.
 func Parse(doc []byte) (Tables, error) {
+	tab, err := Decode(doc)
+	if err != nil {
+		return tab, err
+	}
+	if err := tab.Validate(); err != nil {
+		return Tables{}, err
+	}
+	return tab, nil
+}
+
+// Decode decodes a document that was validated when it was accepted, and fills
+// in defaults.
+func Decode(doc []byte) (Tables, error) {
 	var tab Tables
 	if len(doc) > MaxDocumentBytes {
 		return tab, &FaultsError{[]string{fmt.Sprintf("document has %d bytes, the limit is %d", len(doc), MaxDocumentBytes)}}
@@ -82,11 +106,7 @@
 	if dec.More() {
 		return Tables{}, &FaultsError{[]string{fmt.Sprintf("byte %d: text after the document", dec.InputOffset())}}
 	}
-	tab = tab.Defaults()
-	if err := tab.Validate(); err != nil {
-		return Tables{}, err
-	}
-	return tab, nil
+	return tab.Defaults(), nil
 }
 
 // Encode formats the tables as a document.
@@ -97,7 +117,7 @@
 
 // Defaults fills in the fields left empty.
 func (tab Tables) Defaults() Tables {
-	out := Tables{Revision: tab.Revision, Nonce: tab.Nonce, Recent: tab.Recent}
+	out := Tables{Revision: tab.Revision, Nonce: tab.Nonce, Recent: tab.Recent, Caller: tab.Caller}
 	for _, rou := range tab.Routes {
 		out.Routes = append(out.Routes, rou.Defaults())
 	}
@@ -173,6 +193,11 @@
 		if rou.Pool != "" && !ok {
 			fas = append(fas, fmt.Sprintf("route %q: unknown pool %q", rou.Name, rou.Pool))
 		}
+		for _, sha := range rou.Split {
+			if _, ok := poos[sha.Pool]; !ok {
+				fas = append(fas, fmt.Sprintf("route %q: unknown pool %q", rou.Name, sha.Pool))
+			}
+		}
 		if kin == PoolService && rou.Match.forPrompts() {
 			fas = append(fas, fmt.Sprintf("route %q: Model and prompt bounds are for routes to engine pools", rou.Name))
 		}
--- a/version/parser/team.go
+++ b/version/parser/team.go
@@ -16,6 +16,9 @@
 	// TokensPerSecond bounds the team's prompt and answer tokens over the
 	// fleet; 0 stands for no bound.
 	TokensPerSecond float64 `json:",omitempty"`
+	// Priority takes the place of the routes' priority for the team's forwarded
+	// calls; nil leaves that in force.
+	Priority *int `json:",omitempty"`
 }
 
 // DigestKey returns the digest under which a bearer key is kept.
