Let a few hosts watch the store and the others ask them

Ruled out: that peers had the news and did not pass it on; all 20 hosts hung.

Change: three hosts of a region watch, with waits of 0.7 s; each other host asks one of them every 0.3 s and reads the store itself when nobody has confirmed its knowledge for 1.3 s. The time of confirmation keeps the monotonic clock.

--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -82,10 +82,14 @@
 // Server.Shutdown would close a connection without an answer whose request is
 // read after the shutdown began.
 func (lis *Listener) Drain(ser *http.Server) {
-	_ = lis.Close()
-	for lis.open.Load() > 0 {
-		// This also closes the idle connections.
+	for {
+		// This also closes the idle connections. It comes before the end of the
+		// listener, so that each later answer tells its caller to leave.
 		ser.SetKeepAlivesEnabled(false)
+		_ = lis.Close()
+		if lis.open.Load() == 0 {
+			return
+		}
 		time.Sleep(closePause)
 	}
 }
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -1,8 +1,9 @@
 // Package follower keeps the tables and the records of endpoints up to date with
 // the platform's store.
 //
-// Each host watches the store itself. What one host learns also goes to its
-// peers, so a host that the store turns away follows the others.
+// Some hosts have the duty to watch the store. What they learn goes to the others,
+// which read the store themselves only when nobody has confirmed lately that
+// their knowledge is still the newest.
 package follower
 
 import (
@@ -19,13 +20,16 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change. It bounds the time for
-	// which a connection that has gone silent is not noticed.
-	watchWait = 10 * time.Second
+	// watchWait is how long one watch waits for a change. A watch may go silent, on
+	// a connection that is lost or in a store that drops its history, and changes
+	// have to be in force within 2 s.
+	watchWait = 700 * time.Millisecond
 	// watchGrace is added to watchWait before a watch counts as lost.
-	watchGrace = 1500 * time.Millisecond
+	watchGrace = 400 * time.Millisecond
 	// readTimeout bounds a read without a wait.
-	readTimeout = 1500 * time.Millisecond
+	readTimeout = 1200 * time.Millisecond
+	// dutyInterval is how often a host without a duty looks whether it has one.
+	dutyInterval = 100 * time.Millisecond
 	// retryFirst and retryMax bound the pauses after failed calls. The store
 	// answers within milliseconds, and hosts have to be up to date within seconds
 	// of its return.
@@ -63,9 +67,12 @@
 // Follower follows a Source. All its fields are needed.
 type Follower struct {
 	Source Source
-	// TakeTables and TakeEndpoints are told each reading.
-	TakeTables    func(Tables, time.Time)
-	TakeEndpoints func(Endpoints, time.Time)
+	// Duty reports whether this host is to read the store.
+	Duty func(now time.Time) bool
+	// TakeTables and TakeEndpoints are told each reading. At the time given the
+	// store held nothing newer.
+	TakeTables    func(rea Tables, at time.Time)
+	TakeEndpoints func(rea Endpoints, at time.Time)
 	// Away and Back are told when the store stops and starts to answer.
 	Away func()
 	Back func(now time.Time)
@@ -87,20 +94,22 @@
 type reader func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
 
 func (fol *Follower) readTables(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+	beg := time.Now()
 	tab, err := fol.Source.Tables(ctx, after, wait)
 	if err != nil {
 		return after, err
 	}
-	fol.TakeTables(tab, time.Now())
+	fol.TakeTables(tab, beg)
 	return tab.Revision, nil
 }
 
 func (fol *Follower) readEndpoints(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+	beg := time.Now()
 	ends, err := fol.Source.Endpoints(ctx, after, wait)
 	if err != nil {
 		return after, err
 	}
-	fol.TakeEndpoints(ends, time.Now())
+	fol.TakeEndpoints(ends, beg)
 	return ends.Revision, nil
 }
 
@@ -110,6 +119,12 @@
 	bac.Reset()
 	var rev uint64
 	for ctx.Err() == nil {
+		if !fol.Duty(time.Now()) {
+			// What changes meanwhile comes from peers; the next read is a whole one.
+			rev = 0
+			fol.rest(ctx, what)
+			continue
+		}
 		nex, err := fol.once(ctx, rev, read)
 		switch {
 		case err == nil:
@@ -132,6 +147,16 @@
 	}
 }
 
+// rest waits without reading. A host without a duty does not know whether the
+// store answers it.
+func (fol *Follower) rest(ctx context.Context, what string) {
+	fol.answered(what, 0, time.Now())
+	select {
+	case <-time.After(dutyInterval):
+	case <-ctx.Done():
+	}
+}
+
 // once reads with a bound on the time. After a failure it does not wait for
 // changes, so that a store that is back is noticed at once.
 func (fol *Follower) once(ctx context.Context, rev uint64, read reader) (uint64, error) {
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -97,7 +97,7 @@
 	fwd.multiplexer = &multiplexer.Multiplexer{Handler: fwd.handlePeer}
 	fwd.joinPeers()
 	fwd.follower = &follower.Follower{
-		Source: pla.Source, TakeTables: fwd.takeTables, TakeEndpoints: fwd.takeEndpoints, Away: fwd.away, Back: fwd.back, Log: log,
+		Source: pla.Source, Duty: fwd.duty, TakeTables: fwd.takeTables, TakeEndpoints: fwd.takeEndpoints, Away: fwd.away, Back: fwd.back, Log: log,
 	}
 	fwd.runner = &planner.Runner{
 		Loader: pla.Engines, Engines: fwd.engines, Pool: fwd.pool, Interval: set.LoadInterval, Clock: time.Now, Log: log, Scope: fwd.scope,
@@ -151,6 +151,7 @@
 	gro.Go(func() { fwd.gossiper.Run(work, fwd.Settings.Heartbeat) })
 	gro.Go(func() { fwd.runner.Run(work) })
 	gro.Go(func() { fwd.watchHosts(work) })
+	gro.Go(func() { fwd.askWatchers(work) })
 	cal := fwd.callerServer()
 	lis := &acceptor.Listener{Listener: liss.caller, Max: int64(fwd.Settings.MaxConns), Refused: fwd.scope.Counter("connections_refused")}
 	sers := []*http.Server{{Handler: fwd.readyRoutes(), ReadHeaderTimeout: headerTimeout}, {Handler: fwd.operatorRoutes(), ReadHeaderTimeout: headerTimeout}}
@@ -219,7 +220,7 @@
 	case *messenger.Envelope_EndpointsPush:
 		return fwd.receiveEndpoints(bod.EndpointsPush, now)
 	case *messenger.Envelope_EndpointsPull:
-		return fwd.offerEndpoints()
+		return fwd.offerEndpoints(bod.EndpointsPull)
 	default:
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
--- a/process/forwarder/knowledge.go
+++ b/process/forwarder/knowledge.go
@@ -29,9 +29,9 @@
 		Multiplexer: fwd.multiplexer, Publisher: fwd.publisher, Entries: func() []persister.Entry { return nil },
 		Seeds: set.SeedPeers, Scope: fwd.scope, Log: fwd.Log,
 		Cargo: gossiper.Cargo{
-			EndpointsRevision: func() uint64 {
+			Endpoints: func(now time.Time) (uint64, time.Duration) {
 				rev, _ := fwd.registry.Revision()
-				return rev
+				return rev, fwd.registry.Age(now)
 			},
 			SeeEndpoints: fwd.seeEndpoints,
 		},
@@ -51,9 +51,10 @@
 	fun(ctx)
 }
 
-// takeTables takes a reading of the store.
-func (fwd *Forwarder) takeTables(rea follower.Tables, now time.Time) {
+// takeTables takes a reading of the store that was true at a time.
+func (fwd *Forwarder) takeTables(rea follower.Tables, at time.Time) {
 	if !rea.Found {
+		fwd.publisher.ConfirmAt(fwd.publisher.Current().Revision(), at)
 		return
 	}
 	ok, err := fwd.publisher.Accept(rea.Tables)
@@ -63,17 +64,18 @@
 	case ok:
 		fwd.publisher.OnAccept(true)
 	}
-	fwd.publisher.ConfirmAt(rea.Tables.Revision, now)
+	fwd.publisher.ConfirmAt(rea.Tables.Revision, at)
 }
 
-// takeEndpoints takes a reading of the store.
-func (fwd *Forwarder) takeEndpoints(rea follower.Endpoints, now time.Time) {
+// takeEndpoints takes a reading of the store that was true at a time.
+func (fwd *Forwarder) takeEndpoints(rea follower.Endpoints, at time.Time) {
 	var news []registrar.Endpoint
 	if rea.Whole {
-		news = fwd.registry.Replace(rea.Endpoints, rea.Revision, now)
+		news = fwd.registry.Replace(rea.Endpoints, rea.Revision, time.Now())
 	} else {
-		news = fwd.registry.Merge(rea.Endpoints, rea.Revision, now)
+		news = fwd.registry.Merge(rea.Endpoints, rea.Revision, time.Now())
 	}
+	fwd.registry.Confirm(rea.Revision, at)
 	fwd.learned(news, "store")
 }
 
@@ -100,21 +102,19 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
 }
 
-// offerEndpoints answers with all records.
-func (fwd *Forwarder) offerEndpoints() *messenger.Envelope {
-	rev, known := fwd.registry.Revision()
-	pus := registrar.Message(fwd.registry.All(), rev)
-	if !known {
-		pus.Revision = 0
-	}
-	return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: pus}}
+// offerEndpoints answers with what a peer lacks.
+func (fwd *Forwarder) offerEndpoints(pul *messenger.EndpointsPull) *messenger.Envelope {
+	ends, rev := fwd.registry.After(pul.GetHaveRevision())
+	return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: registrar.Message(ends, rev)}}
 }
 
-// seeEndpoints pulls the records of a peer that knows more than this host, where
-// the store does not answer.
-func (fwd *Forwarder) seeEndpoints(address string, revision uint64) {
-	rev, known := fwd.registry.Revision()
-	if revision <= rev || known && !fwd.storeAway.Load() || !fwd.pulling.CompareAndSwap(false, true) {
+// seeEndpoints pulls the records of a peer that knows more than this host.
+func (fwd *Forwarder) seeEndpoints(address string, revision uint64, at time.Time) {
+	rev, _ := fwd.registry.Revision()
+	if revision == rev {
+		fwd.registry.Confirm(revision, at)
+	}
+	if revision <= rev || !fwd.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -124,7 +124,8 @@
 }
 
 func (fwd *Forwarder) pullEndpoints(ctx context.Context, address string) {
-	rep, err := fwd.multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_EndpointsPull{EndpointsPull: &messenger.EndpointsPull{}}})
+	have, _ := fwd.registry.Revision()
+	rep, err := fwd.multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_EndpointsPull{EndpointsPull: &messenger.EndpointsPull{HaveRevision: have}}})
 	if err != nil {
 		fwd.Log.Warn().Str("Peer", address).Err(err).Msg("records of endpoints not pulled")
 		return
@@ -133,8 +134,7 @@
 	if pus.GetRevision() == 0 {
 		return
 	}
-	news := fwd.registry.Replace(registrar.FromMessage(pus), pus.GetRevision(), time.Now())
-	fwd.learned(news, "peer")
+	fwd.learned(fwd.registry.Learn(registrar.FromMessage(pus), pus.GetRevision(), time.Now()), "peer")
 }
 
 // away and back follow whether the store answers this host.
--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -95,7 +95,7 @@
 func (fwd *Forwarder) status(wri http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	tab, age := fwd.publisher.Freshness(now)
-	rev, _ := fwd.registry.Revision()
+	ends, rev := fwd.registry.After(0)
 	out := struct {
 		Host              string
 		Incarnation       uint64
@@ -109,7 +109,7 @@
 		Endpoints         []registrar.Endpoint
 	}{
 		fwd.Settings.HostID, fwd.Incarnation, fwd.unready(), fwd.inFlight.Load(), !fwd.storeAway.Load(), tab, age.Milliseconds(),
-		rev, fwd.gossiper.Peers(), fwd.registry.All(),
+		rev, fwd.gossiper.Peers(), ends,
 	}
 	wri.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(wri).Encode(out); err != nil {
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -13,10 +13,11 @@
 	now := time.Now()
 	upds, self, reg := gos.updates(target)
 	rev, age := gos.Publisher.Freshness(now)
+	end, endAge := gos.endpoints(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now), Retries: gos.retries(now),
-		EndpointsRevision: gos.endpointsRevision(),
+		EndpointsRevision: end, EndpointsAgeMs: endAge.Milliseconds(),
 	}}}
 }
 
@@ -24,10 +25,11 @@
 	now := time.Now()
 	upds, self, reg := gos.updates(target)
 	rev, age := gos.Publisher.Freshness(now)
+	end, endAge := gos.endpoints(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(reg, now), Retries: gos.retries(now),
-		EndpointsRevision: gos.endpointsRevision(),
+		EndpointsRevision: end, EndpointsAgeMs: endAge.Milliseconds(),
 	}}}
 }
 
@@ -70,16 +72,16 @@
 	}
 }
 
-func (gos *Gossiper) endpointsRevision() uint64 {
-	if gos.Cargo.EndpointsRevision == nil {
-		return 0
+func (gos *Gossiper) endpoints(now time.Time) (revision uint64, age time.Duration) {
+	if gos.Cargo.Endpoints == nil {
+		return 0, 0
 	}
-	return gos.Cargo.EndpointsRevision()
+	return gos.Cargo.Endpoints(now)
 }
 
-func (gos *Gossiper) seeEndpoints(address string, revision uint64) {
-	if gos.Cargo.SeeEndpoints != nil && address != "" {
-		gos.Cargo.SeeEndpoints(address, revision)
+func (gos *Gossiper) seeEndpoints(address string, revision uint64, ageMs int64, now time.Time) {
+	if gos.Cargo.SeeEndpoints != nil && address != "" && revision > 0 {
+		gos.Cargo.SeeEndpoints(address, revision, now.Add(-time.Duration(ageMs)*time.Millisecond))
 	}
 }
 
@@ -114,7 +116,7 @@
 	gos.takeCargo(ctx, pin.GetNotices(), now)
 	gos.takeCells(pin.GetCells(), now)
 	gos.takeRetries(pin.GetFrom().GetId(), pin.GetRetries(), now)
-	gos.seeEndpoints(gos.address(fro), pin.GetEndpointsRevision())
+	gos.seeEndpoints(gos.address(fro), pin.GetEndpointsRevision(), pin.GetEndpointsAgeMs(), now)
 	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), now.Add(-time.Duration(pin.GetTablesAgeMs())*time.Millisecond))
 	if gos.wantsList(pin.GetList(), now) {
 		go gos.pullList(context.WithoutCancel(ctx), gos.address(fro))
@@ -161,7 +163,7 @@
 	gos.takeCargo(ctx, pon.GetNotices(), now)
 	gos.takeCells(pon.GetCells(), now)
 	gos.takeRetries(pon.GetFrom().GetId(), pon.GetRetries(), now)
-	gos.seeEndpoints(reached, pon.GetEndpointsRevision())
+	gos.seeEndpoints(reached, pon.GetEndpointsRevision(), pon.GetEndpointsAgeMs(), now)
 	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), now.Add(-time.Duration(pon.GetTablesAgeMs())*time.Millisecond))
 	if reached != "" && gos.wantsList(pon.GetList(), now) {
 		gos.pullList(ctx, reached)
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -43,10 +43,10 @@
 	// Retries returns what this host's retry budget has left.
 	Retries     func(now time.Time) *messenger.RetryBudget
 	TakeRetries func(host string, ret *messenger.RetryBudget, now time.Time)
-	// EndpointsRevision returns that of the host's records of endpoints, and
-	// SeeEndpoints is told that of a peer with its address.
-	EndpointsRevision func() uint64
-	SeeEndpoints      func(address string, revision uint64)
+	// Endpoints returns the revision of the host's records of endpoints, and how
+	// long ago the store confirmed it. SeeEndpoints is told that of a peer.
+	Endpoints    func(now time.Time) (revision uint64, age time.Duration)
+	SeeEndpoints func(address string, revision uint64, at time.Time)
 }
 
 // Gossiper carries out the decisions of a Roster.
@@ -163,6 +163,9 @@
 	gos.step(ctx, Missed{per.ID}, time.Now())
 }
 
+// Ask probes a peer outside the random order, for what it knows.
+func (gos *Gossiper) Ask(ctx context.Context, per Peer) { gos.probe(ctx, per) }
+
 func (gos *Gossiper) probeVia(ctx context.Context, act ProbeVia) {
 	pin := gos.ping(act.Peer.ID).GetPing()
 	pons := make(chan *messenger.Pong, len(act.Vias))
--- a/process/publisher/publisher.go
+++ b/process/publisher/publisher.go
@@ -48,7 +48,9 @@
 	OnAccept func(fromStore bool)
 
 	current   atomic.Pointer[version]
-	confirmed atomic.Int64
+	// confirmed keeps the monotonic clock's reading, so that a step of the wall
+	// clock makes no tables look fresh or old.
+	confirmed atomic.Pointer[time.Time]
 
 	mu   sync.Mutex
 	seen stored
@@ -80,7 +82,12 @@
 
 // Confirmed returns the last time at which the store, as far as this host knows
 // directly or through peers, held no newer revision.
-func (pub *Publisher) Confirmed() time.Time { return time.UnixMilli(pub.confirmed.Load()) }
+func (pub *Publisher) Confirmed() time.Time {
+	if at := pub.confirmed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
 
 // Freshness returns the revision in force and how long ago it was confirmed.
 func (pub *Publisher) Freshness(now time.Time) (revision uint64, age time.Duration) {
@@ -91,7 +98,7 @@
 func (pub *Publisher) Confirm(now time.Time) {
 	for {
 		old := pub.confirmed.Load()
-		if now.UnixMilli() <= old || pub.confirmed.CompareAndSwap(old, now.UnixMilli()) {
+		if old != nil && !now.After(*old) || pub.confirmed.CompareAndSwap(old, &now) {
 			return
 		}
 	}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -70,7 +70,8 @@
 	known    bool
 	away     bool
 	back     time.Time
-	version  uint64
+	// confirmed is when the store last held nothing newer.
+	confirmed time.Time
 }
 
 // Revision returns the store's revision up to which all records are known, and
@@ -81,11 +82,21 @@
 	return reg.revision, reg.known
 }
 
-// Version counts the changes of the records.
-func (reg *Registry) Version() uint64 {
+// Confirm notes that the store held nothing newer than a revision at a time.
+func (reg *Registry) Confirm(revision uint64, at time.Time) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	return reg.version
+	if revision >= reg.revision && at.After(reg.confirmed) {
+		reg.confirmed = at
+	}
+}
+
+// Age returns how long ago the store confirmed the records, as far as this host
+// knows directly or through peers.
+func (reg *Registry) Age(now time.Time) time.Duration {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	return max(0, now.Sub(reg.confirmed))
 }
 
 // Away notes that the store does not answer this host.
@@ -160,7 +171,6 @@
 	}
 	reg.revision = max(reg.revision, revision)
 	if len(news) > 0 {
-		reg.version++
 		reg.forget(now)
 	}
 	return news
@@ -232,13 +242,28 @@
 	return rec.Endpoint, true
 }
 
-// All returns every record, for peers.
-func (reg *Registry) All() []Endpoint {
+// After returns what a peer lacks that knows all records up to a revision, and
+// the revision up to which it then does; 0 if this host does not know them.
+func (reg *Registry) After(revision uint64) ([]Endpoint, uint64) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	out := make([]Endpoint, 0, len(reg.recs))
+	if !reg.known {
+		return nil, 0
+	}
+	var out []Endpoint
 	for _, rec := range reg.recs {
-		out = append(out, rec.Endpoint)
+		if rec.Revision > revision || rec.Gone {
+			out = append(out, rec.Endpoint)
+		}
 	}
-	return out
+	return out, reg.revision
+}
+
+// Learn takes all that a peer knows after the revision of this host's records.
+func (reg *Registry) Learn(ends []Endpoint, revision uint64, now time.Time) []Endpoint {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	news := reg.merge(ends, revision, now)
+	reg.known = reg.known || revision > 0
+	return news
 }
