Account for the passes of engines and weigh what a read costs others

The account took reads as a queue that drains at once; engines admit reads only when a pass begins, and each first event ends its pass. So an engine with a fresh pass looked free. Long prompts were late because engines with any short answer were closed to them (one engine of 14 for 161,128 tokens).

Ruled out: processor time of the planning host (0.017 cores at most) and lost notices.

Change: the account follows passes and corrects itself by first events. A choice is weighed by the expected loss of all requests, with a weight that grows with the prompt; a prompt waits for a harmless choice as long as it has time. A late prompt of great work leaves engines to others while these are busy.

--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -2,34 +2,47 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// longRead is the time of a read on one engine from which a prompt counts as
-	// long and may be divided.
+	// longRead is the time of a read on one engine, in ms, from which a prompt
+	// counts as long and may be divided.
 	longRead = 90
-	// leastPart is the least time of a part; smaller ones gain nothing.
+	// leastPart is the least time of a part in ms; smaller ones gain nothing.
 	leastPart = 40
 	// maxParts is the number of engines that may read one prompt: the first one
 	// and 16 helpers.
 	maxParts = 17
-	// pauseShare is the share of the shortest objective of pauses that a pass of
-	// an engine may take.
-	pauseShare = 0.8
-	// aheadTime is the backlog up to which a long prompt joins an engine although
-	// it could still wait for others to go first.
-	aheadTime = 250
-	// lateAhead is the same for prompts that miss their objective anyway.
+	// acceptLoss is the share of its weight that a request may be expected to
+	// lose and still start, when it could also wait.
+	acceptLoss = 0.06
+	// waitShare is the share of its objective that a request must have left to wait
+	// for a choice that loses nothing.
+	waitShare = 0.5
+	// waitMargin is the time in ms beyond that on idle engines that a late choice
+	// must have left to wait for a better one.
+	waitMargin = 40
+	// lastChance is the time in ms before a caller gives up at which a late prompt
+	// is read although others could use the engines.
+	lastChance = 500
+	// opportunityRate is the weight that is lost for each second of an engine that
+	// is not free for a prompt which could still meet its objective.
+	opportunityRate = 2.0
+	// lateAhead is the backlog in ms up to which an engine gets a prompt that
+	// misses its objective anyway.
 	lateAhead = 80
-	// urgentSlack is the slack below which a prompt does not wait any longer.
-	urgentSlack = 300
-	// openCost is the cost of giving a short prompt an engine that long prompts
-	// could use as a whole, when these take up half of the engines.
-	openCost = 80
-	// network is the time that a request spends between hosts.
+	// openCost weighs an engine that long prompts could use as a whole, when
+	// these take up half of the engines, against the loss of requests.
+	openCost = 0.4
+	// tieCost weighs the time to the first event, as a share of the objective.
+	tieCost = 0.1
+	// harmTime is the time in ms for which an engine is chosen that is later to
+	// begin but loses a unit of weight less.
+	harmTime = 200
+	// network is the time in ms that a request and its first event spend between
+	// hosts.
 	network = 8
 
 	// Callers give a stream up after the longest of these; see the platform's
@@ -57,15 +70,18 @@
 func (one *ask) long() bool { return one.read >= longRead }
 
 // slack is the time until the first event is due.
-func (one *ask) slack(now time.Time) ms { return msOf(one.prompt.Target.Sub(now)) - network }
+func (one *ask) slack(now time.Time) ms { return msOf(one.prompt.Target.Sub(now)) }
 
 // choice is a way to serve an ask.
 type choice struct {
 	lead  *engine
 	parts []*engine
-	// first is the expected time to the first event, cost what it is compared by.
+	// first is the expected time to the first event.
 	first ms
-	cost  ms
+	// loss is the expected loss of this and other requests, in weights; cost adds
+	// what tells equal choices apart.
+	loss float64
+	cost float64
 	// ahead is the longest backlog of its engines.
 	ahead ms
 	// reserve is the memory to reserve on each engine; nil if the first one holds
@@ -93,38 +109,56 @@
 	pla.waiting = left
 }
 
-// sort orders the asks: by priority, those that can still meet their objective
-// first, and by the time until they must start.
+// best is the least time to the first event of an ask, on idle engines.
+func (pla *Plan) best(one *ask) ms {
+	num := max(1, min(maxParts, len(pla.order), int(one.read/leastPart)))
+	return one.read/ms(num) + pla.fig.pass(1, one.prompt.Tokens) + network
+}
+
+// sort orders the asks: those that can still meet their objective first, by
+// priority, and by the time at which they must start.
 func (pla *Plan) sort(now time.Time) {
-	cou := max(1, min(maxParts, len(pla.order)))
-	key := func(one *ask) (bool, time.Time) {
-		lat := one.prompt.Target.Add(-(one.read / ms(cou)).duration())
-		return lat.Before(now), lat
+	for _, one := range pla.waiting {
+		one.latest = one.prompt.Target.Add(-pla.best(one).duration())
 	}
 	slices.SortStableFunc(pla.waiting, func(one, two *ask) int {
-		late1, at1 := key(one)
-		late2, at2 := key(two)
-		if late1 != late2 {
-			if late2 {
-				return -1
+		if lat := one.latest.Before(now); lat != two.latest.Before(now) {
+			if lat {
+				return 1
 			}
-			return 1
+			return -1
 		}
-		return cmp.Or(cmp.Compare(two.prompt.Priority, one.prompt.Priority), at1.Compare(at2))
+		return cmp.Or(cmp.Compare(two.prompt.Priority, one.prompt.Priority), one.latest.Compare(two.latest))
 	})
 }
 
-// starts reports whether an ask takes a choice now rather than wait.
+// starts reports whether an ask takes a choice now rather than wait. What may be
+// lost by it grows as the time runs out in which the ask could wait.
 func (pla *Plan) starts(one *ask, cho choice, now time.Time) bool {
-	sla := one.slack(now)
-	switch {
-	case !one.long():
-		return cho.first <= max(sla, msOf(one.patience.Sub(now)))
-	case cho.first > sla:
-		return cho.ahead <= lateAhead
-	default:
-		return cho.ahead <= aheadTime || sla-cho.first < urgentSlack
+	wei := pla.weight(one)
+	own := pla.late(one, cho.first, now)
+	room := earlyShare*one.slack(now) - cho.first
+	if own < lateLoss*wei {
+		urg := 1 - float64(room)/(waitShare*float64(max(1, msOf(one.prompt.Objective))))
+		return cho.loss <= wei*(acceptLoss+(lateLoss-acceptLoss)*min(1, max(0, urg)))
 	}
+	if one.slack(now)-pla.best(one) > waitMargin {
+		// Engines that become idle in time could still meet the objective.
+		return false
+	}
+	left := (1 - lateLoss) * wei
+	if msOf(one.patience.Sub(now))-cho.first > lastChance {
+		left -= pla.opportunity(one, now)
+	}
+	return cho.ahead <= lateAhead && cho.loss-own < left
+}
+
+// opportunity is the expected loss of the requests that will come while engines
+// read a late prompt. It grows with the share of the engines that long prompts
+// take up.
+func (pla *Plan) opportunity(one *ask, now time.Time) float64 {
+	loa := min(1, pla.longDemand(now)/float64(max(1, len(pla.order))))
+	return opportunityRate * loa * loa * float64(one.read) / 1000
 }
 
 // choose finds the best way to serve an ask now.
@@ -139,27 +173,15 @@
 func (pla *Plan) chooseOne(one *ask, now time.Time) (choice, bool) {
 	var bes choice
 	found := false
-	ope := ms(openCost * min(1, 2*pla.longDemand(now)/float64(max(1, len(pla.order)))))
+	ope := openCost * min(1, 2*pla.longDemand(now)/float64(max(1, len(pla.order))))
 	for _, eng := range pla.order {
 		if !eng.usable(one, now) || eng.free(pla.fig.MemoryTokens) < one.need || len(eng.grants)+eng.foreign >= pla.fig.Slots {
 			continue
 		}
-		ans, con := eng.writing()
-		bac := eng.backlog()
-		pas := pla.fig.pass(ans+1, con+one.prompt.Tokens) * ms(eng.pace)
-		rea := one.read * ms(eng.pace)
-		cho := choice{lead: eng, parts: []*engine{eng}, ahead: bac}
-		// The prompt waits for half of the pass in progress on average; its first
-		// event ends the pass after its read.
-		cho.first = pla.fig.pass(ans, con)*ms(eng.pace)/2 + bac + rea + pas + network
-		cho.cost = cho.first
-		lim := pauseShare * min(orElse(eng.tightest(), math.MaxFloat64), orElse(msOf(one.prompt.Pause), math.MaxFloat64))
-		if ove := pas + bac + rea - lim; ove > 0 {
-			cho.cost += 200 + ove
-		}
-		if sla := one.slack(now); cho.first > sla {
-			cho.cost += 200 + cho.first - sla
-		}
+		cho := choice{lead: eng, parts: []*engine{eng}, ahead: eng.backlog(now)}
+		cho.first = eng.residual(now) + eng.nextWriteTime(pla.fig, one.prompt.Tokens) + sum(eng.pending) + one.read*eng.pace + network
+		cho.loss = pla.late(one, cho.first, now) + pla.harm(eng, one.read, one.prompt.Tokens, now)
+		cho.cost = cho.loss + tieCost*float64(cho.first/max(1, msOf(one.prompt.Objective)))
 		if !eng.holdsTight(one.prompt.Pause) {
 			cho.cost += ope
 		}
@@ -170,51 +192,33 @@
 	return bes, found
 }
 
-// holdsTight reports whether the engine leads an answer whose pauses are bound as
-// tightly as those of a request.
-func (eng *engine) holdsTight(pause time.Duration) bool {
-	tig := eng.tightest()
-	return tig > 0 && tig <= msOf(pause)
-}
-
-func orElse(val, els ms) ms {
-	if val > 0 {
-		return val
-	}
-	return els
-}
-
 // candidate is an engine that could read a part of a prompt.
 type candidate struct {
-	eng     *engine
-	backlog ms
-	pass    ms
-	lim     ms
-	free    int64
+	eng *engine
+	// ready is the time until the engine could have read nothing more, harm what
+	// a part would cost the engine's other requests.
+	ready ms
+	harm  float64
+	free  int64
+	key   ms
 }
 
-// chooseMany divides a long prompt over engines so that its first event comes as
-// early as possible, without holding up answers for longer than they may pause.
+// chooseMany divides a long prompt over engines so that its first event comes
+// early and others lose little.
 func (pla *Plan) chooseMany(one *ask, now time.Time) (choice, bool) {
 	var cans []candidate
 	for _, eng := range pla.order {
 		if !eng.usable(one, now) || len(eng.grants)+eng.foreign >= pla.fig.Slots {
 			continue
 		}
-		ans, con := eng.writing()
-		cans = append(cans, candidate{
-			eng: eng, backlog: eng.backlog(), pass: pla.fig.pass(ans, con) * ms(eng.pace),
-			lim: pauseShare * orElse(eng.tightest(), math.MaxFloat64), free: eng.free(pla.fig.MemoryTokens),
-		})
+		rea := eng.residual(now) + eng.nextWriteTime(pla.fig, 0) + sum(eng.pending)
+		cans = append(cans, candidate{eng: eng, ready: rea, free: eng.free(pla.fig.MemoryTokens)})
 	}
-	slices.SortStableFunc(cans, func(a, b candidate) int {
-		return cmp.Compare(a.backlog+a.pass/2, b.backlog+b.pass/2)
-	})
 	var bes choice
 	found := false
 	most := min(maxParts, len(cans), max(1, int(one.read/leastPart)))
-	for num := most; num >= 1; num-- {
-		cho, ok := pla.divide(one, cans, num)
+	for num := most; num >= 1; num = min(num-1, num*4/5) {
+		cho, ok := pla.divide(one, cans, num, now)
 		if ok && (!found || cho.cost < bes.cost) {
 			bes, found = cho, true
 		}
@@ -223,26 +227,16 @@
 }
 
 // divide finds a number of engines for a prompt.
-func (pla *Plan) divide(one *ask, cans []candidate, num int) (choice, bool) {
-	var tak []candidate
-	for _, can := range cans {
-		par := one.read / ms(num) * ms(can.eng.pace)
-		if can.pass+can.backlog+par <= can.lim && len(tak) < num {
-			tak = append(tak, can)
-		}
-	}
-	if len(tak) < num {
-		return choice{}, false
-	}
-	lea := -1
-	for ind, can := range tak {
-		if can.free < one.need {
-			continue
-		}
-		if lea < 0 || len(can.eng.grants) < len(tak[lea].eng.grants) {
-			lea = ind
-		}
+func (pla *Plan) divide(one *ask, cans []candidate, num int, now time.Time) (choice, bool) {
+	rea := one.read / ms(num)
+	for ind := range cans {
+		can := &cans[ind]
+		can.harm = pla.harm(can.eng, rea, 0, now)
+		can.key = can.ready + rea*can.eng.pace + harmTime*ms(can.harm)
 	}
+	slices.SortStableFunc(cans, func(a, b candidate) int { return cmp.Compare(a.key, b.key) })
+	tak := slices.Clone(cans[:num])
+	lea := leader(tak, one.need)
 	cho := choice{}
 	if lea < 0 {
 		var ok bool
@@ -254,17 +248,32 @@
 	tak[0], tak[lea] = tak[lea], tak[0]
 	for _, can := range tak {
 		cho.parts = append(cho.parts, can.eng)
-		cho.ahead = max(cho.ahead, can.backlog)
-		fin := can.pass/2 + can.backlog + one.read/ms(num)*ms(can.eng.pace)
-		cho.first = max(cho.first, fin)
+		cho.ahead = max(cho.ahead, can.eng.backlog(now))
+		cho.first = max(cho.first, can.ready+rea*can.eng.pace)
+		cho.loss += can.harm
 	}
 	cho.lead = cho.parts[0]
-	ans, con := cho.lead.writing()
-	cho.first += pla.fig.pass(ans+1, con+one.prompt.Tokens)*ms(cho.lead.pace) + network
-	cho.cost = cho.first + ms(num)
+	cho.first += cho.lead.nextWriteTime(pla.fig, one.prompt.Tokens) + network
+	cho.loss += pla.late(one, cho.first, now)
+	cho.cost = cho.loss + tieCost*float64(cho.first/max(1, msOf(one.prompt.Objective)))
 	return cho, true
 }
 
+// leader returns the engine that holds the prompt: of those with the memory the
+// one that leads the fewest requests; -1 if there is none.
+func leader(cans []candidate, need int64) int {
+	lea := -1
+	for ind, can := range cans {
+		if can.free < need {
+			continue
+		}
+		if lea < 0 || len(can.eng.grants) < len(cans[lea].eng.grants) {
+			lea = ind
+		}
+	}
+	return lea
+}
+
 // spread divides the memory of a prompt that no engine holds alone. The first
 // engine gets what the others leave.
 func (pla *Plan) spread(one *ask, cans []candidate) ([]int64, bool) {
@@ -283,29 +292,37 @@
 }
 
 func (pla *Plan) grant(one *ask, cho choice, now time.Time) {
-	gra := &grant{ask: one, lead: cho.lead, since: now, need: one.need}
+	gra := &grant{ask: one, lead: cho.lead, since: now, need: one.need, expected: now.Add(cho.first.duration()), unread: len(cho.parts)}
+	cho.lead.grants[one.ID] = gra
 	for ind, eng := range cho.parts {
-		par := &part{gra: gra, eng: eng, left: one.read / ms(len(cho.parts)) * ms(eng.pace), since: now, expected: now.Add(cho.first.duration())}
+		par := &part{gra: gra, eng: eng, read: one.read / ms(len(cho.parts)) * eng.pace}
 		switch {
 		case cho.reserve != nil:
 			par.memory = cho.reserve[ind]
 		case ind == 0:
 			par.memory = one.need
 		}
-		eng.memory += par.memory
-		eng.reads = append(eng.reads, par)
+		pla.delay(eng, par.read)
+		eng.add(pla.fig, par, now)
+		eng.spoil(pla.fig)
 		gra.parts = append(gra.parts, par)
 	}
 	if cho.reserve != nil {
 		gra.need = gra.parts[0].memory
 	}
-	cho.lead.grants[one.ID] = gra
 	pla.grants[one.ID] = gra
 	pla.assign(gra, now)
 }
 
+// delay moves the expected first events of what waits beside a new read.
+func (pla *Plan) delay(eng *engine, read ms) {
+	for _, par := range eng.pending {
+		par.gra.expected = par.gra.expected.Add(read.duration())
+	}
+}
+
 func (pla *Plan) assign(gra *grant, now time.Time) {
-	act := Assign{ID: gra.ask.ID, Waited: gra.since.Sub(gra.ask.arrived)}
+	act := Assign{ID: gra.ask.ID, First: gra.expected.Sub(now), Waited: gra.since.Sub(gra.ask.arrived)}
 	whole := len(gra.parts) > 0 && gra.parts[0].memory >= gra.ask.need
 	for _, par := range gra.parts {
 		out := Part{Endpoint: par.eng.ID, Address: par.eng.Address}
@@ -313,7 +330,6 @@
 			out.Reserve = par.memory
 		}
 		act.Parts = append(act.Parts, out)
-		act.First = max(act.First, par.expected.Sub(now))
 	}
 	pla.acts = append(pla.acts, act)
 }
@@ -327,37 +343,38 @@
 		}
 	}
 	lef := msOf(min(one.patience.Sub(now), one.prompt.Deadline.Sub(now)))
+	wai := pla.wait(one, usa, now)
 	switch {
 	case usa == 0:
 		pla.refuse(one, CodeNoEngine, "no engine of the pool can take the request", leastRetry)
 	case one.need > int64(usa)*int64(memoryFill*float64(pla.fig.MemoryTokens)) && usa == len(pla.order):
 		pla.refuse(one, CodeTooLarge, "the prompt exceeds the memory of the engines together", 0)
-	case one.read/ms(min(usa, maxParts)) > lef:
+	case pla.best(one) > lef:
 		pla.refuse(one, CodeTooLate, "the prompt can't be read in the time left", leastRetry)
-	case pla.wait(one, usa)+one.read/ms(min(usa, maxParts)) > lef:
-		pla.refuse(one, CodeOverloaded, "the engines are busy for longer than the time left", pla.wait(one, usa).duration())
+	case wai+pla.best(one) > lef:
+		pla.refuse(one, CodeOverloaded, "the engines are busy for longer than the time left", wai.duration())
 	default:
 		return false
 	}
 	return true
 }
 
-// wait estimates how long the reads before an ask take the engines.
-func (pla *Plan) wait(one *ask, usable int) ms {
+// wait estimates how long what goes before an ask takes the engines.
+func (pla *Plan) wait(one *ask, usable int, now time.Time) ms {
 	if !one.long() {
 		return pla.waitForSlot(one, usable)
 	}
-	var sum ms
+	var tot ms
 	for _, eng := range pla.order {
-		sum += eng.backlog()
+		tot += eng.backlog(now)
 	}
 	for _, oth := range pla.waiting {
 		if oth == one {
 			break
 		}
-		sum += oth.read
+		tot += oth.read
 	}
-	return sum / ms(max(1, usable))
+	return tot / ms(max(1, usable))
 }
 
 // waitForSlot estimates how long the short prompts before an ask take the slots.
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -12,45 +12,49 @@
 	// lostReports is the number of reports in a row that must fail before an
 	// engine counts as lost.
 	lostReports = 2
-	// overdueFactor and overdueSlack give the time after which a read counts as
-	// done although no notice of its first event has come.
-	overdueFactor = 3
-	overdueSlack  = 2000
 	// memoryFill is the share of an engine's memory that grants may take; answers
 	// can be longer than expected.
 	memoryFill = 0.97
+	// arrivalDelay is the time from a grant until its request is at the engine.
+	arrivalDelay = 3 * time.Millisecond
+	// noticeDelay is the time from an event until the plan hears of it.
+	noticeDelay = 4 * time.Millisecond
+	// leastPass keeps the account of passes from going on in tiny steps.
+	leastPass = 1
 )
 
-// engine is the account of one engine.
+// engine is the account of one engine. An engine works in passes: each one reads
+// what waited when it began, writes a stride of every answer, and ends with the
+// first events of what it has read.
 type engine struct {
 	Engine
 	gone   bool
-	pace   float64
+	pace   ms
 	misses int
 	// suspect is until when the engine is avoided after a failure.
 	suspect time.Time
-	// reads are the parts that the engine has not read, in their order.
-	reads    []*part
-	advanced time.Time
+	// passEnd is when the pass in progress ends, which takes passTime; zero for an
+	// idle engine.
+	passEnd  time.Time
+	passTime ms
+	// reading are the parts of the pass in progress, pending those of the next.
+	reading []*part
+	pending []*part
 	// grants are those that the engine leads.
 	grants map[string]*grant
 	memory int64
 	// foreign counts requests, and foreignMemory tokens, of others.
 	foreign       int
 	foreignMemory int64
-	reported      time.Time
 }
 
-// part is a read of one engine for a grant.
+// part is the read of one engine for a grant.
 type part struct {
 	gra *grant
 	eng *engine
-	// left is the time of the read that is left, at the engine's pace.
-	left  ms
-	since time.Time
-	// expected is when it should be done.
-	expected time.Time
-	memory   int64
+	// read is the time of the read, at the engine's pace.
+	read   ms
+	memory int64
 }
 
 // grant is an ask that has engines.
@@ -58,11 +62,20 @@
 	ask   *ask
 	lead  *engine
 	parts []*part
-	began bool
-	since time.Time
-	need  int64
+	// unread counts the parts that are not read, as far as is estimated.
+	unread int
+	began  bool
+	// spoiled answers have paused for too long, or will have.
+	spoiled bool
+	since   time.Time
+	// expected is when the first event should arrive.
+	expected time.Time
+	need     int64
 }
 
+// writing reports whether the engine that leads writes the answer.
+func (gra *grant) writing() bool { return gra.began || gra.unread == 0 }
+
 // usable reports whether the engine may get work for a request.
 func (eng *engine) usable(one *ask, now time.Time) bool {
 	if eng.gone || eng.misses >= lostReports || now.Before(eng.suspect) {
@@ -71,53 +84,116 @@
 	return !slices.Contains(one.prompt.Excluded, eng.ID)
 }
 
-// advance estimates the progress of the reads.
-func (eng *engine) advance(now time.Time) {
-	gap := msOf(now.Sub(eng.advanced))
-	eng.advanced = now
-	if gap <= 0 {
+// advance lets passes end that should have.
+func (eng *engine) advance(fig figures, now time.Time) {
+	for !eng.passEnd.IsZero() && !now.Before(eng.passEnd) {
+		eng.turn(fig, eng.passEnd)
+	}
+}
+
+// turn ends the pass in progress and begins the next one.
+func (eng *engine) turn(fig figures, at time.Time) {
+	for _, par := range eng.reading {
+		par.gra.unread--
+	}
+	eng.reading, eng.pending = eng.pending, nil
+	dur := eng.writeTime(fig) + sum(eng.reading)
+	if dur <= 0 {
+		eng.passEnd = time.Time{}
+		return
+	}
+	eng.passTime = max(leastPass, dur)
+	eng.passEnd = at.Add(eng.passTime.duration())
+}
+
+// ended notes that a pass of the engine ended, with the first event of a part
+// that it led.
+func (eng *engine) ended(fig figures, par *part, at time.Time) {
+	if slices.Contains(eng.reading, par) || slices.Contains(eng.pending, par) {
+		eng.remove(par)
+		eng.turn(fig, at)
 		return
 	}
-	for _, par := range eng.reads {
-		tak := min(gap, par.left)
-		par.left -= tak
-		gap -= tak
+	// The pass in progress was thought to have begun earlier.
+	if end := at.Add(eng.passTime.duration()); !eng.passEnd.IsZero() && end.After(eng.passEnd) {
+		eng.passEnd = end
 	}
-	eng.reads = slices.DeleteFunc(eng.reads, func(par *part) bool {
-		exp := msOf(par.expected.Sub(par.since))
-		return par.left <= 0 && msOf(now.Sub(par.since)) > overdueFactor*exp+overdueSlack
-	})
 }
 
-// backlog is the time of the reads that the engine has to do.
-func (eng *engine) backlog() ms {
-	var sum ms
-	for _, par := range eng.reads {
-		sum += par.left
+func sum(pars []*part) ms {
+	var tot ms
+	for _, par := range pars {
+		tot += par.read
 	}
-	return sum
+	return tot
 }
 
-// writing counts the answers that the engine writes and their contexts.
-func (eng *engine) writing() (answers int, context int64) {
+// writeTime is the time in which the pass in progress writes answers.
+func (eng *engine) writeTime(fig figures) ms {
+	answers, context := eng.foreign, int64(0)
 	for _, gra := range eng.grants {
-		if gra.began {
+		if gra.writing() {
 			answers++
 			context += gra.ask.prompt.Tokens
 		}
 	}
-	return answers + eng.foreign, context
+	return fig.pass(answers, context) * eng.pace
+}
+
+// nextWriteTime is that of the next pass, when what is read now is written too,
+// with some more tokens of context.
+func (eng *engine) nextWriteTime(fig figures, more int64) ms {
+	answers, context := eng.foreign+len(eng.grants), more
+	for _, gra := range eng.grants {
+		context += gra.ask.prompt.Tokens
+	}
+	if more > 0 {
+		answers++
+	}
+	return fig.pass(answers, context) * eng.pace
+}
+
+// add gives the engine a part to read.
+func (eng *engine) add(fig figures, par *part, now time.Time) {
+	eng.memory += par.memory
+	eng.pending = append(eng.pending, par)
+	if eng.passEnd.IsZero() {
+		eng.turn(fig, now.Add(arrivalDelay))
+	}
+}
+
+// remove takes a part back.
+func (eng *engine) remove(par *part) {
+	is := func(oth *part) bool { return oth == par }
+	eng.reading = slices.DeleteFunc(eng.reading, is)
+	eng.pending = slices.DeleteFunc(eng.pending, is)
+}
+
+// residual is the time left of the pass in progress.
+func (eng *engine) residual(now time.Time) ms {
+	if eng.passEnd.IsZero() {
+		return 0
+	}
+	return max(0, msOf(eng.passEnd.Sub(now)))
+}
+
+// backlog is the time until the engine has read what it was given.
+func (eng *engine) backlog(now time.Time) ms {
+	if len(eng.reading) == 0 && len(eng.pending) == 0 {
+		return 0
+	}
+	return eng.residual(now) + sum(eng.pending)
 }
 
-// tightest is the shortest objective of pauses of what the engine leads.
-func (eng *engine) tightest() ms {
-	tig := ms(0)
+// holdsTight reports whether the engine leads an answer whose pauses are bound as
+// tightly as those of a request.
+func (eng *engine) holdsTight(pause time.Duration) bool {
 	for _, gra := range eng.grants {
-		if pau := msOf(gra.ask.prompt.Pause); pau > 0 && (tig == 0 || pau < tig) {
-			tig = pau
+		if gra.ask.prompt.Pause > 0 && gra.ask.prompt.Pause <= pause {
+			return true
 		}
 	}
-	return tig
+	return false
 }
 
 // free is the memory for further grants.
@@ -125,14 +201,8 @@
 	return int64(memoryFill*float64(total)) - eng.memory - eng.foreignMemory
 }
 
-// remove ends the part that a grant has in the engine's reads.
-func (eng *engine) remove(par *part) {
-	eng.reads = slices.DeleteFunc(eng.reads, func(oth *part) bool { return oth == par })
-}
-
-// accept takes a report. own is the number of the plan's own requests.
-func (eng *engine) accept(loa Load, now time.Time) {
+// accept takes a report.
+func (eng *engine) accept(loa Load) {
 	eng.misses = 0
-	eng.reported = now
-	eng.pace = max(1, loa.Pace)
+	eng.pace = ms(max(1, loa.Pace))
 }
--- /dev/null
+++ b/process/planner/loss.go
@@ -0,0 +1,92 @@
+package planner
+
+import "time"
+
+const (
+	// lateLoss is the part of a request's weight that is lost when its answer is
+	// late: callers still use it, but have waited.
+	lateLoss = 0.75
+	// earlyShare and lateShare of the time left bound the estimates between which
+	// a request may be late: estimates are off by some ten per cent.
+	earlyShare = 0.85
+	lateShare  = 1.05
+	// pauseShare is the share of an objective of pauses that a pass may take.
+	pauseShare = 0.85
+	// assumedUsual stands in for the usual length of a prompt.
+	assumedUsual = 10_000
+)
+
+// weight says how much a request counts against others. Callers with longer
+// prompts are fewer and wait for more.
+func (pla *Plan) weight(one *ask) float64 {
+	usu := pla.fig.UsualPrompt
+	if usu <= 0 {
+		usu = assumedUsual
+	}
+	return 1 + float64(one.prompt.Tokens)/float64(usu)
+}
+
+// late is the expected loss of a request whose first event comes after a time.
+func (pla *Plan) late(one *ask, first ms, now time.Time) float64 {
+	wei := pla.weight(one)
+	if first > msOf(one.patience.Sub(now)) {
+		return wei
+	}
+	sla := one.slack(now)
+	low, hig := earlyShare*sla, lateShare*sla
+	switch {
+	case sla <= 0 || first >= hig:
+		return lateLoss * wei
+	case first <= low:
+		return 0
+	default:
+		return lateLoss * wei * float64((first-low)/(hig-low))
+	}
+}
+
+// harm is the expected loss of the requests that an engine has when it gets a
+// further read. A lead also gets the context of the answer.
+func (pla *Plan) harm(eng *engine, read ms, context int64, now time.Time) float64 {
+	if len(eng.grants) == 0 && len(eng.pending) == 0 {
+		return 0
+	}
+	old := eng.nextWriteTime(pla.fig, 0) + sum(eng.pending)
+	nex := eng.nextWriteTime(pla.fig, context) + sum(eng.pending) + read*eng.pace
+	var tot float64
+	for _, gra := range eng.grants {
+		tot += pla.pauseHarm(gra, old, nex)
+	}
+	for _, par := range eng.pending {
+		tot += pla.delayHarm(par.gra, nex-old, now)
+	}
+	return tot
+}
+
+// pauseHarm is the loss of an answer whose pass takes longer than it may pause.
+func (pla *Plan) pauseHarm(gra *grant, old, nex ms) float64 {
+	lim := pauseShare * msOf(gra.ask.prompt.Pause)
+	if lim <= 0 || gra.spoiled || old > lim || nex <= lim {
+		return 0
+	}
+	return lateLoss * pla.weight(gra.ask)
+}
+
+// delayHarm is the loss of a request whose first event comes later.
+func (pla *Plan) delayHarm(gra *grant, delay ms, now time.Time) float64 {
+	if gra.began {
+		return 0
+	}
+	exp := msOf(gra.expected.Sub(now))
+	return max(0, pla.late(gra.ask, exp+delay, now)-pla.late(gra.ask, exp, now))
+}
+
+// spoil notes which answers a pass of an engine makes pause for too long.
+func (eng *engine) spoil(fig figures) {
+	pas := eng.nextWriteTime(fig, 0) + sum(eng.pending)
+	for _, gra := range eng.grants {
+		lim := pauseShare * msOf(gra.ask.prompt.Pause)
+		if lim > 0 && pas > lim && gra.writing() {
+			gra.spoiled = true
+		}
+	}
+}
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -28,6 +28,8 @@
 	seen    time.Time
 	// patience is when the caller gives up without an event.
 	patience time.Time
+	// latest is when it must start to meet its objective on idle engines.
+	latest time.Time
 }
 
 // Plan is the state of one pool. Next changes it; it must not be used by two
@@ -53,7 +55,7 @@
 	}
 	pla.acts = nil
 	for _, eng := range pla.order {
-		eng.advance(now)
+		eng.advance(pla.fig, now)
 	}
 	pla.take(eve, now)
 	pla.expire(now)
@@ -69,13 +71,13 @@
 		pla.waiting = slices.DeleteFunc(pla.waiting, func(one *ask) bool { return one.ID == eve.ID })
 		pla.end(eve.ID)
 	case Began:
-		pla.began(eve.ID)
+		pla.began(eve.ID, now)
 	case Ended:
 		pla.end(eve.ID)
 	case Failed:
 		pla.failed(eve, now)
 	case Listing:
-		pla.list(eve.Engines, now)
+		pla.list(eve.Engines)
 	case Report:
 		pla.report(eve, now)
 	case Unreachable:
@@ -135,15 +137,19 @@
 	return pla.long * max(0, lef)
 }
 
-func (pla *Plan) began(id string) {
+// began notes the first event of a grant. It also shows where the lead's passes
+// end.
+func (pla *Plan) began(id string, now time.Time) {
 	gra := pla.grants[id]
 	if gra == nil || gra.began {
 		return
 	}
 	gra.began = true
-	for _, par := range gra.parts {
+	gra.unread = 0
+	for _, par := range gra.parts[1:] {
 		par.eng.remove(par)
 	}
+	gra.lead.ended(pla.fig, gra.parts[0], now.Add(-noticeDelay))
 }
 
 func (pla *Plan) end(id string) {
@@ -167,13 +173,13 @@
 	}
 }
 
-func (pla *Plan) list(ends []Engine, now time.Time) {
+func (pla *Plan) list(ends []Engine) {
 	see := map[string]bool{}
 	for _, end := range ends {
 		see[end.ID] = true
 		eng := pla.engines[end.ID]
 		if eng == nil || !eng.Started.Equal(end.Started) && !end.Started.IsZero() {
-			eng = &engine{Engine: end, pace: 1, advanced: now, grants: map[string]*grant{}}
+			eng = &engine{Engine: end, pace: 1, grants: map[string]*grant{}}
 			pla.engines[end.ID] = eng
 		}
 		eng.Engine, eng.gone = end, false
@@ -203,7 +209,7 @@
 		eng.misses++
 		return
 	}
-	eng.accept(eve.Load, now)
+	eng.accept(eve.Load)
 	lag := time.Duration(pla.fig.ReportLagMs * float64(time.Millisecond))
 	own, mem := 0, int64(0)
 	for _, gra := range eng.grants {
