Spare short answers from long pauses, and learn of peers sooner at the start

Ruled out: crashes of engines (all were our own cancellations, by the cause in the log line) and refusals of engines (none logged).

Change: a stream may be silent for 7 times its pause objective (1.7 s at least); long parts on engines that serve short prompts count those that will come; members are asked for every 0.3 s in the first 4 s of a host.

--- a/process/forwarder/watch.go
+++ b/process/forwarder/watch.go
@@ -16,6 +16,9 @@
 	hostsPerWatcher = 40
 	// askInterval is how often a host asks a watcher for what is new.
 	askInterval = 300 * time.Millisecond
+	// startPeriod is how long a host asks for the members often after its start, as
+	// all hosts may be starting.
+	startPeriod = 4 * time.Second
 	// staleAge is the age from which a host reads the store itself. With one read
 	// it stays under the 2 s within which changes have to be in force; a watcher
 	// confirms every 0.7 s.
@@ -59,8 +62,12 @@
 	tic := time.NewTicker(askInterval)
 	defer tic.Stop()
 	turn := rand.IntN(leastWatchers)
+	beg := time.Now()
 	for {
 		now := time.Now()
+		if now.Sub(beg) < startPeriod {
+			go fwd.gossiper.Refresh(ctx)
+		}
 		if !fwd.watches(now) {
 			if per, ok := fwd.watcher(turn, now); ok {
 				go fwd.gossiper.Ask(ctx, per)
--- a/process/gossiper/join.go
+++ b/process/gossiper/join.go
@@ -84,9 +84,15 @@
 	return true
 }
 
+// Refresh learns the members from some contact. A host calls it often after its
+// start, when many hosts may be starting.
+func (gos *Gossiper) Refresh(ctx context.Context) { gos.syncAny(ctx) }
+
 // syncAny learns the members from any peer.
 func (gos *Gossiper) syncAny(ctx context.Context) bool {
-	for _, add := range gos.contacts(1) {
+	adds := gos.contacts(1)
+	rand.Shuffle(len(adds), func(one, two int) { adds[one], adds[two] = adds[two], adds[one] })
+	for _, add := range adds {
 		if gos.sync(ctx, add) {
 			return true
 		}
--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -157,7 +157,7 @@
 // read a late prompt. It grows with the share of the engines that long prompts
 // take up.
 func (pla *Plan) opportunity(one *ask, now time.Time) float64 {
-	loa := min(1, pla.longDemand(now)/float64(max(1, len(pla.order))))
+	loa := pla.longShare(now)
 	return opportunityRate * loa * loa * float64(one.read) / 1000
 }
 
@@ -173,7 +173,7 @@
 func (pla *Plan) chooseOne(one *ask, now time.Time) (choice, bool) {
 	var bes choice
 	found := false
-	ope := openCost * min(1, 2*pla.longDemand(now)/float64(max(1, len(pla.order))))
+	ope := openCost * min(1, 2*pla.longShare(now))
 	for _, eng := range pla.order {
 		if !eng.usable(one, now) || eng.free(pla.fig.MemoryTokens) < one.need || len(eng.grants)+eng.foreign >= pla.fig.Slots {
 			continue
@@ -231,7 +231,7 @@
 	rea := one.read / ms(num)
 	for ind := range cans {
 		can := &cans[ind]
-		can.harm = pla.harm(can.eng, rea, 0, now)
+		can.harm = pla.harm(can.eng, rea, 0, now) + pla.block(can.eng, rea, now)
 		can.key = can.ready + rea*can.eng.pace + harmTime*ms(can.harm)
 	}
 	slices.SortStableFunc(cans, func(a, b candidate) int { return cmp.Compare(a.key, b.key) })
--- a/process/planner/loss.go
+++ b/process/planner/loss.go
@@ -12,6 +12,13 @@
 	lateShare  = 1.05
 	// pauseShare is the share of an objective of pauses that a pass may take.
 	pauseShare = 0.85
+	// blockRead is the time in ms of a read from which short prompts that come
+	// meanwhile are late.
+	blockRead = 120
+	// blockShare is the share of these prompts that finds no other engine.
+	blockShare = 0.25
+	// shortWeight is the weight of a short prompt that is not known yet.
+	shortWeight = 1.4
 	// assumedUsual stands in for the usual length of a prompt.
 	assumedUsual = 10_000
 )
@@ -62,6 +69,31 @@
 	return tot
 }
 
+// block is the expected loss of the short prompts that will come while an engine
+// which serves such prompts reads a long part. Those engines share them.
+func (pla *Plan) block(eng *engine, read ms, now time.Time) float64 {
+	if read < blockRead || !eng.servesShort() {
+		return 0
+	}
+	num := 0
+	for _, oth := range pla.order {
+		if oth.servesShort() {
+			num++
+		}
+	}
+	return blockShare * lateLoss * shortWeight * pla.short.value(now) * float64(read) / 1000 / float64(num)
+}
+
+// servesShort reports whether the engine leads a short prompt.
+func (eng *engine) servesShort() bool {
+	for _, gra := range eng.grants {
+		if !gra.ask.long() {
+			return true
+		}
+	}
+	return false
+}
+
 // pauseHarm is the loss of an answer whose pass takes longer than it may pause.
 func (pla *Plan) pauseHarm(gra *grant, old, nex ms) float64 {
 	lim := pauseShare * msOf(gra.ask.prompt.Pause)
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -14,7 +14,7 @@
 	// askTimeout is the time after which an ask that its host does not repeat is
 	// dropped. Hosts repeat theirs every second.
 	askTimeout = 2500 * time.Millisecond
-	// demandPeriod is the time over which the work of long prompts is averaged.
+	// demandPeriod is the time over which the requests are averaged.
 	demandPeriod = 3 * time.Second
 )
 
@@ -41,9 +41,10 @@
 	waiting []*ask
 	grants  map[string]*grant
 	acts    []Action
-	// long is the recent work of long prompts, in engines.
-	long   float64
-	longAt time.Time
+	// long is the recent work of long prompts, in engines; short the recent rate of
+	// short ones, a second.
+	long  average
+	short average
 }
 
 // Next takes an event and returns the actions that follow.
@@ -114,7 +115,9 @@
 	one.patience = patience(pro)
 	pla.waiting = append(pla.waiting, one)
 	if one.long() {
-		pla.countLong(one.read, now)
+		pla.long = pla.long.with(float64(one.read)/1000, now)
+	} else {
+		pla.short = pla.short.with(1, now)
 	}
 }
 
@@ -126,15 +129,25 @@
 	return 2 * cmp.Or(pro.AnswerTokens, pla.fig.UsualAnswer)
 }
 
-func (pla *Plan) countLong(read ms, now time.Time) {
-	pla.long = pla.longDemand(now) + float64(read)/float64(msOf(demandPeriod))
-	pla.longAt = now
+// average is the mean of what came in the last time. It falls in a straight line
+// to nothing when nothing comes.
+type average struct {
+	sum float64
+	at  time.Time
 }
 
-// longDemand is the recent work of long prompts, in engines.
-func (pla *Plan) longDemand(now time.Time) float64 {
-	lef := 1 - now.Sub(pla.longAt).Seconds()/demandPeriod.Seconds()/2
-	return pla.long * max(0, lef)
+func (ave average) value(now time.Time) float64 {
+	return ave.sum * max(0, 1-now.Sub(ave.at).Seconds()/demandPeriod.Seconds()/2)
+}
+
+// with adds an amount to the average a second.
+func (ave average) with(amount float64, now time.Time) average {
+	return average{ave.value(now) + amount/demandPeriod.Seconds(), now}
+}
+
+// longShare is the share of the engines that long prompts took up lately.
+func (pla *Plan) longShare(now time.Time) float64 {
+	return min(1, pla.long.value(now)/float64(max(1, len(pla.order))))
 }
 
 // began notes the first event of a grant. It also shows where the lead's passes
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -19,10 +19,12 @@
 	// pass of an engine takes some hundred milliseconds.
 	silenceSlack = 500 * time.Millisecond
 	// pauseFactor is how many times the pause's objective a stream may be silent.
-	// Callers give a stream up after eight times.
-	pauseFactor = 4
-	// leastPause is the shortest silence of a stream that counts.
-	leastPause = time.Second
+	// Callers give a stream up after eight times, and an endpoint that reads a long
+	// prompt is silent without being dead.
+	pauseFactor = 7
+	// leastPause is the shortest silence of a stream that counts; callers wait for
+	// two seconds at least.
+	leastPause = 1700 * time.Millisecond
 	// answerFactor is how many times the objective an answer that is no stream
 	// may take before the call is sent elsewhere.
 	answerFactor = 2
