Shorten passes whose reads are cancelled and refuse by the best choice

Ruled out: missing slots and memory (engines had both).

Change: a cancelled read shortens its pass; the refusal goes by the best choice and the asks before; late short prompts go where they do no harm; short prompts count as load when a late long prompt asks for engines.

--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -24,6 +24,9 @@
 	// waitMargin is the time in ms beyond that on idle engines that a late choice
 	// must have left to wait for a better one.
 	waitMargin = 40
+	// shortsPerEngine is the rate of short prompts a second at which an engine
+	// counts as taken up: its passes then read for a third of their time.
+	shortsPerEngine = 9
 	// lastChance is the time in ms before a caller gives up at which a late prompt
 	// is read although others could use the engines.
 	lastChance = 500
@@ -101,7 +104,7 @@
 		switch {
 		case ok && pla.starts(one, cho, now):
 			pla.grant(one, cho, now)
-		case pla.refuses(one, now):
+		case pla.refuses(one, cho, ok, now):
 		default:
 			left = append(left, one)
 		}
@@ -150,14 +153,17 @@
 	if msOf(one.patience.Sub(now))-cho.first > lastChance {
 		left -= pla.opportunity(one, now)
 	}
-	return cho.ahead <= lateAhead && cho.loss-own < left
+	if one.long() && cho.ahead > lateAhead {
+		return false
+	}
+	return cho.loss-own < left
 }
 
 // opportunity is the expected loss of the requests that will come while engines
-// read a late prompt. It grows with the share of the engines that long prompts
-// take up.
+// read a late prompt. It grows with the share of the engines that others take up.
 func (pla *Plan) opportunity(one *ask, now time.Time) float64 {
-	loa := pla.longShare(now)
+	cou := float64(max(1, len(pla.order)))
+	loa := min(1, pla.longShare(now)+pla.short.value(now)/(shortsPerEngine*cou))
 	return opportunityRate * loa * loa * float64(one.read) / 1000
 }
 
@@ -334,8 +340,9 @@
 	pla.acts = append(pla.acts, act)
 }
 
-// refuses turns away an ask that can't be served in time, and reports so.
-func (pla *Plan) refuses(one *ask, now time.Time) bool {
+// refuses turns away an ask that can't be served in time, and reports so. The
+// choice is the best one now, if there is any.
+func (pla *Plan) refuses(one *ask, cho choice, found bool, now time.Time) bool {
 	usa := 0
 	for _, eng := range pla.order {
 		if eng.usable(one, now) {
@@ -343,7 +350,10 @@
 		}
 	}
 	lef := msOf(min(one.patience.Sub(now), one.prompt.Deadline.Sub(now)))
-	wai := pla.wait(one, usa, now)
+	wai := pla.wait(one, usa)
+	if found {
+		wai += max(0, cho.first-pla.best(one))
+	}
 	switch {
 	case usa == 0:
 		pla.refuse(one, CodeNoEngine, "no engine of the pool can take the request", leastRetry)
@@ -359,15 +369,12 @@
 	return true
 }
 
-// wait estimates how long what goes before an ask takes the engines.
-func (pla *Plan) wait(one *ask, usable int, now time.Time) ms {
+// wait estimates how long the asks before one take the engines.
+func (pla *Plan) wait(one *ask, usable int) ms {
 	if !one.long() {
 		return pla.waitForSlot(one, usable)
 	}
 	var tot ms
-	for _, eng := range pla.order {
-		tot += eng.backlog(now)
-	}
 	for _, oth := range pla.waiting {
 		if oth == one {
 			break
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -110,7 +110,7 @@
 // that it led.
 func (eng *engine) ended(fig figures, par *part, at time.Time) {
 	if slices.Contains(eng.reading, par) || slices.Contains(eng.pending, par) {
-		eng.remove(par)
+		eng.remove(par, at)
 		eng.turn(fig, at)
 		return
 	}
@@ -162,9 +162,17 @@
 	}
 }
 
-// remove takes a part back.
-func (eng *engine) remove(par *part) {
+// remove takes a part back. A pass that reads it ends sooner.
+func (eng *engine) remove(par *part, now time.Time) {
 	is := func(oth *part) bool { return oth == par }
+	if slices.ContainsFunc(eng.reading, is) {
+		eng.passTime = max(leastPass, eng.passTime-par.read)
+		if end := eng.passEnd.Add(-par.read.duration()); end.After(now) {
+			eng.passEnd = end
+		} else {
+			eng.passEnd = now
+		}
+	}
 	eng.reading = slices.DeleteFunc(eng.reading, is)
 	eng.pending = slices.DeleteFunc(eng.pending, is)
 }
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -70,11 +70,11 @@
 		pla.ask(eve, now)
 	case Cancel:
 		pla.waiting = slices.DeleteFunc(pla.waiting, func(one *ask) bool { return one.ID == eve.ID })
-		pla.end(eve.ID)
+		pla.end(eve.ID, now)
 	case Began:
 		pla.began(eve.ID, now)
 	case Ended:
-		pla.end(eve.ID)
+		pla.end(eve.ID, now)
 	case Failed:
 		pla.failed(eve, now)
 	case Listing:
@@ -86,7 +86,7 @@
 			eng.misses++
 		}
 	case HostGone:
-		pla.hostGone(eve)
+		pla.hostGone(eve, now)
 	case Figures:
 		pla.fig = newFigures(eve.Batching)
 	}
@@ -160,12 +160,12 @@
 	gra.began = true
 	gra.unread = 0
 	for _, par := range gra.parts[1:] {
-		par.eng.remove(par)
+		par.eng.remove(par, now)
 	}
 	gra.lead.ended(pla.fig, gra.parts[0], now.Add(-noticeDelay))
 }
 
-func (pla *Plan) end(id string) {
+func (pla *Plan) end(id string, now time.Time) {
 	gra := pla.grants[id]
 	if gra == nil {
 		return
@@ -173,7 +173,7 @@
 	delete(pla.grants, id)
 	delete(gra.lead.grants, id)
 	for _, par := range gra.parts {
-		par.eng.remove(par)
+		par.eng.remove(par, now)
 		par.eng.memory -= par.memory
 	}
 }
@@ -237,12 +237,12 @@
 	eng.foreignMemory = max(0, eve.Load.MemoryUsed-max(mem, eng.memory))
 }
 
-func (pla *Plan) hostGone(eve HostGone) {
+func (pla *Plan) hostGone(eve HostGone, now time.Time) {
 	gone := func(one *ask) bool { return one.Host == eve.Host && one.Incarnation <= eve.Incarnation }
 	pla.waiting = slices.DeleteFunc(pla.waiting, gone)
 	for id, gra := range pla.grants {
 		if gone(gra.ask) {
-			pla.end(id)
+			pla.end(id, now)
 		}
 	}
 }
@@ -251,7 +251,7 @@
 func (pla *Plan) expire(now time.Time) {
 	for id, gra := range pla.grants {
 		if now.After(gra.ask.prompt.Deadline.Add(grantGrace)) {
-			pla.end(id)
+			pla.end(id, now)
 		}
 	}
 	pla.waiting = slices.DeleteFunc(pla.waiting, func(one *ask) bool { return now.Sub(one.seen) > askTimeout })
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -15,9 +15,10 @@
 	// silenceFactor is how many times the expected time to the first event may
 	// pass before the call is sent elsewhere.
 	silenceFactor = 3
-	// silenceSlack is added to the objective for the same purpose: under load a
-	// pass of an engine takes some hundred milliseconds.
-	silenceSlack = 500 * time.Millisecond
+	// objectiveFactor and silenceSlack bound the same from below: under load a pass
+	// of an engine takes some hundred milliseconds.
+	objectiveFactor = 2
+	silenceSlack    = 600 * time.Millisecond
 	// pauseFactor is how many times the pause's objective a stream may be silent.
 	// Callers give a stream up after eight times, and an endpoint that reads a long
 	// prompt is silent without being dead.
@@ -81,7 +82,7 @@
 	if !run.route.Stream {
 		return min(lef, answerFactor*obj)
 	}
-	return min(lef, max(silenceFactor*lea.First, obj)+silenceSlack)
+	return min(lef, max(silenceFactor*lea.First, objectiveFactor*obj)+silenceSlack)
 }
 
 // pauseLimit is how long a stream may be silent after an event.
