Let estimates near the objective count as a risk

Ruled out: a wrong read time (the estimate of prompts alone is met).

Change: the loss of being late begins at 0.6 of the time left, not 0.85.

--- a/process/planner/loss.go
+++ b/process/planner/loss.go
@@ -8,7 +8,7 @@
 	lateLoss = 0.75
 	// earlyShare and lateShare of the time left bound the estimates between which
 	// a request may be late: estimates are off by some ten per cent.
-	earlyShare = 0.85
+	earlyShare = 0.6
 	lateShare  = 1.05
 	// pauseShare is the share of an objective of pauses that a pass may take.
 	pauseShare = 0.85
