Test the new parts and stop a loop of store calls

Cause: TestOutage of the follower never ended: while one of the two readings was lost, the other one asked with no wait and so without a pause. On the platform this is a call each few milliseconds for as long as one reading fails.

Ruled out: the stand-in; the goroutine dump shows follower.once in a loop.

Change: only the reading that is lost asks without a wait.

--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -125,7 +125,7 @@
 			fol.rest(ctx, what)
 			continue
 		}
-		nex, err := fol.once(ctx, rev, read)
+		nex, err := fol.once(ctx, what, rev, read)
 		switch {
 		case err == nil:
 			fol.answered(what, rev, time.Now())
@@ -159,9 +159,9 @@
 
 // once reads with a bound on the time. After a failure it does not wait for
 // changes, so that a store that is back is noticed at once.
-func (fol *Follower) once(ctx context.Context, rev uint64, read reader) (uint64, error) {
+func (fol *Follower) once(ctx context.Context, what string, rev uint64, read reader) (uint64, error) {
 	wait := watchWait
-	if rev == 0 || fol.isLost() {
+	if rev == 0 || fol.isLost(what) {
 		wait = 0
 	}
 	one, stop := context.WithTimeout(ctx, max(readTimeout, wait+watchGrace))
@@ -169,10 +169,11 @@
 	return read(one, rev, wait)
 }
 
-func (fol *Follower) isLost() bool {
+func (fol *Follower) isLost(what string) bool {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
-	return len(fol.lost) > 0
+	_, ok := fol.lost[what]
+	return ok
 }
 
 func (fol *Follower) failed(what string, rev uint64, err error, now time.Time) {
--- /dev/null
+++ b/process/logger/logger_test.go
@@ -0,0 +1,94 @@
+package logger
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// pipe is an output whose reader may be stuck.
+type pipe struct {
+	mu   sync.Mutex
+	buf  bytes.Buffer
+	open chan struct{}
+}
+
+func (pip *pipe) Write(buf []byte) (int, error) {
+	<-pip.open
+	pip.mu.Lock()
+	defer pip.mu.Unlock()
+	return pip.buf.Write(buf)
+}
+
+func (pip *pipe) text() string {
+	pip.mu.Lock()
+	defer pip.mu.Unlock()
+	return pip.buf.String()
+}
+
+func TestWrites(t *testing.T) {
+	pip := &pipe{open: make(chan struct{})}
+	close(pip.open)
+	wri := New(pip, DefaultBytes)
+	log := zerolog.New(wri)
+	log.Info().Msg("one")
+	log.Warn().Msg("two")
+	wri.Close()
+	require.Equal(t, "{\"level\":\"info\",\"message\":\"one\"}\n{\"level\":\"warn\",\"message\":\"two\"}\n", pip.text())
+}
+
+// TestStuckReader has nobody read the output. Lines are shed, ordinary ones first,
+// and no line blocks.
+func TestStuckReader(t *testing.T) {
+	pip := &pipe{open: make(chan struct{})}
+	wri := New(pip, 4096)
+	log := zerolog.New(wri)
+	don := make(chan struct{})
+	go func() {
+		defer close(don)
+		for range 1000 {
+			log.Info().Msg("ordinary")
+		}
+		for range 10 {
+			log.Error().Msg("failure")
+		}
+	}()
+	select {
+	case <-don:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "a line has blocked")
+	}
+	require.Positive(t, wri.Shed().Ordinary)
+	require.Zero(t, wri.Shed().Important)
+	close(pip.open)
+	wri.Close()
+	require.Equal(t, 10, strings.Count(pip.text(), "failure"))
+	require.Contains(t, pip.text(), "ShedOrdinary")
+}
+
+func BenchmarkLine(b *testing.B) {
+	wri := New(&nothing{}, DefaultBytes)
+	log := zerolog.New(wri)
+	for b.Loop() {
+		log.Info().Str("RequestID", "9c41d07be2a35f68").Str("Endpoint", "i-7f3a91c2").Int("Sends", 1).Msg("send ended")
+	}
+	b.ReportMetric(float64(wri.Shed().Ordinary)/float64(b.N), "shed/op")
+}
+
+func BenchmarkShedLine(b *testing.B) {
+	pip := &pipe{open: make(chan struct{})}
+	log := zerolog.New(New(pip, 16))
+	for b.Loop() {
+		log.Info().Str("RequestID", "9c41d07be2a35f68").Str("Endpoint", "i-7f3a91c2").Int("Sends", 1).Msg("send ended")
+	}
+	close(pip.open)
+}
+
+type nothing struct{}
+
+func (*nothing) Write(buf []byte) (int, error) { return len(buf), nil }
--- /dev/null
+++ b/process/planner/world_test.go
@@ -0,0 +1,348 @@
+package planner
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"hemlockpin/version/parser"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// batching are the figures of the engines in the tests.
+var batching = parser.Batching{
+	Slots: 16, MemoryTokens: 315_000, StepMs: 0.85, SequenceMs: 0.00425, ContextMs: 0.00285, Stride: 51,
+	ReadRate: 177_000, PairsMs: 0.184, ChunkTokens: 2048, HopMs: 0.05, ReportLagMs: 200, UsualPrompt: 11_108, UsualAnswer: 1622,
+}
+
+// class is a kind of request.
+type class struct {
+	name      string
+	rate      float64
+	mean      float64
+	spread    float64
+	most      float64
+	events    float64
+	objective time.Duration
+	pause     time.Duration
+	deadline  time.Duration
+}
+
+var classes = []class{
+	{"short", 28.7, 4960, 0.9, 23_800, 33, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second},
+	{"middle", 1.45, 45_000, 0.5, 110_000, 20, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second},
+	{"long", 0.88, 154_000, 0.55, 700_000, 16, 3 * time.Second, time.Second, 15 * time.Second},
+}
+
+// simRequest is a request in the simulated world.
+type simRequest struct {
+	id       string
+	class    int
+	tokens   int64
+	events   int
+	arrived  time.Time
+	first    time.Time
+	last     time.Time
+	longest  time.Duration
+	sent     int
+	unread   int
+	lead     *simEngine
+	left     bool
+	refused  bool
+	finished bool
+}
+
+func (req *simRequest) inTime() bool {
+	cla := classes[req.class]
+	return req.finished && req.first.Sub(req.arrived) <= cla.objective && req.longest <= cla.pause
+}
+
+// simPart is a read of one engine.
+type simPart struct {
+	req  *simRequest
+	read float64
+}
+
+// simEngine works in passes, as the platform's contract of engines says.
+type simEngine struct {
+	id      string
+	slow    float64
+	waiting []*simPart
+	reading []*simPart
+	writing []*simRequest
+	busy    bool
+}
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at  time.Time
+	num int
+	run func(now time.Time)
+}
+
+type simQueue []simEvent
+
+func (que simQueue) Len() int { return len(que) }
+func (que simQueue) Less(one, two int) bool {
+	if !que[one].at.Equal(que[two].at) {
+		return que[one].at.Before(que[two].at)
+	}
+	return que[one].num < que[two].num
+}
+func (que simQueue) Swap(one, two int) { que[one], que[two] = que[two], que[one] }
+func (que *simQueue) Push(val any)     { *que = append(*que, val.(simEvent)) }
+func (que *simQueue) Pop() any {
+	las := (*que)[len(*que)-1]
+	*que = (*que)[:len(*que)-1]
+	return las
+}
+
+// world drives a plan with simulated callers and engines.
+type world struct {
+	plan     Plan
+	engines  map[string]*simEngine
+	requests map[string]*simRequest
+	order    []*simRequest
+	queue    simQueue
+	num      int
+	random   *rand.Rand
+	ticking  bool
+}
+
+const (
+	simHop  = 1500 * time.Microsecond
+	simTick = 8 * time.Millisecond
+)
+
+func newWorld(engines int, seed uint64) *world {
+	wor := &world{engines: map[string]*simEngine{}, requests: map[string]*simRequest{}, random: rand.New(rand.NewPCG(seed, 1))}
+	var lis []Engine
+	for ind := range engines {
+		id := fmt.Sprintf("e%02d", ind)
+		wor.engines[id] = &simEngine{id: id, slow: 1}
+		lis = append(lis, Engine{ID: id, Address: id})
+	}
+	wor.plan.Next(Figures{batching}, epoch)
+	wor.plan.Next(Listing{lis}, epoch)
+	return wor
+}
+
+func (wor *world) at(at time.Time, run func(now time.Time)) {
+	wor.num++
+	heap.Push(&wor.queue, simEvent{at, wor.num, run})
+}
+
+func (wor *world) run() {
+	for len(wor.queue) > 0 {
+		eve := heap.Pop(&wor.queue).(simEvent)
+		eve.run(eve.at)
+	}
+}
+
+// arrive makes the requests of a class at a rate for a time.
+func (wor *world) arrive(cla int, rate float64, from time.Time, dur time.Duration) {
+	at := from
+	for rate > 0 {
+		at = at.Add(time.Duration(wor.random.ExpFloat64() / rate * float64(time.Second)))
+		if at.Sub(from) >= dur {
+			return
+		}
+		wor.request(cla, wor.length(classes[cla]), at)
+	}
+}
+
+// length draws the length of a prompt.
+func (wor *world) length(cla class) int64 {
+	med := cla.mean / math.Exp(cla.spread*cla.spread/2)
+	return int64(min(cla.most, max(200, med*math.Exp(cla.spread*wor.random.NormFloat64()))))
+}
+
+func (wor *world) request(cla int, tokens int64, at time.Time) *simRequest {
+	req := &simRequest{id: fmt.Sprintf("r%05d", len(wor.order)), class: cla, tokens: tokens, arrived: at}
+	req.events = max(1, int(classes[cla].events*math.Exp(0.5*wor.random.NormFloat64()-0.125)))
+	wor.requests[req.id] = req
+	wor.order = append(wor.order, req)
+	wor.at(at.Add(simHop), func(now time.Time) { wor.ask(req, now) })
+	return req
+}
+
+func (wor *world) ask(req *simRequest, now time.Time) {
+	cla := classes[req.class]
+	wor.next(Ask{ID: req.id, Host: "h", Prompt: Prompt{
+		Tokens: req.tokens, MaxTokens: int64(req.events*batching.Stride) + 200, Target: req.arrived.Add(cla.objective),
+		Deadline: req.arrived.Add(cla.deadline), Objective: cla.objective, Pause: cla.pause,
+	}}, now)
+	wor.tick(now)
+}
+
+// tick lets time pass while asks wait, and repeats them as hosts do.
+func (wor *world) tick(now time.Time) {
+	if wor.ticking || wor.plan.Waiting() == 0 {
+		return
+	}
+	wor.ticking = true
+	wor.at(now.Add(simTick), func(now time.Time) {
+		wor.ticking = false
+		for _, one := range wor.plan.waiting {
+			one.seen = now
+		}
+		wor.next(Tick{}, now)
+		wor.tick(now)
+	})
+}
+
+func (wor *world) next(eve Event, now time.Time) {
+	for _, act := range wor.plan.Next(eve, now) {
+		switch act := act.(type) {
+		case Assign:
+			wor.at(now.Add(2*simHop), func(now time.Time) { wor.send(wor.requests[act.ID], act, now) })
+		case Refuse:
+			wor.requests[act.ID].refused = true
+		}
+	}
+}
+
+func (wor *world) send(req *simRequest, act Assign, now time.Time) {
+	req.sent++
+	req.unread = len(act.Parts)
+	req.lead = wor.engines[act.Parts[0].Endpoint]
+	rea := float64(newFigures(batching).read(req.tokens)) / float64(len(act.Parts))
+	for _, par := range act.Parts {
+		eng := wor.engines[par.Endpoint]
+		eng.waiting = append(eng.waiting, &simPart{req, rea})
+		wor.begin(eng, now)
+	}
+	pat := patience(Prompt{Target: req.arrived.Add(classes[req.class].objective), Objective: classes[req.class].objective, Pause: classes[req.class].pause, Deadline: req.arrived.Add(classes[req.class].deadline)})
+	wor.at(pat, func(now time.Time) {
+		if req.first.IsZero() {
+			wor.leave(req, now)
+		}
+	})
+}
+
+// leave ends a request whose caller has given it up.
+func (wor *world) leave(req *simRequest, now time.Time) {
+	req.left = true
+	for _, eng := range wor.engines {
+		eng.drop(req)
+	}
+	wor.next(Ended{req.id}, now)
+}
+
+func (eng *simEngine) drop(req *simRequest) {
+	var wai []*simPart
+	for _, par := range eng.waiting {
+		if par.req != req {
+			wai = append(wai, par)
+		}
+	}
+	eng.waiting = wai
+	var wri []*simRequest
+	for _, oth := range eng.writing {
+		if oth != req {
+			wri = append(wri, oth)
+		}
+	}
+	eng.writing = wri
+}
+
+// begin starts a pass of an engine that has work.
+func (wor *world) begin(eng *simEngine, now time.Time) {
+	if eng.busy || len(eng.waiting) == 0 && len(eng.writing) == 0 {
+		return
+	}
+	eng.busy = true
+	eng.reading, eng.waiting = eng.waiting, nil
+	var con int64
+	for _, req := range eng.writing {
+		con += req.tokens
+	}
+	ans := len(eng.writing)
+	for _, par := range eng.reading {
+		if par.ends(eng) {
+			// The pass that reads the last part writes the first stride, too.
+			ans++
+			con += par.req.tokens
+		}
+	}
+	dur := float64(newFigures(batching).pass(ans, con))
+	for _, par := range eng.reading {
+		dur += par.read
+	}
+	wor.at(now.Add(time.Duration(eng.slow*max(0.5, dur)*float64(time.Millisecond))), func(now time.Time) { wor.end(eng, now) })
+}
+
+// ends reports whether the part is the last one that the engine, which leads the
+// request, waits for.
+func (par *simPart) ends(eng *simEngine) bool { return par.req.unread == 1 && par.req.lead == eng }
+
+// end finishes a pass: answers get an event, and prompts that are read begin
+// their answers.
+func (wor *world) end(eng *simEngine, now time.Time) {
+	eng.busy = false
+	for _, req := range eng.writing {
+		wor.event(req, now)
+	}
+	var lef []*simRequest
+	for _, req := range eng.writing {
+		if !req.finished {
+			lef = append(lef, req)
+		}
+	}
+	eng.writing = lef
+	reas := eng.reading
+	eng.reading = nil
+	for _, par := range reas {
+		if par.req.left {
+			continue
+		}
+		own := par.ends(eng)
+		if par.req.unread--; par.req.unread == 0 {
+			if own {
+				wor.event(par.req, now)
+			}
+			if par.req.finished {
+				continue
+			}
+			par.req.lead.writing = append(par.req.lead.writing, par.req)
+			if par.req.lead != eng {
+				wor.begin(par.req.lead, now)
+			}
+		}
+	}
+	wor.begin(eng, now)
+}
+
+func (wor *world) event(req *simRequest, now time.Time) {
+	if req.first.IsZero() {
+		req.first = now
+		wor.at(now.Add(4*time.Millisecond), func(now time.Time) { wor.next(Began{req.id}, now) })
+	} else {
+		req.longest = max(req.longest, now.Sub(req.last))
+	}
+	req.last = now
+	if req.events--; req.events == 0 {
+		req.finished = true
+		wor.at(now.Add(4*time.Millisecond), func(now time.Time) { wor.next(Ended{req.id}, now) })
+	}
+}
+
+// share is the part of a class's requests for which a report holds.
+func (wor *world) share(cla int, has func(*simRequest) bool) float64 {
+	all, num := 0, 0
+	for _, req := range wor.order {
+		if req.class == cla {
+			all++
+			if has(req) {
+				num++
+			}
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(num) / float64(all)
+}
--- /dev/null
+++ b/process/registrar/registrar_test.go
@@ -0,0 +1,161 @@
+package registrar
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ready(id string, rev uint64) Endpoint {
+	return Endpoint{ID: id, Service: "s", Address: "10.0.0.1:1", Revision: rev}
+}
+
+func (end Endpoint) gone() Endpoint { end.Gone = true; return end }
+
+func (end Endpoint) leaving() Endpoint { end.Leaving = true; return end }
+
+func ids(ends []Endpoint) []string {
+	out := []string{}
+	for _, end := range ends {
+		out = append(out, end.ID)
+	}
+	return out
+}
+
+// TestMergeOrder tells the same records in any order: the outcome is the same.
+func TestMergeOrder(t *testing.T) {
+	recs := []Endpoint{ready("a", 1), ready("a", 4).leaving(), ready("a", 4).leaving().gone(), ready("a", 9), ready("b", 2), ready("b", 2).gone(), ready("c", 3), ready("c", 7).leaving()}
+	ran := rand.New(rand.NewPCG(20261204, 1))
+	for range 200 {
+		ran.Shuffle(len(recs), func(one, two int) { recs[one], recs[two] = recs[two], recs[one] })
+		var reg Registry
+		for _, rec := range recs {
+			reg.Merge([]Endpoint{rec}, 0, epoch)
+		}
+		require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch.Add(time.Second))))
+	}
+}
+
+func TestReplace(t *testing.T) {
+	var reg Registry
+	reg.Replace([]Endpoint{ready("a", 1), ready("b", 2)}, 5, epoch)
+	rev, known := reg.Revision()
+	require.True(t, known)
+	require.EqualValues(t, 5, rev)
+	// A peer has told of an entry that came after the reading.
+	reg.Merge([]Endpoint{ready("c", 9)}, 0, epoch)
+	reg.Replace([]Endpoint{ready("a", 1)}, 7, epoch)
+	require.Equal(t, []string{"a", "c"}, ids(reg.Usable("s", epoch.Add(time.Millisecond))))
+	require.Empty(t, reg.Usable("other", epoch))
+}
+
+func TestLeaving(t *testing.T) {
+	var reg Registry
+	reg.Replace([]Endpoint{ready("a", 1), ready("b", 2)}, 2, epoch)
+	require.Len(t, reg.Merge([]Endpoint{ready("a", 3).leaving()}, 3, epoch), 1)
+	require.Empty(t, reg.Merge([]Endpoint{ready("a", 3).leaving()}, 3, epoch), "it is no news twice")
+	require.Equal(t, []string{"b"}, ids(reg.Usable("s", epoch)))
+	_, ok := reg.Find("a", epoch)
+	require.False(t, ok)
+}
+
+// TestUnreadable has another writer spoil an entry: it names no endpoint until it
+// is written well again.
+func TestUnreadable(t *testing.T) {
+	var reg Registry
+	reg.Replace([]Endpoint{ready("a", 1)}, 1, epoch)
+	reg.Merge([]Endpoint{{ID: "a", Revision: 2, Gone: true}}, 2, epoch)
+	require.Empty(t, reg.Usable("s", epoch))
+	reg.Merge([]Endpoint{ready("a", 3)}, 3, epoch)
+	require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch)))
+}
+
+// TestOutage removes entries while the store is away and after its return. They
+// count for two seconds more, in which the endpoints may register again.
+func TestOutage(t *testing.T) {
+	tests := []struct {
+		name    string
+		away    time.Duration
+		back    time.Duration
+		removed time.Duration
+		gone    time.Duration
+	}{
+		{"no outage", -1, -1, 0, 0},
+		{"told by a peer during the outage", 0, time.Hour, time.Second, 3 * time.Second},
+		{"seen at the return", 0, 5 * time.Second, 5 * time.Second, 7 * time.Second},
+		{"seen a second after the return", 0, 5 * time.Second, 6 * time.Second, 7 * time.Second},
+		{"long after the return", 0, 5 * time.Second, 9 * time.Second, 9 * time.Second},
+	}
+	for _, tes := range tests {
+		t.Run(tes.name, func(t *testing.T) {
+			var reg Registry
+			reg.Replace([]Endpoint{ready("a", 1), ready("b", 1), ready("c", 1), ready("d", 1)}, 1, epoch.Add(-time.Hour))
+			if tes.away >= 0 {
+				reg.Away()
+			}
+			if tes.back >= 0 && tes.back <= tes.removed {
+				reg.Back(epoch.Add(tes.back))
+			}
+			reg.Merge([]Endpoint{ready("a", 1).gone()}, 0, epoch.Add(tes.removed))
+			has := func(at time.Duration) bool {
+				_, ok := reg.Find("a", epoch.Add(at))
+				return ok
+			}
+			require.False(t, has(tes.gone))
+			if tes.gone > tes.removed {
+				require.True(t, has(tes.gone-time.Millisecond))
+			}
+		})
+	}
+}
+
+// TestMassRemoval removes most of a service at once without a known outage: the
+// entries count for a little longer, but less than the 2 s within which a leaving
+// endpoint is to be left.
+func TestMassRemoval(t *testing.T) {
+	var reg Registry
+	var all, lost []Endpoint
+	for ind := range 10 {
+		all = append(all, ready(fmt.Sprint(ind), 1))
+	}
+	for _, end := range all[:5] {
+		lost = append(lost, end.gone())
+	}
+	reg.Replace(all, 1, epoch)
+	reg.Merge(lost, 2, epoch)
+	require.Len(t, reg.Usable("s", epoch.Add(time.Second)), 10)
+	require.Len(t, reg.Usable("s", epoch.Add(2*time.Second)), 5)
+}
+
+func TestPeers(t *testing.T) {
+	var one, two Registry
+	_, rev := two.After(0)
+	require.Zero(t, rev, "a host that knows nothing offers nothing")
+	one.Replace([]Endpoint{ready("a", 1), ready("b", 2)}, 5, epoch)
+	ends, rev := one.After(0)
+	push := Message(ends, rev)
+	two.Learn(FromMessage(push), push.GetRevision(), epoch)
+	require.Equal(t, []string{"a", "b"}, ids(two.Usable("s", epoch)))
+	rev, known := two.Revision()
+	require.True(t, known)
+	require.EqualValues(t, 5, rev)
+	one.Merge([]Endpoint{ready("c", 6), ready("a", 1).gone()}, 6, epoch)
+	ends, rev = one.After(5)
+	require.Len(t, ends, 2, "what changed, and what is gone")
+	two.Learn(ends, rev, epoch)
+	require.Equal(t, []string{"b", "c"}, ids(two.Usable("s", epoch)))
+}
+
+func TestConfirm(t *testing.T) {
+	var reg Registry
+	reg.Replace([]Endpoint{ready("a", 1)}, 5, epoch)
+	reg.Confirm(5, epoch)
+	require.Equal(t, time.Second, reg.Age(epoch.Add(time.Second)))
+	reg.Confirm(4, epoch.Add(time.Second))
+	require.Equal(t, time.Second, reg.Age(epoch.Add(time.Second)), "an older revision confirms nothing")
+}
--- /dev/null
+++ b/request/relayer/event_test.go
@@ -0,0 +1,60 @@
+package relayer
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestReadEvent(t *testing.T) {
+	tests := []struct {
+		name, input string
+		ids         []string
+		raws        []string
+		err         error
+	}{
+		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1", "2"}, []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, io.EOF},
+		{"carriage returns", "id:7\r\ndata: a\r\n\r\n", []string{"7"}, []string{"id:7\r\ndata: a\r\n\r\n"}, io.EOF},
+		{"other fields stay", "weight: 3\nid: 4\ndata: a\ndata: b\n\n", []string{"4"}, []string{"weight: 3\nid: 4\ndata: a\ndata: b\n\n"}, io.EOF},
+		{"cut within an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"1"}, []string{"id: 1\ndata: a\n\n"}, io.ErrUnexpectedEOF},
+		{"cut before the blank line", "id: 1\ndata: a\n", nil, nil, io.ErrUnexpectedEOF},
+		{"empty", "", nil, nil, io.EOF},
+	}
+	for _, tes := range tests {
+		t.Run(tes.name, func(t *testing.T) {
+			rea := bufio.NewReaderSize(strings.NewReader(tes.input), 16)
+			var ids, raws []string
+			for {
+				eve, err := readEvent(rea, nil)
+				if err != nil {
+					require.ErrorIs(t, err, tes.err)
+					break
+				}
+				ids = append(ids, eve.id)
+				raws = append(raws, string(eve.raw))
+			}
+			require.Equal(t, tes.ids, ids)
+			require.Equal(t, tes.raws, raws)
+		})
+	}
+}
+
+func TestReadEventTooLarge(t *testing.T) {
+	_, err := readEvent(bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", maxEvent+100)), 64), nil)
+	require.True(t, errors.Is(err, errEventTooLarge), err)
+}
+
+func TestFollows(t *testing.T) {
+	require.True(t, follows("2", "1"))
+	require.True(t, follows("10", "9"))
+	require.False(t, follows("9", "9"))
+	require.False(t, follows("8", "9"))
+	require.True(t, follows("", "9"))
+	require.True(t, follows("1", ""))
+	require.False(t, follows("a", "a"))
+	require.True(t, follows("b", "a"))
+}
