Tell an outage of the store from a host that is turned away

Ruled out: late knowledge (all hosts had the record within 30 ms) and late notices.

Change: an outage is a time of 2.5 s in which neither the store nor a peer has confirmed the records; a host that alone is turned away removes entries at once. The test "the store turns away this host alone" fails without it.

--- a/process/forwarder/knowledge.go
+++ b/process/forwarder/knowledge.go
@@ -137,16 +137,9 @@
 	fwd.learned(fwd.registry.Learn(registrar.FromMessage(pus), pus.GetRevision(), time.Now()), "peer")
 }
 
-// away and back follow whether the store answers this host.
-func (fwd *Forwarder) away() {
-	fwd.storeAway.Store(true)
-	fwd.registry.Away()
-}
-
-func (fwd *Forwarder) back(now time.Time) {
-	fwd.storeAway.Store(false)
-	fwd.registry.Back(now)
-}
+// away and back follow whether the store answers this host, for operators.
+func (fwd *Forwarder) away()          { fwd.storeAway.Store(true) }
+func (fwd *Forwarder) back(time.Time) { fwd.storeAway.Store(false) }
 
 // watchHosts tells the plans of hosts that have died or were replaced.
 func (fwd *Forwarder) watchHosts(ctx context.Context) {
--- a/process/publisher/publisher.go
+++ b/process/publisher/publisher.go
@@ -47,7 +47,7 @@
 	// from the store, or that a peer offered; nil for nobody.
 	OnAccept func(fromStore bool)
 
-	current   atomic.Pointer[version]
+	current atomic.Pointer[version]
 	// confirmed keeps the monotonic clock's reading, so that a step of the wall
 	// clock makes no tables look fresh or old.
 	confirmed atomic.Pointer[time.Time]
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -16,6 +16,10 @@
 	// returnGrace is how long an endpoint whose entry lapsed while the store was
 	// away may take to register again. The platform's contract says about 2 s.
 	returnGrace = 2 * time.Second
+	// outageAge is the time without a confirmation, by the store or through peers,
+	// that counts as an outage. The entries of endpoints that can't reach the store
+	// lapse after 3.6 s. A store that turns away this host alone is no outage.
+	outageAge = 2500 * time.Millisecond
 	// massGrace delays the removal of many entries at once, which rather shows an
 	// outage that this host has not noticed. It is under the 2 s within which a
 	// leaving endpoint must be left.
@@ -68,10 +72,10 @@
 	recs     map[string]*record
 	revision uint64
 	known    bool
-	away     bool
-	back     time.Time
-	// confirmed is when the store last held nothing newer.
+	// confirmed is when the store last held nothing newer, back when it was
+	// confirmed again after an outage.
 	confirmed time.Time
+	back      time.Time
 }
 
 // Revision returns the store's revision up to which all records are known, and
@@ -86,9 +90,13 @@
 func (reg *Registry) Confirm(revision uint64, at time.Time) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	if revision >= reg.revision && at.After(reg.confirmed) {
-		reg.confirmed = at
+	if revision < reg.revision || !at.After(reg.confirmed) {
+		return
 	}
+	if at.Sub(reg.confirmed) > outageAge {
+		reg.back = at
+	}
+	reg.confirmed = at
 }
 
 // Age returns how long ago the store confirmed the records, as far as this host
@@ -99,23 +107,6 @@
 	return max(0, now.Sub(reg.confirmed))
 }
 
-// Away notes that the store does not answer this host.
-func (reg *Registry) Away() {
-	reg.mu.Lock()
-	defer reg.mu.Unlock()
-	reg.away = true
-}
-
-// Back notes that the store answers this host.
-func (reg *Registry) Back(now time.Time) {
-	reg.mu.Lock()
-	defer reg.mu.Unlock()
-	if reg.away {
-		reg.away = false
-		reg.back = now
-	}
-}
-
 // Merge takes some records and returns those that were news. revision is that up
 // to which they are complete; 0 where they don't follow on what is known.
 func (reg *Registry) Merge(ends []Endpoint, revision uint64, now time.Time) []Endpoint {
@@ -179,7 +170,7 @@
 // grace returns the time from which removals that are learned now count.
 func (reg *Registry) grace(news []Endpoint, now time.Time) time.Time {
 	switch {
-	case reg.away:
+	case now.Sub(reg.confirmed) > outageAge:
 		return now.Add(returnGrace)
 	case now.Sub(reg.back) < returnGrace:
 		return reg.back.Add(returnGrace)
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -33,7 +33,7 @@
 	ran := rand.New(rand.NewPCG(20261204, 1))
 	for range 200 {
 		ran.Shuffle(len(recs), func(one, two int) { recs[one], recs[two] = recs[two], recs[one] })
-		var reg Registry
+		reg := Registry{confirmed: epoch}
 		for _, rec := range recs {
 			reg.Merge([]Endpoint{rec}, 0, epoch)
 		}
@@ -44,6 +44,7 @@
 func TestReplace(t *testing.T) {
 	var reg Registry
 	reg.Replace([]Endpoint{ready("a", 1), ready("b", 2)}, 5, epoch)
+	reg.confirmed = epoch
 	rev, known := reg.Revision()
 	require.True(t, known)
 	require.EqualValues(t, 5, rev)
@@ -69,37 +70,38 @@
 func TestUnreadable(t *testing.T) {
 	var reg Registry
 	reg.Replace([]Endpoint{ready("a", 1)}, 1, epoch)
+	reg.confirmed = epoch
 	reg.Merge([]Endpoint{{ID: "a", Revision: 2, Gone: true}}, 2, epoch)
 	require.Empty(t, reg.Usable("s", epoch))
 	reg.Merge([]Endpoint{ready("a", 3)}, 3, epoch)
 	require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch)))
 }
 
-// TestOutage removes entries while the store is away and after its return. They
-// count for two seconds more, in which the endpoints may register again.
+// TestOutage removes an entry at different times of an outage. Where the store
+// was away for all, the entry counts for two seconds after its return, in which
+// the endpoint may register again. Where it turned away this host alone, peers
+// have confirmed the records meanwhile and the removal counts at once.
 func TestOutage(t *testing.T) {
+	const ms = time.Millisecond
 	tests := []struct {
-		name    string
-		away    time.Duration
-		back    time.Duration
-		removed time.Duration
-		gone    time.Duration
+		name string
+		// confirmed are the times at which the store or a peer confirmed the records.
+		confirmed []time.Duration
+		removed   time.Duration
+		gone      time.Duration
 	}{
-		{"no outage", -1, -1, 0, 0},
-		{"told by a peer during the outage", 0, time.Hour, time.Second, 3 * time.Second},
-		{"seen at the return", 0, 5 * time.Second, 5 * time.Second, 7 * time.Second},
-		{"seen a second after the return", 0, 5 * time.Second, 6 * time.Second, 7 * time.Second},
-		{"long after the return", 0, 5 * time.Second, 9 * time.Second, 9 * time.Second},
+		{"no outage", []time.Duration{2000 * ms, 4000 * ms, 4800 * ms}, 5000 * ms, 5000 * ms},
+		{"the store turns away this host alone", []time.Duration{2000 * ms, 4000 * ms}, 5000 * ms, 5000 * ms},
+		{"during an outage", []time.Duration{1000 * ms}, 5000 * ms, 7000 * ms},
+		{"after the return", []time.Duration{1000 * ms, 5000 * ms}, 5500 * ms, 7000 * ms},
+		{"long after the return", []time.Duration{1000 * ms, 5000 * ms, 6000 * ms, 7500 * ms}, 8000 * ms, 8000 * ms},
 	}
 	for _, tes := range tests {
 		t.Run(tes.name, func(t *testing.T) {
-			var reg Registry
-			reg.Replace([]Endpoint{ready("a", 1), ready("b", 1), ready("c", 1), ready("d", 1)}, 1, epoch.Add(-time.Hour))
-			if tes.away >= 0 {
-				reg.Away()
-			}
-			if tes.back >= 0 && tes.back <= tes.removed {
-				reg.Back(epoch.Add(tes.back))
+			reg := Registry{confirmed: epoch}
+			reg.Replace([]Endpoint{ready("a", 1), ready("b", 1), ready("c", 1), ready("d", 1)}, 1, epoch)
+			for _, at := range tes.confirmed {
+				reg.Confirm(1, epoch.Add(at))
 			}
 			reg.Merge([]Endpoint{ready("a", 1).gone()}, 0, epoch.Add(tes.removed))
 			has := func(at time.Duration) bool {
@@ -127,6 +129,9 @@
 		lost = append(lost, end.gone())
 	}
 	reg.Replace(all, 1, epoch)
+	reg.Confirm(1, epoch.Add(-time.Hour))
+	reg.Confirm(1, epoch.Add(-time.Second))
+	reg.back = time.Time{}
 	reg.Merge(lost, 2, epoch)
 	require.Len(t, reg.Usable("s", epoch.Add(time.Second)), 10)
 	require.Len(t, reg.Usable("s", epoch.Add(2*time.Second)), 5)
@@ -136,6 +141,7 @@
 	var one, two Registry
 	_, rev := two.After(0)
 	require.Zero(t, rev, "a host that knows nothing offers nothing")
+	one.confirmed, two.confirmed = epoch, epoch
 	one.Replace([]Endpoint{ready("a", 1), ready("b", 2)}, 5, epoch)
 	ends, rev := one.After(0)
 	push := Message(ends, rev)
