Pass an endpoint's failure on when no other endpoint is left

Ruled out: an exhausted quota (no send was denied). Change: the kept answer is delivered. TestFailureKept fails without it. Conclusion: callers see the endpoint's own failure.

--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -236,6 +236,11 @@
 		ref = &RefusedError{Code: "placement_failed", Message: err.Error()}
 	}
 	run.log.Warn().Str("Code", ref.Code).Str("Message", ref.Message).Dur("RetryAfterMs", ref.RetryAfter).Int("Sends", run.state.Sends).Msg("no endpoint")
+	if run.answer.status != 0 {
+		// The failure that an endpoint has answered is better than none.
+		run.finish(Deliver{}, 0)
+		return
+	}
 	run.finish(run.state.give(http.StatusBadGateway, ref.Code), ref.RetryAfter)
 }
 
--- a/request/relayer/relayer_test.go
+++ b/request/relayer/relayer_test.go
@@ -191,8 +191,14 @@
 	return fix
 }
 
+// reply is the answer to a call.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+}
+
 // call sends a call and returns its answer, or the error of reading its body.
-func (fix *fixture) call(t *testing.T, method, path, body string, heas ...string) (*http.Response, string, error) {
+func (fix *fixture) call(t *testing.T, method, path, body string, heas ...string) (reply, string, error) {
 	req, err := http.NewRequest(method, fix.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Host = "a.example"
@@ -205,11 +211,11 @@
 	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, "", err
+		return reply{}, "", err
 	}
 	defer res.Body.Close()
 	buf, err := io.ReadAll(res.Body)
-	return res, string(buf), err
+	return reply{res.StatusCode, res.Header}, string(buf), err
 }
 
 func TestForwards(t *testing.T) {
@@ -227,8 +233,9 @@
 	}
 	require.NotContains(t, hea, "Authorization")
 	require.NotContains(t, hea, "forged")
-	var lef int
-	_, err = fmt.Sscanf(hea[strings.Index(hea, "Request-Deadline:"):], "Request-Deadline: %d", &lef)
+	_, txt, _ := strings.Cut(hea, "Request-Deadline: ")
+	txt, _, _ = strings.Cut(txt, "\r\n")
+	lef, err := strconv.Atoi(txt)
 	require.NoError(t, err)
 	require.LessOrEqual(t, lef, 1000, "the route's time limit bounds the endpoint's")
 	require.Greater(t, lef, 500)
@@ -302,6 +309,17 @@
 	}
 }
 
+// TestFailureKept has an endpoint fail a call that may be repeated while there is
+// no other endpoint: its answer is passed on.
+func TestFailureKept(t *testing.T) {
+	fix := newFixture(t, newEndpoint(t, whole(http.StatusInternalServerError, "no")))
+	res, bod, err := fix.call(t, http.MethodGet, "/again/", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, res.StatusCode)
+	require.Equal(t, "no", bod)
+	require.Equal(t, "s", res.Header.Get("Response-Seal"))
+}
+
 // TestEarlyAnswer has an endpoint that answers before it has read a long body and
 // reads on later: the connection carries nothing else.
 func TestEarlyAnswer(t *testing.T) {
