Name the host and milliseconds in each log line

Cause: lines of several hosts could not be told apart once joined, and their times were whole seconds, while a request takes some hundred milliseconds. Change: the daemon's logger carries the host's name and times with milliseconds.

--- a/cmd/hemlockpind/main.go
+++ b/cmd/hemlockpind/main.go
@@ -24,6 +24,10 @@
 const (
 	exitFailure  = 1
 	exitSettings = 2
+
+	// timeFormat is that of the log's times: with milliseconds, as a request takes
+	// some hundred of them.
+	timeFormat = "2006-01-02T15:04:05.000Z07:00"
 )
 
 func main() {
@@ -48,7 +52,8 @@
 	lev, _ := zerolog.ParseLevel(set.LogLevel)
 	wri := logger.New(os.Stdout, logger.DefaultBytes)
 	defer wri.Close()
-	log := zerolog.New(wri).Level(lev).With().Timestamp().Logger()
+	zerolog.TimeFieldFormat = timeFormat
+	log := zerolog.New(wri).Level(lev).With().Str("Host", set.HostID).Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	now := time.Now()
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -158,7 +158,7 @@
 	gro.Go(func() { _ = cal.Serve(lis) })
 	gro.Go(func() { _ = sers[0].Serve(liss.ready) })
 	gro.Go(func() { _ = sers[1].Serve(liss.operator) })
-	fwd.Log.Info().Str("Host", fwd.Settings.HostID).Str("DataCenter", fwd.Settings.DataCenter).Str("Listen", fwd.Settings.Listen).
+	fwd.Log.Info().Str("DataCenter", fwd.Settings.DataCenter).Str("Listen", fwd.Settings.Listen).
 		Uint64("Incarnation", fwd.Incarnation).Msg("host started")
 	<-ctx.Done()
 	err = fwd.drain(cal, lis)
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -139,7 +139,7 @@
 	lis := &acceptor.Listener{Listener: liss.caller, Max: int64(ser.Settings.MaxConns), Refused: ser.scope.Counter("connections_refused")}
 	gro.Go(func() { _ = cal.Serve(lis) })
 	gro.Go(func() { _ = ope.Serve(liss.operator) })
-	ser.Log.Info().Str("Host", ser.Settings.HostID).Str("Listen", ser.Settings.Listen).Msg("host started")
+	ser.Log.Info().Str("Listen", ser.Settings.Listen).Msg("host started")
 	<-ctx.Done()
 	err = ser.drain(cal, lis)
 	_ = ope.Close()
