--- /dev/null
+++ b/cmd/hemlockpin/trace.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"hemlockpin/operator/correlator"
+)
+
+const (
+	traceShort = "tell from logs what happened to one request"
+	traceLong  = `Reads the logs of hosts from files, or from standard input if none are named,
+and prints what happened to one request: its lines in the order of cause, which
+holds also where the hosts' clocks differ, and what these hosts last believed of
+the store, the tables, peers and the request's endpoints. Exit code 1 if no line
+names the request.`
+)
+
+type traceCommand struct {
+	*command `no-flag:"yes"`
+
+	Args struct {
+		Request string   `positional-arg-name:"REQUEST" required:"yes" description:"identifier of the request"`
+		Files   []string `positional-arg-name:"FILE" description:"log of a host; the file's name stands for the host in lines that name none"`
+	} `positional-args:"yes"`
+}
+
+// Execute reads the logs and prints the request.
+func (com *traceCommand) Execute([]string) error {
+	cor := &correlator.Correlator{Request: com.Args.Request}
+	if len(com.Args.Files) == 0 {
+		if err := cor.Read(com.in, "stdin"); err != nil {
+			return err
+		}
+	}
+	for _, pat := range com.Args.Files {
+		if err := readLog(cor, pat); err != nil {
+			return err
+		}
+	}
+	lins, bels := cor.Lines(), cor.Beliefs()
+	if len(lins) == 0 {
+		return fmt.Errorf("no line names request %q (%d lines are no log lines)", com.Args.Request, cor.Skipped())
+	}
+	if com.JSON {
+		return com.printJSON(struct{ Lines, Beliefs []correlator.Line }{lins, bels})
+	}
+	for _, lin := range lins {
+		fmt.Fprintln(com.out, lin.Text())
+	}
+	if len(bels) > 0 {
+		fmt.Fprintln(com.out, "\nWhat these hosts last wrote of what they believed:")
+	}
+	for _, lin := range bels {
+		fmt.Fprintln(com.out, lin.Text())
+	}
+	return nil
+}
+
+func readLog(cor *correlator.Correlator, path string) error {
+	fil, err := os.Open(path)
+	if err != nil {
+		return usage("%w", err)
+	}
+	defer fil.Close()
+	nam := filepath.Base(path)
+	return cor.Read(fil, strings.TrimSuffix(nam, filepath.Ext(nam)))
+}
--- /dev/null
+++ b/operator/correlator/correlator_test.go
@@ -0,0 +1,27 @@
+package correlator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+)
+
+// TestCorrelator reads the logs of testdata/requests. Each block is the joined log
+// of several hosts, and its output what the command prints.
+func TestCorrelator(t *testing.T) {
+	datadriven.RunTest(t, "testdata/requests", func(t *testing.T, dat *datadriven.TestData) string {
+		cor := &Correlator{}
+		dat.ScanArgs(t, "request", &cor.Request)
+		require.NoError(t, cor.Read(strings.NewReader(dat.Input), "log-1"))
+		var out []string
+		for _, lin := range cor.Lines() {
+			out = append(out, lin.Text())
+		}
+		for _, lin := range cor.Beliefs() {
+			out = append(out, "believed: "+lin.Text())
+		}
+		return strings.Join(out, "\n") + "\n"
+	})
+}
--- /dev/null
+++ b/process/assigner/assigner_test.go
@@ -0,0 +1,216 @@
+package assigner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/process/gossiper"
+	"hemlockpin/process/planner"
+	"hemlockpin/process/registrar"
+	"hemlockpin/request/relayer"
+	"hemlockpin/version/parser"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+var pools = map[string]parser.Pool{
+	"desk": {Name: "desk", Selector: parser.Selector{Service: "desk"}},
+	"llm":  {Name: "llm", Selector: parser.Selector{Service: "llm"}, Batching: &parser.Batching{Slots: 16, MemoryTokens: 300_000, StepMs: 1, Stride: 50, ReadRate: 177_000, PairsMs: 0.184}},
+}
+
+func pool(nam string) (parser.Pool, bool) {
+	poo, ok := pools[nam]
+	return poo, ok
+}
+
+// fleet joins hosts whose calls are carried in memory. Dead hosts don't answer.
+type fleet struct {
+	mu    sync.Mutex
+	hosts map[string]*Planners
+	dead  map[string]bool
+	asked map[string]int
+}
+
+func (fle *fleet) Call(ctx context.Context, address string, env *messenger.Envelope) (*messenger.Envelope, error) {
+	fle.mu.Lock()
+	hos, dead := fle.hosts[address], fle.dead[address]
+	fle.asked[address]++
+	fle.mu.Unlock()
+	if dead {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	switch bod := env.GetBody().(type) {
+	case *messenger.Envelope_PlanRequest:
+		return hos.HandleRequest(ctx, bod.PlanRequest, time.Now()), nil
+	case *messenger.Envelope_PlanNotices:
+		return hos.HandleNotices(bod.PlanNotices), nil
+	}
+	return nil, errors.New("unknown message")
+}
+
+func newFleet(num int) *fleet {
+	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, asked: map[string]int{}}
+	var pers []gossiper.Peer
+	for ind := range num {
+		id := fmt.Sprintf("host-%d", ind)
+		pers = append(pers, gossiper.Peer{ID: id, Address: id})
+	}
+	for _, per := range pers {
+		run := &planner.Runner{
+			Engines: func(parser.Pool, time.Time) []planner.Engine {
+				return []planner.Engine{{ID: "e1", Address: "10.0.0.1:1"}, {ID: "e2", Address: "10.0.0.2:1"}, {ID: "e3", Address: "10.0.0.3:1"}}
+			},
+			Pool: pool, Clock: time.Now, Log: zerolog.Nop(), Scope: tally.NoopScope,
+		}
+		fle.hosts[per.ID] = &Planners{
+			Self: per.ID, Leaving: func() bool { return false }, Caller: fle, Runner: run, Clock: time.Now, Log: zerolog.Nop(),
+			Live: func(time.Time) []gossiper.Peer {
+				var out []gossiper.Peer
+				for _, oth := range pers {
+					if oth.ID != per.ID {
+						out = append(out, oth)
+					}
+				}
+				return out
+			},
+		}
+	}
+	return fle
+}
+
+// reserver notes reservations, and refuses those of one address.
+type reserver struct {
+	mu      sync.Mutex
+	held    map[string]int64
+	refuses string
+}
+
+func (res *reserver) Reserve(_ context.Context, address, id string, tokens int64, _ time.Duration) (bool, error) {
+	res.mu.Lock()
+	defer res.mu.Unlock()
+	if address == res.refuses {
+		return false, nil
+	}
+	res.held[address+"/"+id] = tokens
+	return true, nil
+}
+
+func (res *reserver) Release(_ context.Context, address, id string) error {
+	res.mu.Lock()
+	defer res.mu.Unlock()
+	delete(res.held, address+"/"+id)
+	return nil
+}
+
+func (res *reserver) count() int {
+	res.mu.Lock()
+	defer res.mu.Unlock()
+	return len(res.held)
+}
+
+func (fle *fleet) assigner(self string, res *reserver) *Assigner {
+	ass := &Assigner{Registry: &registrar.Registry{}, Pool: pool, Planners: fle.hosts[self], Reserver: res, DataCenter: "a", Clock: time.Now, Log: zerolog.Nop()}
+	var ends []registrar.Endpoint
+	for ind := range 3 {
+		ends = append(ends,
+			registrar.Endpoint{ID: fmt.Sprintf("e%d", ind+1), Service: "llm", Address: fmt.Sprintf("10.0.0.%d:1", ind+1), Revision: 1},
+			registrar.Endpoint{ID: fmt.Sprintf("d%d", ind+1), Service: "desk", Address: "10.0.1.1:1", DataCenter: string(rune('a' + ind)), Revision: 1})
+	}
+	ass.Registry.Replace(ends, 1, time.Now())
+	return ass
+}
+
+func ask(id string, tokens int64) relayer.Ask {
+	now := time.Now()
+	return relayer.Ask{ID: id, Pool: "llm", PromptTokens: tokens, MaxTokens: 1000, Arrived: now, Objective: 3 * time.Second, Pause: time.Second, Deadline: now.Add(15 * time.Second)}
+}
+
+// TestOnePlan has several hosts ask: all of them are planned by one.
+func TestOnePlan(t *testing.T) {
+	fle := newFleet(4)
+	see := map[string]int{}
+	for ind := range 9 {
+		lea, err := fle.assigner(fmt.Sprintf("host-%d", ind%4), &reserver{}).Place(t.Context(), ask(fmt.Sprint(ind), 1000))
+		require.NoError(t, err)
+		see[lea.Endpoint.ID]++
+	}
+	require.Equal(t, map[string]int{"e1": 3, "e2": 3, "e3": 3}, see, "one account spreads them evenly")
+	require.LessOrEqual(t, len(fle.asked), 1)
+}
+
+// TestPlannerSilent loses the planner: the next host plans within a fraction of a
+// second, and with that one lost, too, the own view places.
+func TestPlannerSilent(t *testing.T) {
+	fle := newFleet(4)
+	first := fle.hosts["host-0"].candidates("llm", time.Now())
+	var self string
+	for id := range fle.hosts {
+		if id != first[0].id && id != first[1].id {
+			self = id
+		}
+	}
+	ass := fle.assigner(self, &reserver{})
+	fle.dead[first[0].id] = true
+	beg := time.Now()
+	_, err := ass.Place(t.Context(), ask("1", 1000))
+	require.NoError(t, err)
+	require.Less(t, time.Since(beg), time.Second)
+	require.Positive(t, fle.asked[first[1].id])
+	for id := range fle.hosts {
+		fle.dead[id] = true
+	}
+	lea, err := ass.Place(t.Context(), ask("2", 1000))
+	require.NoError(t, err)
+	require.Equal(t, "llm", lea.Endpoint.Service)
+}
+
+// TestReserves places a prompt over one engine's memory: all engines reserve, or
+// none keeps anything.
+func TestReserves(t *testing.T) {
+	fle, res := newFleet(1), &reserver{held: map[string]int64{}}
+	ass := fle.assigner("host-0", res)
+	lea, err := ass.Place(t.Context(), ask("1", 500_000))
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(lea.Helpers), 2)
+	require.GreaterOrEqual(t, res.count(), 2)
+	lea.End()
+	require.Eventually(t, func() bool { return res.count() == 0 }, 5*time.Second, time.Millisecond)
+	res.refuses = "10.0.0.2:1"
+	_, err = ass.Place(t.Context(), ask("2", 800_000))
+	var ref *relayer.RefusedError
+	require.ErrorAs(t, err, &ref)
+	require.Zero(t, res.count())
+}
+
+func TestOwnView(t *testing.T) {
+	ass := newFleet(1).assigner("host-0", &reserver{})
+	one, err := ass.Place(t.Context(), relayer.Ask{Pool: "desk"})
+	require.NoError(t, err)
+	require.Equal(t, "d1", one.Endpoint.ID, "the own data centre goes first among equals")
+	two, err := ass.Place(t.Context(), relayer.Ask{Pool: "desk"})
+	require.NoError(t, err)
+	require.NotEqual(t, "d1", two.Endpoint.ID, "then those with fewer calls")
+	one.End()
+	one.End()
+	require.Len(t, ass.out, 1)
+	two.Failed("")
+	two.End()
+	for range 20 {
+		lea, err := ass.Place(t.Context(), relayer.Ask{Pool: "desk"})
+		require.NoError(t, err)
+		require.NotEqual(t, two.Endpoint.ID, lea.Endpoint.ID, "one that has just failed is left alone")
+		lea.End()
+	}
+	_, err = ass.Place(t.Context(), relayer.Ask{Pool: "desk", Excluded: []string{"d1", "d2", "d3"}})
+	var ref *relayer.RefusedError
+	require.ErrorAs(t, err, &ref)
+	require.Positive(t, ref.RetryAfter)
+}
