--- a/cmd/hemlockpin/main.go
+++ b/cmd/hemlockpin/main.go
@@ -138,7 +138,7 @@
 		{"history", historyShort, historyLong, &historyCommand{command: com}},
 		{"rollback", rollbackShort, rollbackLong, &rollbackCommand{command: com}},
 		{"explain", explainShort, explainLong, &explainCommand{command: com}},
-		{"trace-request", traceShort, traceLong, &traceCommand{command: com}},
+		{"trace", traceShort, traceLong, &traceCommand{command: com}},
 		{"status", statusShort, statusLong, &statusCommand{command: com}},
 		{"usage", usageShort, usageLong, &usageCommand{command: com}},
 		{"endpoints", endpointsShort, endpointsLong, &endpointsCommand{command: com}},
