Let the environment go before the file of settings, and suspect silent planners longer

Ruled out: the order of calls; ParseAsDefaults marks the options as set. Change: what the file sets is put before the arguments, unless the environment or an argument sets it.

Change: the suspicion doubles with each failure in a row. TestPlannerStaysSilent.

--- a/process/assigner/assigner.go
+++ b/process/assigner/assigner.go
@@ -81,7 +81,7 @@
 	end := slices.MinFunc(ends, func(one, two registrar.Endpoint) int {
 		return cmp.Or(cmp.Compare(ass.out[one.ID], ass.out[two.ID]), cmp.Compare(ass.far(one), ass.far(two)))
 	})
-	return ass.lease(end, now), nil
+	return ass.lease(end), nil
 }
 
 // far is 0 for the endpoints of the own data centre.
@@ -93,7 +93,7 @@
 }
 
 // lease counts a call on an endpoint. The caller holds the lock.
-func (ass *Assigner) lease(end registrar.Endpoint, _ time.Time) relayer.Lease {
+func (ass *Assigner) lease(end registrar.Endpoint) relayer.Lease {
 	if ass.out == nil {
 		ass.out = map[string]int{}
 	}
--- a/process/assigner/assigner_test.go
+++ b/process/assigner/assigner_test.go
@@ -172,6 +172,37 @@
 	require.Equal(t, "llm", lea.Endpoint.Service)
 }
 
+// TestPlannerStaysSilent loses the planner for long: each failure in a row doubles
+// the time for which it is not asked, and an answer ends that.
+func TestPlannerStaysSilent(t *testing.T) {
+	fle := newFleet(3)
+	first := fle.hosts["host-0"].candidates("llm", time.Now())
+	var pla *Planners
+	for id, hos := range fle.hosts {
+		if id != first[0].id && id != first[1].id {
+			pla = hos
+		}
+	}
+	var ahead time.Duration
+	pla.Clock = func() time.Time { return time.Now().Add(ahead) }
+	place := func() int {
+		bef := fle.asked[first[0].id]
+		_, _, err := pla.ask(t.Context(), ask(fmt.Sprint(ahead), 1000))
+		require.NoError(t, err)
+		return fle.asked[first[0].id] - bef
+	}
+	fle.dead[first[0].id] = true
+	require.Equal(t, 1, place())
+	ahead = suspectPeriod + time.Second
+	require.Equal(t, 1, place(), "it is tried again")
+	ahead += suspectPeriod + time.Second
+	require.Zero(t, place(), "now it is left alone for longer")
+	fle.dead[first[0].id] = false
+	ahead += 2 * suspectPeriod
+	require.Positive(t, place())
+	require.Empty(t, pla.suspects)
+}
+
 // TestReserves places a prompt over one engine's memory: all engines reserve, or
 // none keeps anything.
 func TestReserves(t *testing.T) {
--- a/process/assigner/planners.go
+++ b/process/assigner/planners.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,8 +27,11 @@
 	// laterHold and laterGrace are those of an ask that the planner has confirmed.
 	laterHold  = time.Second
 	laterGrace = 250 * time.Millisecond
-	// suspectPeriod is how long a planner that did not answer is not asked.
+	// suspectPeriod is how long a planner that did not answer is not asked. It
+	// doubles with each failure in a row up to maxSuspect, since membership takes
+	// some seconds to find a silent host dead.
 	suspectPeriod = 2 * time.Second
+	maxSuspect    = 16 * time.Second
 	// maxPlanners bounds the planners that one call tries.
 	maxPlanners = 2
 	// noticeDelay collects notices, so that many travel in one message.
@@ -54,10 +59,16 @@
 	sequence atomic.Uint64
 
 	mu       sync.Mutex
-	suspects map[string]time.Time
+	suspects map[string]suspicion
 	notices  map[destination][]*messenger.PlanNotice
 }
 
+// suspicion is that of a planner that did not answer.
+type suspicion struct {
+	until  time.Time
+	period time.Duration
+}
+
 // host is one that may plan a pool; the address of this host is empty.
 type host struct{ id, address string }
 
@@ -73,7 +84,7 @@
 	}
 	pla.mu.Lock()
 	for _, per := range pla.Live(now) {
-		if now.Before(pla.suspects[per.ID]) {
+		if now.Before(pla.suspects[per.ID].until) {
 			continue
 		}
 		adds[per.ID] = per.Address
@@ -96,6 +107,7 @@
 	for _, hos := range pla.candidates(ask.Pool, pla.Clock()) {
 		act, err := pla.askHost(ctx, hos, ask.Pool, one)
 		if err == nil {
+			pla.trust(hos.id)
 			return act, hos, nil
 		}
 		if ctx.Err() != nil {
@@ -109,20 +121,7 @@
 
 // askID names an ask. A call that is sent again asks anew.
 func (pla *Planners) askID(ask relayer.Ask) string {
-	return ask.ID + "/" + string(rune('0'+ask.Sends%10)) + "/" + pla.Self + "/" + itoa(pla.sequence.Add(1))
-}
-
-func itoa(num uint64) string {
-	const digits = "0123456789abcdefghijklmnopqrstuvwxyz"
-	var buf [13]byte
-	pos := len(buf)
-	for {
-		pos--
-		buf[pos] = digits[num%36]
-		if num /= 36; num == 0 {
-			return string(buf[pos:])
-		}
-	}
+	return strings.Join([]string{ask.ID, strconv.Itoa(ask.Sends), pla.Self, strconv.FormatUint(pla.sequence.Add(1), 36)}, "/")
 }
 
 func promptOf(ask relayer.Ask) planner.Prompt {
@@ -169,13 +168,25 @@
 
 func (pla *Planners) suspect(id string, err error) {
 	now := pla.Clock()
-	pla.Log.Warn().Str("Peer", id).Err(err).Dur("ForMs", suspectPeriod).Msg("planner does not answer")
 	pla.mu.Lock()
 	defer pla.mu.Unlock()
 	if pla.suspects == nil {
-		pla.suspects = map[string]time.Time{}
+		pla.suspects = map[string]suspicion{}
 	}
-	pla.suspects[id] = now.Add(suspectPeriod)
+	if now.Before(pla.suspects[id].until) {
+		// Another ask has found it out.
+		return
+	}
+	per := min(maxSuspect, max(suspectPeriod, 2*pla.suspects[id].period))
+	pla.suspects[id] = suspicion{now.Add(per), per}
+	pla.Log.Warn().Str("Peer", id).Err(err).Dur("ForMs", per).Msg("planner does not answer")
+}
+
+// trust ends the suspicion of a planner that has answered.
+func (pla *Planners) trust(id string) {
+	pla.mu.Lock()
+	defer pla.mu.Unlock()
+	delete(pla.suspects, id)
 }
 
 // HandleRequest answers another host's ask.
--- a/process/configurer/reader.go
+++ b/process/configurer/reader.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -33,13 +34,14 @@
 // a HelpError.
 func Read(args []string) (Settings, error) {
 	var fas []string
+	fil, err := readFile(args)
+	if err != nil {
+		return Settings{}, &FaultsError{[]string{err.Error()}}
+	}
+	args = append(fil, args...)
 	for {
 		var set Settings
-		par := NewParser(&set)
-		if err := readFile(par, args); err != nil {
-			return set, &FaultsError{append(fas, err.Error())}
-		}
-		lef, err := par.ParseArgs(args)
+		lef, err := NewParser(&set).ParseArgs(args)
 		var fla *flags.Error
 		switch {
 		case err == nil:
@@ -55,24 +57,54 @@
 	}
 }
 
-// readFile takes the settings of the file that the arguments or the environment
-// name as defaults.
-func readFile(par *flags.Parser, args []string) error {
+// readFile returns the settings of the file that the arguments or the environment
+// name, as arguments. Those that the arguments or the environment set are left out.
+func readFile(args []string) ([]string, error) {
 	var one struct {
 		Config string `long:"config" env:"HEMLOCKPIN_CONFIG"`
 	}
 	if _, err := flags.NewParser(&one, flags.IgnoreUnknown).ParseArgs(args); err != nil {
-		return fmt.Errorf("--config: %w", err)
+		return nil, fmt.Errorf("--config: %w", err)
 	}
 	if one.Config == "" {
-		return nil
+		return nil, nil
 	}
-	ini := flags.NewIniParser(par)
-	ini.ParseAsDefaults = true
-	if err := ini.ParseFile(one.Config); err != nil {
-		return fmt.Errorf("--config %s: %w", one.Config, err)
+	par := NewParser(&Settings{})
+	if err := flags.NewIniParser(par).ParseFile(one.Config); err != nil {
+		return nil, fmt.Errorf("--config %s: %w", one.Config, err)
 	}
-	return nil
+	var out []string
+	for _, opt := range options(par.Groups()) {
+		if opt.IsSet() && !opt.IsSetDefault() && os.Getenv(opt.EnvDefaultKey) == "" && !names(args, opt.LongName) {
+			out = append(out, asArguments(opt)...)
+		}
+	}
+	return out, nil
+}
+
+func options(gros []*flags.Group) []*flags.Option {
+	var out []*flags.Option
+	for _, gro := range gros {
+		out = append(append(out, gro.Options()...), options(gro.Groups())...)
+	}
+	return out
+}
+
+// names reports whether the arguments set an option.
+func names(args []string, long string) bool {
+	return slices.ContainsFunc(args, func(arg string) bool { return arg == "--"+long || strings.HasPrefix(arg, "--"+long+"=") })
+}
+
+// asArguments formats the value of an option.
+func asArguments(opt *flags.Option) []string {
+	if lis, ok := opt.Value().([]string); ok {
+		var out []string
+		for _, val := range lis {
+			out = append(out, "--"+opt.LongName+"="+val)
+		}
+		return out
+	}
+	return []string{fmt.Sprintf("--%s=%v", opt.LongName, opt.Value())}
 }
 
 // faults joins the faults of reading with those of the values that could be read.
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -44,7 +44,7 @@
 	Take(pool string, now time.Time) bool
 }
 
-// Relayer forwards calls. All its fields but Budget's limits are needed.
+// Relayer forwards calls. All its fields are needed.
 type Relayer struct {
 	Codec     Codec
 	Tables    func() *matcher.Matcher
