Account for engines that read divided prompts newest first, and keep answers together

In every case a prompt sent later to one of their engines began first: the engines read parts of divided prompts newest first, while the plan counted on the oldest first. Besides, short answers were spread over all 14 engines, so that each long part made some of them pause, and answers of middle length stood on engines for long parts. Change: the account keeps a stack of divided parts and a queue of whole prompts, with the bound of a pass; a choice counts what it would hold up. Short prompts prefer engines that write many answers, leads of divided prompts likewise. A choice whose first event comes after the caller has left is not started. The grant's log line names all engines. Ruled out: slow engines (pace 1 in all reports), preemption (0 counted), memory (half free), reservations (other engines), the order of deadlines (a later one went first).

--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -38,12 +38,17 @@
 	lateAhead = 80
 	// openCost weighs an engine that long prompts could use as a whole, when
 	// these take up half of the engines, against the loss of requests.
-	openCost = 0.4
+	openCost = 1
 	// tieCost weighs the time to the first event, as a share of the objective.
 	tieCost = 0.1
+	// tieWeight does the same for long prompts, as a share of their weight.
+	tieWeight = 0.05
 	// harmTime is the time in ms for which an engine is chosen that is later to
 	// begin but loses a unit of weight less.
 	harmTime = 200
+	// leadTime is the delay in ms for which an answer is kept away from an engine
+	// that writes none whose pauses are bound as tightly.
+	leadTime = 300
 	// network is the time in ms that a request and its first event spend between
 	// hosts.
 	network = 8
@@ -139,6 +144,9 @@
 // lost by it grows as the time runs out in which the ask could wait.
 func (pla *Plan) starts(one *ask, cho choice, now time.Time) bool {
 	wei := pla.weight(one)
+	if cho.first > msOf(one.patience.Sub(now)) {
+		return false
+	}
 	own := pla.late(one, cho.first, now)
 	room := earlyShare*one.slack(now) - cho.first
 	if own < lateLoss*wei {
@@ -179,18 +187,15 @@
 func (pla *Plan) chooseOne(one *ask, now time.Time) (choice, bool) {
 	var bes choice
 	found := false
-	ope := openCost * min(1, 2*pla.longShare(now))
 	for _, eng := range pla.order {
 		if !eng.usable(one, now) || eng.free(pla.fig.MemoryTokens) < one.need || len(eng.grants)+eng.foreign >= pla.fig.Slots {
 			continue
 		}
 		cho := choice{lead: eng, parts: []*engine{eng}, ahead: eng.backlog(now)}
-		cho.first = eng.residual(now) + eng.nextWriteTime(pla.fig, one.prompt.Tokens) + sum(eng.pending) + one.read*eng.pace + network
-		cho.loss = pla.late(one, cho.first, now) + pla.harm(eng, one.read, one.prompt.Tokens, now)
+		cho.first = eng.residual(now) + eng.nextWriteTime(pla.fig, one.prompt.Tokens) + eng.queued() + one.read*eng.pace + network
+		cho.loss = pla.late(one, cho.first, now) + pla.harm(eng, one.read, one.prompt.Tokens, false, now)
 		cho.cost = cho.loss + tieCost*float64(cho.first/max(1, msOf(one.prompt.Objective)))
-		if !eng.holdsTight(one.prompt.Pause) {
-			cho.cost += ope
-		}
+		cho.cost += openCost / float64(1+eng.tight(one.prompt.Pause))
 		if !found || cho.cost < bes.cost {
 			bes, found = cho, true
 		}
@@ -217,8 +222,7 @@
 		if !eng.usable(one, now) || len(eng.grants)+eng.foreign >= pla.fig.Slots {
 			continue
 		}
-		rea := eng.residual(now) + eng.nextWriteTime(pla.fig, 0) + sum(eng.pending)
-		cans = append(cans, candidate{eng: eng, ready: rea, free: eng.free(pla.fig.MemoryTokens)})
+		cans = append(cans, candidate{eng: eng, free: eng.free(pla.fig.MemoryTokens)})
 	}
 	var bes choice
 	found := false
@@ -237,21 +241,21 @@
 	rea := one.read / ms(num)
 	for ind := range cans {
 		can := &cans[ind]
-		can.harm = pla.harm(can.eng, rea, 0, now) + pla.block(can.eng, rea, now)
+		can.ready = can.eng.ready(pla.fig, num > 1, now)
+		can.harm = pla.harm(can.eng, rea, 0, num > 1, now) + pla.block(can.eng, rea, now)
 		can.key = can.ready + rea*can.eng.pace + harmTime*ms(can.harm)
 	}
 	slices.SortStableFunc(cans, func(a, b candidate) int { return cmp.Compare(a.key, b.key) })
-	tak := slices.Clone(cans[:num])
-	lea := leader(tak, one.need)
 	cho := choice{}
+	lea := pla.leader(one, cans, rea, now)
 	if lea < 0 {
 		var ok bool
-		if cho.reserve, ok = pla.spread(one, tak); !ok {
+		if cho.reserve, ok = pla.spread(one, cans[:num]); !ok {
 			return choice{}, false
 		}
 		lea = 0
 	}
-	tak[0], tak[lea] = tak[lea], tak[0]
+	tak := append([]candidate{cans[lea]}, slices.Delete(slices.Clone(cans), lea, lea+1)[:num-1]...)
 	for _, can := range tak {
 		cho.parts = append(cho.parts, can.eng)
 		cho.ahead = max(cho.ahead, can.eng.backlog(now))
@@ -261,20 +265,24 @@
 	cho.lead = cho.parts[0]
 	cho.first += cho.lead.nextWriteTime(pla.fig, one.prompt.Tokens) + network
 	cho.loss += pla.late(one, cho.first, now)
-	cho.cost = cho.loss + tieCost*float64(cho.first/max(1, msOf(one.prompt.Objective)))
+	cho.cost = cho.loss + tieWeight*pla.weight(one)*float64(cho.first/max(1, msOf(one.prompt.Objective)))
 	return cho, true
 }
 
-// leader returns the engine that holds the prompt: of those with the memory the
-// one that leads the fewest requests; -1 if there is none.
-func leader(cans []candidate, need int64) int {
+// leader returns the engine that holds the prompt and writes the answer; -1 if
+// none has the memory. Answers are kept together, so that long parts find engines
+// without answers.
+func (pla *Plan) leader(one *ask, cans []candidate, read ms, now time.Time) int {
 	lea := -1
+	var bes ms
 	for ind, can := range cans {
-		if can.free < need {
+		if can.free < one.need {
 			continue
 		}
-		if lea < 0 || len(can.eng.grants) < len(cans[lea].eng.grants) {
-			lea = ind
+		har := pla.harm(can.eng, read, one.prompt.Tokens, true, now)
+		key := can.key + harmTime*ms(har-can.harm) + leadTime/ms(1+can.eng.tight(one.prompt.Pause))
+		if lea < 0 || key < bes {
+			lea, bes = ind, key
 		}
 	}
 	return lea
@@ -301,18 +309,21 @@
 	gra := &grant{ask: one, lead: cho.lead, since: now, need: one.need, expected: now.Add(cho.first.duration()), unread: len(cho.parts)}
 	cho.lead.grants[one.ID] = gra
 	for ind, eng := range cho.parts {
-		par := &part{gra: gra, eng: eng, read: one.read / ms(len(cho.parts)) * eng.pace}
+		num := len(cho.parts)
+		par := &part{gra: gra, eng: eng, read: one.read / ms(num) * eng.pace, tokens: float64(one.prompt.Tokens) / float64(num)}
 		switch {
 		case cho.reserve != nil:
 			par.memory = cho.reserve[ind]
 		case ind == 0:
 			par.memory = one.need
 		}
-		pla.delay(eng, par.read)
-		eng.add(pla.fig, par, now)
-		eng.spoil(pla.fig)
 		gra.parts = append(gra.parts, par)
 	}
+	for _, par := range gra.parts {
+		par.eng.add(pla.fig, par, now)
+		par.eng.spoil(pla.fig)
+		pla.delay(par.eng, now)
+	}
 	if cho.reserve != nil {
 		gra.need = gra.parts[0].memory
 	}
@@ -320,10 +331,14 @@
 	pla.assign(gra, now)
 }
 
-// delay moves the expected first events of what waits beside a new read.
-func (pla *Plan) delay(eng *engine, read ms) {
-	for _, par := range eng.pending {
-		par.gra.expected = par.gra.expected.Add(read.duration())
+// delay moves the expected first events of what an engine reads later.
+func (pla *Plan) delay(eng *engine, now time.Time) {
+	for _, pars := range [][]*part{eng.divided, eng.whole} {
+		for _, par := range pars {
+			if exp := now.Add(pla.firstAfter(par, now).duration()); exp.After(par.gra.expected) {
+				par.gra.expected = exp
+			}
+		}
 	}
 }
 
--- a/process/planner/cost.go
+++ b/process/planner/cost.go
@@ -24,6 +24,7 @@
 	assumedStride   = 1
 	assumedSlots    = 8
 	assumedAnswer   = 256
+	assumedChunk    = 2048
 )
 
 func newFigures(bat parser.Batching) figures {
@@ -39,9 +40,15 @@
 	if bat.UsualAnswer <= 0 {
 		bat.UsualAnswer = assumedAnswer
 	}
+	if bat.ChunkTokens <= 0 {
+		bat.ChunkTokens = assumedChunk
+	}
 	return figures{bat}
 }
 
+// passTokens is the most that a pass reads beside the answers that it writes.
+func (fig figures) passTokens() float64 { return float64(fig.ChunkTokens) * float64(fig.Stride) }
+
 // read is the time in which one engine alone reads a prompt.
 func (fig figures) read(tokens int64) ms {
 	num := float64(tokens)
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -19,13 +19,18 @@
 	arrivalDelay = 3 * time.Millisecond
 	// noticeDelay is the time from an event until the plan hears of it.
 	noticeDelay = 4 * time.Millisecond
+	// stepDelay is the time in ms until an engine that writes nothing turns to a new
+	// part: half a step, which reads 2,048 tokens in some 25 ms.
+	stepDelay = 12
 	// leastPass keeps the account of passes from going on in tiny steps.
 	leastPass = 1
 )
 
-// engine is the account of one engine. An engine works in passes: each one reads
-// what waited when it began, writes a stride of every answer, and ends with the
-// first events of what it has read.
+// engine is the account of one engine. An engine that writes answers works in
+// passes: each one reads what waited when it began, up to a bound, writes a stride
+// of every answer, and ends with the first events of what it has read. An engine
+// without answers reads one part after the other. Parts of divided prompts go
+// ahead of whole prompts, the newest first, and interrupt older reads.
 type engine struct {
 	Engine
 	gone   bool
@@ -37,9 +42,11 @@
 	// idle engine.
 	passEnd  time.Time
 	passTime ms
-	// reading are the parts of the pass in progress, pending those of the next.
+	// reading are the parts of the pass in progress; divided and whole are those of
+	// later ones, the oldest first.
 	reading []*part
-	pending []*part
+	divided []*part
+	whole   []*part
 	// grants are those that the engine leads.
 	grants map[string]*grant
 	memory int64
@@ -52,11 +59,17 @@
 type part struct {
 	gra *grant
 	eng *engine
-	// read is the time of the read, at the engine's pace.
+	// read is the time of what is left to read, at the engine's pace, and tokens
+	// their number. taken is what the pass in progress reads of it.
 	read   ms
+	tokens float64
+	taken  ms
 	memory int64
 }
 
+// divided reports whether other engines read parts of the same prompt.
+func (par *part) divided() bool { return len(par.gra.parts) > 1 }
+
 // grant is an ask that has engines.
 type grant struct {
 	ask   *ask
@@ -94,10 +107,15 @@
 // turn ends the pass in progress and begins the next one.
 func (eng *engine) turn(fig figures, at time.Time) {
 	for _, par := range eng.reading {
-		par.gra.unread--
+		if par.read -= par.taken; par.read <= 0 {
+			par.gra.unread--
+		} else {
+			eng.putBack(par)
+		}
 	}
-	eng.reading, eng.pending = eng.pending, nil
-	dur := eng.writeTime(fig) + sum(eng.reading)
+	eng.reading = nil
+	dur := eng.writeTime(fig)
+	dur += eng.take(dur > 0, fig)
 	if dur <= 0 {
 		eng.passEnd = time.Time{}
 		return
@@ -106,10 +124,50 @@
 	eng.passEnd = at.Add(eng.passTime.duration())
 }
 
+// putBack queues a part that is not read to its end.
+func (eng *engine) putBack(par *part) {
+	par.taken = 0
+	if par.divided() {
+		eng.divided = append(eng.divided, par)
+	} else {
+		eng.whole = slices.Insert(eng.whole, 0, par)
+	}
+}
+
+// take chooses what the next pass reads and returns the time for it.
+func (eng *engine) take(writes bool, fig figures) ms {
+	var tot ms
+	bud := fig.passTokens()
+	for bud > 0 {
+		var par *part
+		switch {
+		case len(eng.divided) > 0:
+			las := len(eng.divided) - 1
+			par, eng.divided = eng.divided[las], eng.divided[:las]
+		case len(eng.whole) > 0:
+			par, eng.whole = eng.whole[0], eng.whole[1:]
+		default:
+			return tot
+		}
+		eng.reading = append(eng.reading, par)
+		par.taken = par.read
+		if writes && par.tokens > bud {
+			par.taken = par.read * ms(bud/par.tokens)
+			par.tokens -= bud
+		}
+		tot += par.taken
+		if !writes {
+			return tot
+		}
+		bud -= par.tokens
+	}
+	return tot
+}
+
 // ended notes that a pass of the engine ended, with the first event of a part
 // that it led.
 func (eng *engine) ended(fig figures, par *part, at time.Time) {
-	if slices.Contains(eng.reading, par) || slices.Contains(eng.pending, par) {
+	if eng.has(par) {
 		eng.remove(par, at)
 		eng.turn(fig, at)
 		return
@@ -120,6 +178,14 @@
 	}
 }
 
+// has reports whether the engine has still to read a part.
+func (eng *engine) has(par *part) bool {
+	return slices.Contains(eng.reading, par) || slices.Contains(eng.divided, par) || slices.Contains(eng.whole, par)
+}
+
+// queued is the time of the reads that wait for later passes.
+func (eng *engine) queued() ms { return sum(eng.divided) + sum(eng.whole) }
+
 func sum(pars []*part) ms {
 	var tot ms
 	for _, par := range pars {
@@ -156,25 +222,45 @@
 // add gives the engine a part to read.
 func (eng *engine) add(fig figures, par *part, now time.Time) {
 	eng.memory += par.memory
-	eng.pending = append(eng.pending, par)
+	if !par.divided() {
+		eng.whole = append(eng.whole, par)
+	} else {
+		eng.interrupt(fig, now)
+		eng.divided = append(eng.divided, par)
+	}
 	if eng.passEnd.IsZero() {
 		eng.turn(fig, now.Add(arrivalDelay))
 	}
 }
 
+// interrupt ends a read of an engine that writes nothing.
+func (eng *engine) interrupt(fig figures, now time.Time) {
+	if len(eng.reading) == 0 || eng.writeTime(fig) > 0 {
+		return
+	}
+	lef := eng.residual(now)
+	for _, par := range eng.reading {
+		par.tokens *= float64(lef / max(leastPass, par.read))
+		par.read = lef
+		eng.putBack(par)
+	}
+	eng.reading, eng.passEnd = nil, time.Time{}
+}
+
 // remove takes a part back. A pass that reads it ends sooner.
 func (eng *engine) remove(par *part, now time.Time) {
 	is := func(oth *part) bool { return oth == par }
 	if slices.ContainsFunc(eng.reading, is) {
-		eng.passTime = max(leastPass, eng.passTime-par.read)
-		if end := eng.passEnd.Add(-par.read.duration()); end.After(now) {
+		eng.passTime = max(leastPass, eng.passTime-par.taken)
+		if end := eng.passEnd.Add(-par.taken.duration()); end.After(now) {
 			eng.passEnd = end
 		} else {
 			eng.passEnd = now
 		}
 	}
 	eng.reading = slices.DeleteFunc(eng.reading, is)
-	eng.pending = slices.DeleteFunc(eng.pending, is)
+	eng.divided = slices.DeleteFunc(eng.divided, is)
+	eng.whole = slices.DeleteFunc(eng.whole, is)
 }
 
 // residual is the time left of the pass in progress.
@@ -187,21 +273,70 @@
 
 // backlog is the time until the engine has read what it was given.
 func (eng *engine) backlog(now time.Time) ms {
-	if len(eng.reading) == 0 && len(eng.pending) == 0 {
+	if len(eng.reading) == 0 && len(eng.divided) == 0 && len(eng.whole) == 0 {
 		return 0
 	}
-	return eng.residual(now) + sum(eng.pending)
+	return eng.residual(now) + eng.queued()
+}
+
+// ready is the time until the engine could have read a new part, without the
+// time for that itself.
+func (eng *engine) ready(fig figures, divided bool, now time.Time) ms {
+	wri := eng.nextWriteTime(fig, 0)
+	switch {
+	case wri > 0:
+		return eng.residual(now) + wri + eng.queued()
+	case divided && eng.residual(now) > 0:
+		return min(eng.residual(now), stepDelay)
+	default:
+		return eng.residual(now) + eng.queued()
+	}
+}
+
+// finish is the time until the engine has read a part that it was given.
+func (eng *engine) finish(fig figures, par *part, now time.Time) ms {
+	if slices.Contains(eng.reading, par) && par.taken >= par.read {
+		return eng.residual(now)
+	}
+	if wri := eng.nextWriteTime(fig, 0); wri > 0 {
+		return eng.residual(now) + wri + eng.queued()
+	}
+	tot := eng.residual(now)
+	for _, oth := range slices.Backward(eng.divided) {
+		if tot += oth.read; oth == par {
+			return tot
+		}
+	}
+	for _, oth := range eng.whole {
+		if tot += oth.read; oth == par {
+			break
+		}
+	}
+	return tot
+}
+
+// behind returns the parts that a new part would delay.
+func (eng *engine) behind(fig figures, divided bool) []*part {
+	var out []*part
+	if wri := eng.nextWriteTime(fig, 0); wri > 0 {
+		return append(append(out, eng.divided...), eng.whole...)
+	}
+	if divided {
+		return append(append(append(out, eng.reading...), eng.divided...), eng.whole...)
+	}
+	return nil
 }
 
-// holdsTight reports whether the engine leads an answer whose pauses are bound as
+// tight counts the answers that the engine leads whose pauses are bound as
 // tightly as those of a request.
-func (eng *engine) holdsTight(pause time.Duration) bool {
+func (eng *engine) tight(pause time.Duration) int {
+	num := 0
 	for _, gra := range eng.grants {
 		if gra.ask.prompt.Pause > 0 && gra.ask.prompt.Pause <= pause {
-			return true
+			num++
 		}
 	}
-	return false
+	return num
 }
 
 // free is the memory for further grants.
--- a/process/planner/event.go
+++ b/process/planner/event.go
@@ -142,6 +142,15 @@
 	Waited time.Duration
 }
 
+// endpoints names the engines, the lead first.
+func (act Assign) endpoints() []string {
+	out := make([]string, len(act.Parts))
+	for ind, par := range act.Parts {
+		out[ind] = par.Endpoint
+	}
+	return out
+}
+
 // Refuse turns an ask away. Nothing has run for it.
 type Refuse struct {
 	ID         string
--- a/process/planner/loss.go
+++ b/process/planner/loss.go
@@ -53,18 +53,18 @@
 
 // harm is the expected loss of the requests that an engine has when it gets a
 // further read. A lead also gets the context of the answer.
-func (pla *Plan) harm(eng *engine, read ms, context int64, now time.Time) float64 {
-	if len(eng.grants) == 0 && len(eng.pending) == 0 {
+func (pla *Plan) harm(eng *engine, read ms, context int64, divided bool, now time.Time) float64 {
+	if len(eng.grants) == 0 && eng.passEnd.IsZero() {
 		return 0
 	}
-	old := eng.nextWriteTime(pla.fig, 0) + sum(eng.pending)
-	nex := eng.nextWriteTime(pla.fig, context) + sum(eng.pending) + read*eng.pace
+	old := eng.nextWriteTime(pla.fig, 0) + eng.queued()
+	nex := eng.nextWriteTime(pla.fig, context) + eng.queued() + read*eng.pace
 	var tot float64
 	for _, gra := range eng.grants {
 		tot += pla.pauseHarm(gra, old, nex)
 	}
-	for _, par := range eng.pending {
-		tot += pla.delayHarm(par.gra, nex-old, now)
+	for _, par := range eng.behind(pla.fig, divided) {
+		tot += pla.delayHarm(par, nex-old, now)
 	}
 	return tot
 }
@@ -103,18 +103,25 @@
 	return lateLoss * pla.weight(gra.ask)
 }
 
-// delayHarm is the loss of a request whose first event comes later.
-func (pla *Plan) delayHarm(gra *grant, delay ms, now time.Time) float64 {
+// delayHarm is the loss of a request one of whose parts is read later.
+func (pla *Plan) delayHarm(par *part, delay ms, now time.Time) float64 {
+	gra := par.gra
 	if gra.began {
 		return 0
 	}
 	exp := msOf(gra.expected.Sub(now))
-	return max(0, pla.late(gra.ask, exp+delay, now)-pla.late(gra.ask, exp, now))
+	nex := max(exp, pla.firstAfter(par, now)+delay)
+	return max(0, pla.late(gra.ask, nex, now)-pla.late(gra.ask, exp, now))
+}
+
+// firstAfter is the time to the first event of a grant that waits for a part.
+func (pla *Plan) firstAfter(par *part, now time.Time) ms {
+	return par.eng.finish(pla.fig, par, now) + par.gra.lead.nextWriteTime(pla.fig, 0) + network
 }
 
 // spoil notes which answers a pass of an engine makes pause for too long.
 func (eng *engine) spoil(fig figures) {
-	pas := eng.nextWriteTime(fig, 0) + sum(eng.pending)
+	pas := eng.nextWriteTime(fig, 0) + eng.queued()
 	for _, gra := range eng.grants {
 		lim := pauseShare * msOf(gra.ask.prompt.Pause)
 		if lim > 0 && pas > lim && gra.writing() {
--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -277,7 +277,7 @@
 		switch act := act.(type) {
 		case Assign:
 			id = act.ID
-			one.log.Info().Str("RequestID", id).Str("Pool", one.pool).Str("Endpoint", act.Parts[0].Endpoint).Int("Parts", len(act.Parts)).
+			one.log.Info().Str("RequestID", id).Str("Pool", one.pool).Strs("Endpoints", act.endpoints()).
 				Dur("FirstMs", act.First).Dur("WaitedMs", act.Waited).Int("Waiting", one.plan.Waiting()).Int("Granted", one.plan.Granted()).Msg("plan granted")
 		case Refuse:
 			id = act.ID
