--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -263,7 +263,8 @@
 		cho.loss += can.harm
 	}
 	cho.lead = cho.parts[0]
-	cho.first += cho.lead.nextWriteTime(pla.fig, one.prompt.Tokens) + network
+	own := cho.lead.passAfter(pla.fig, one.prompt.Tokens, now) + rea*cho.lead.pace
+	cho.first = max(own, cho.first+cho.lead.nextWriteTime(pla.fig, one.prompt.Tokens)) + network
 	cho.loss += pla.late(one, cho.first, now)
 	cho.cost = cho.loss + tieWeight*pla.weight(one)*float64(cho.first/max(1, msOf(one.prompt.Objective)))
 	return cho, true
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -186,6 +186,14 @@
 // queued is the time of the reads that wait for later passes.
 func (eng *engine) queued() ms { return sum(eng.divided) + sum(eng.whole) }
 
+func taken(pars []*part) ms {
+	var tot ms
+	for _, par := range pars {
+		tot += par.taken
+	}
+	return tot
+}
+
 func sum(pars []*part) ms {
 	var tot ms
 	for _, par := range pars {
@@ -279,29 +287,34 @@
 	return eng.residual(now) + eng.queued()
 }
 
-// ready is the time until the engine could have read a new part, without the
-// time for that itself.
+// ready is the time until the engine turns to a new part.
 func (eng *engine) ready(fig figures, divided bool, now time.Time) ms {
-	wri := eng.nextWriteTime(fig, 0)
 	switch {
-	case wri > 0:
-		return eng.residual(now) + wri + eng.queued()
-	case divided && eng.residual(now) > 0:
-		return min(eng.residual(now), stepDelay)
-	default:
+	case !divided:
 		return eng.residual(now) + eng.queued()
+	case eng.nextWriteTime(fig, 0) > 0:
+		return eng.residual(now)
+	default:
+		return min(eng.residual(now), stepDelay)
+	}
+}
+
+// passAfter is the time until the engine has ended a pass with a new part of its
+// own, without the time to read that.
+func (eng *engine) passAfter(fig figures, context int64, now time.Time) ms {
+	wri := eng.nextWriteTime(fig, 0)
+	if wri == 0 {
+		return eng.ready(fig, true, now) + eng.nextWriteTime(fig, context)
 	}
+	return eng.residual(now) + eng.queued() + eng.nextWriteTime(fig, context)
 }
 
 // finish is the time until the engine has read a part that it was given.
 func (eng *engine) finish(fig figures, par *part, now time.Time) ms {
-	if slices.Contains(eng.reading, par) && par.taken >= par.read {
-		return eng.residual(now)
-	}
-	if wri := eng.nextWriteTime(fig, 0); wri > 0 {
-		return eng.residual(now) + wri + eng.queued()
-	}
 	tot := eng.residual(now)
+	if ind := slices.Index(eng.reading, par); ind >= 0 && par.taken >= par.read {
+		return max(0, tot-taken(eng.reading[ind+1:])-eng.writeTime(fig))
+	}
 	for _, oth := range slices.Backward(eng.divided) {
 		if tot += oth.read; oth == par {
 			return tot
--- a/process/planner/world_test.go
+++ b/process/planner/world_test.go
@@ -85,8 +85,9 @@
 }
 
 // simEngine works in passes, as the platform's contract of engines says. Parts of
-// divided prompts go ahead of other reads, the newest first: the bench's engines
-// were seen to do so on quiet-1 of solepost-mu.
+// divided prompts go ahead of other reads, the newest first, and a helper's part is
+// there before its pass ends: the bench's engines were seen to do so on quiet-1 of
+// solepost-mu.
 type simEngine struct {
 	id      string
 	slow    float64
@@ -305,6 +306,10 @@
 		if par.tokens > 0 {
 			continue
 		}
+		if par.req.lead != eng {
+			wor.at(now.Add(time.Duration(eng.slow*dur*float64(time.Millisecond))), func(now time.Time) { wor.helped(par.req, now) })
+			continue
+		}
 		eng.reading = append(eng.reading, par)
 		if par.ends(eng) {
 			// The pass that reads the last part writes the first stride, too.
@@ -317,6 +322,14 @@
 	wor.at(now.Add(time.Duration(eng.slow*max(0.5, dur)*float64(time.Millisecond))), func(now time.Time) { wor.end(eng, now) })
 }
 
+// helped notes that a helper has read its part.
+func (wor *world) helped(req *simRequest, now time.Time) {
+	if req.unread--; req.unread == 0 && !req.left {
+		req.lead.writing = append(req.lead.writing, req)
+		wor.begin(req.lead, now)
+	}
+}
+
 // ends reports whether the part is the last one that the engine, which leads the
 // request, waits for.
 func (par *simPart) ends(eng *simEngine) bool { return par.req.unread == 1 && par.req.lead == eng }
@@ -336,17 +349,11 @@
 			continue
 		}
 		own := par.ends(eng)
-		if par.req.unread--; par.req.unread == 0 {
-			if own {
-				wor.event(par.req, now)
-			}
-			if par.req.finished {
-				continue
-			}
-			par.req.lead.writing = append(par.req.lead.writing, par.req)
-			if par.req.lead != eng {
-				wor.begin(par.req.lead, now)
-			}
+		if par.req.unread--; !own {
+			continue
+		}
+		if wor.event(par.req, now); !par.req.finished {
+			eng.writing = append(eng.writing, par.req)
 		}
 	}
 	wor.begin(eng, now)
