--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -38,7 +38,7 @@
 	lateAhead = 80
 	// openCost weighs an engine that long prompts could use as a whole, when
 	// these take up half of the engines, against the loss of requests.
-	openCost = 1
+	openCost = 0.3
 	// tieCost weighs the time to the first event, as a share of the objective.
 	tieCost = 0.1
 	// tieWeight does the same for long prompts, as a share of their weight.
--- a/process/planner/loss.go
+++ b/process/planner/loss.go
@@ -8,7 +8,7 @@
 	lateLoss = 0.75
 	// earlyShare and lateShare of the time left bound the estimates between which
 	// a request may be late: estimates are off by some ten per cent.
-	earlyShare = 0.6
+	earlyShare = 0.55
 	lateShare  = 1.05
 	// delayWeight is the share of a request's weight that a delay by its whole
 	// objective costs even where it should still be in time.
