--- a/internal/testkit/fleet.go
+++ b/internal/testkit/fleet.go
@@ -175,7 +175,9 @@
 }
 
 func (fle *Fleet) process(id, name, add string, args []string) *Process {
-	return &Process{ID: id, Address: add, name: filepath.Join(fle.Plan.Bin, name), args: args, logs: fle.Plan.Logs}
+	pro := NewProcess(id, filepath.Join(fle.Plan.Bin, name), args, fle.Plan.Logs)
+	pro.Address = add
+	return pro
 }
 
 func (fle *Fleet) dataCenter(ind int) string {
@@ -422,3 +424,9 @@
 	err := GetJSON(ctx, "http://"+fle.Hosts[host].Operator+"/v1/tables", &tab)
 	return tab, err
 }
+
+// NewProcess returns a program that is not started yet. Its output goes to logs; nil
+// discards it.
+func NewProcess(id, program string, args []string, logs io.Writer) *Process {
+	return &Process{ID: id, name: program, args: args, logs: logs}
+}
