Keep a starting host alive when SIGHUP comes

Its log has no line after the last start, and SIGQUIT shows that the process is gone: SIGHUP came while it looked for the incarnation of its host, which takes up to two seconds, before the handler was installed, and ended it. Change: the handler is installed first. With the other interface a SIGHUP, which ended the daemon, is now a warning in the log. Ruled out: a taken port (no such error), the freeze before it (woken in time), the store (others became ready).

--- a/cmd/hemlockpind/forward.go
+++ b/cmd/hemlockpind/forward.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"hemlockpin/connection/counter"
@@ -20,18 +18,15 @@
 const fileInterval = 2 * time.Second
 
 // forward runs a host that forwards calls unchanged on the users' platform.
-func forward(ctx context.Context, set configurer.Settings, log zerolog.Logger, now time.Time) error {
+func forward(ctx context.Context, set configurer.Settings, hup <-chan os.Signal, log zerolog.Logger, now time.Time) error {
 	cli := platform.New(set.Platform, &counter.Traffic{})
 	fwd := forwarder.New(set, forwarder.Platform{Source: cli, Codec: platform.Codec{}, Engines: cli}, log, forwarder.Incarnation(ctx, set, now))
-	go watchSettings(ctx, set, fwd, log)
+	go watchSettings(ctx, set, hup, fwd, log)
 	return fwd.Run(ctx)
 }
 
 // watchSettings reads the settings again on SIGHUP and when their file changes.
-func watchSettings(ctx context.Context, set configurer.Settings, fwd *forwarder.Forwarder, log zerolog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchSettings(ctx context.Context, set configurer.Settings, hup <-chan os.Signal, fwd *forwarder.Forwarder, log zerolog.Logger) {
 	tic := time.NewTicker(fileInterval)
 	defer tic.Stop()
 	last := modified(set.Config)
--- a/cmd/hemlockpind/main.go
+++ b/cmd/hemlockpind/main.go
@@ -31,6 +31,9 @@
 )
 
 func main() {
+	// A SIGHUP that comes while the host is starting must not end it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	set, err := configurer.Read(os.Args[1:])
 	var hel *configurer.HelpError
 	switch {
@@ -43,12 +46,12 @@
 		fmt.Println("settings are good")
 		return
 	}
-	if err := run(set); err != nil {
+	if err := run(set, hup); err != nil {
 		fail(err, exitFailure)
 	}
 }
 
-func run(set configurer.Settings) error {
+func run(set configurer.Settings, hup <-chan os.Signal) error {
 	lev, _ := zerolog.ParseLevel(set.LogLevel)
 	wri := logger.New(os.Stdout, logger.DefaultBytes)
 	defer wri.Close()
@@ -63,11 +66,24 @@
 	}
 	defer flush()
 	if set.Interface == configurer.InterfaceForward {
-		return forward(ctx, set, log, now)
+		return forward(ctx, set, hup, log, now)
 	}
+	go warnOfReloads(ctx, hup, log)
 	return server.New(set, log, server.Incarnation(ctx, set, now), now).Run(ctx)
 }
 
+// warnOfReloads tells operators that a SIGHUP changes nothing here.
+func warnOfReloads(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger) {
+	for {
+		select {
+		case <-hup:
+			log.Warn().Msg("settings not reloaded: with this interface they are read at the start only")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func fail(err error, code int) {
 	fmt.Fprintln(os.Stderr, "hemlockpind:", err)
 	os.Exit(code)
