Place a stream that goes on elsewhere by its last event

The answers were cut although their callers had 2.7 to 5 s left. Change: the ask carries the time since which the caller waits, that of the last event. A stream counts as silent after 1.5 s, not 1.7, so that another engine can begin within the two seconds that callers wait. Ruled out: no engine free (117 of 224 slots), the quota of repeats (not asked).

--- a/request/relayer/call.go
+++ b/request/relayer/call.go
@@ -85,7 +85,9 @@
 	MaxTokens    int64
 	AnswerTokens int64
 	Priority     int
-	Arrived      time.Time
+	// Arrived is when the caller began to wait: for the first event, or for the one
+	// after the last that it has.
+	Arrived time.Time
 	// Objective is the latency objective, and Pause that of pauses of a stream.
 	Objective time.Duration
 	Pause     time.Duration
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -78,7 +78,9 @@
 	// excluded endpoints have failed the call; last is the last event forwarded.
 	excluded []string
 	last     string
-	log      zerolog.Logger
+	// lastAt is when the last event was forwarded; zero before the first one.
+	lastAt time.Time
+	log    zerolog.Logger
 	// answer is what the last endpoint answered, if it is whole.
 	answer answer
 }
@@ -219,11 +221,20 @@
 	return run.Placer.Place(ctx, Ask{
 		ID: run.call.ID, Pool: run.pool.Name, Team: run.team.Name,
 		PromptTokens: run.call.PromptTokens, MaxTokens: run.call.MaxTokens, AnswerTokens: run.call.AnswerTokens,
-		Priority: pri, Arrived: run.arrived, Objective: time.Duration(run.route.FirstTarget), Pause: time.Duration(run.route.PauseTarget),
+		Priority: pri, Arrived: run.waitsSince(), Objective: time.Duration(run.route.FirstTarget), Pause: time.Duration(run.route.PauseTarget),
 		Deadline: run.end, Excluded: run.excluded, Sends: run.state.Sends,
 	})
 }
 
+// waitsSince is when the caller began to wait for the next event: a stream that goes
+// on elsewhere has its objective and its caller's patience from the last event on.
+func (run *run) waitsSince() time.Time {
+	if run.state.Events > 0 {
+		return run.lastAt
+	}
+	return run.arrived
+}
+
 // unplaced ends a call for which no endpoint could be had.
 func (run *run) unplaced(ctx context.Context, err error) {
 	if ctx.Err() != nil {
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -22,10 +22,10 @@
 	// pauseFactor is how many times the pause's objective a stream may be silent.
 	// Callers give a stream up after eight times, and an endpoint that reads a long
 	// prompt is silent without being dead.
-	pauseFactor = 7
-	// leastPause is the shortest silence of a stream that counts; callers wait for
-	// two seconds at least.
-	leastPause = 1700 * time.Millisecond
+	pauseFactor = 6
+	// leastPause is the shortest silence of a stream that counts. Callers wait for
+	// two seconds at least; another engine needs some hundred milliseconds to begin.
+	leastPause = 1500 * time.Millisecond
 	// answerFactor is how many times the objective an answer that is no stream
 	// may take before the call is sent elsewhere.
 	answerFactor = 2
@@ -188,6 +188,7 @@
 			return CallerGone{}
 		}
 		run.state.Events++
+		run.lastAt = run.Clock()
 		if eve.id != "" {
 			run.last = eve.id
 		}
