--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -264,7 +264,7 @@
 	res := eng.residual(now)
 	lef := min(res, tak)
 	for _, par := range eng.reading {
-		par.read -= par.taken * (1 - lef/tak)
+		par.read = max(leastPass, par.read-par.taken*(1-lef/tak))
 		eng.putBack(par)
 	}
 	eng.reading = nil
