Pass notices for a planner that is gone on once

Cause: found by reading the diff: a host that is handed notices for another host sent them on like its own, with a detour when that fails; two hosts that both miss the planner sent them to each other for as long as it was gone. Change: notices that were handed over are sent on once and then counted as lost.

--- a/process/assigner/assigner_test.go
+++ b/process/assigner/assigner_test.go
@@ -37,6 +37,10 @@
 	hosts   map[string]*Planners
 	dead    map[string]bool
 	leaving map[string]bool
+	// refuse lets dead hosts refuse connections at once; noticed counts the messages
+	// with notices to each host.
+	refuse  bool
+	noticed map[string]int
 	asked   map[string]int
 	// cut are the pairs of hosts, as from>to, that do not reach each other.
 	cut map[string]bool
@@ -62,7 +66,13 @@
 	if !env.GetPlanRequest().GetRelayed() {
 		fle.asked[address]++
 	}
+	if env.GetPlanNotices() != nil {
+		fle.noticed[address]++
+	}
 	fle.mu.Unlock()
+	if dead && fle.refuse {
+		return nil, errors.New("connection refused")
+	}
 	if dead {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -77,7 +87,7 @@
 }
 
 func newFleet(num int) *fleet {
-	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, leaving: map[string]bool{}, asked: map[string]int{}, cut: map[string]bool{}}
+	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, leaving: map[string]bool{}, noticed: map[string]int{}, asked: map[string]int{}, cut: map[string]bool{}}
 	var pers []gossiper.Peer
 	for ind := range num {
 		id := fmt.Sprintf("host-%d", ind)
@@ -252,6 +262,27 @@
 	require.Eventually(t, func() bool { return fle.granted(cans[0].id) == 0 }, 3*time.Second, 5*time.Millisecond)
 }
 
+// TestDetourEnds loses the planner for good: notices for it are passed on once, and
+// not to and fro between the hosts that are left.
+func TestDetourEnds(t *testing.T) {
+	fle := newFleet(3)
+	cans := fle.hosts["host-0"].candidates("llm", time.Now())
+	self := fle.other(cans)
+	lea, err := fle.assigner(self, &reserver{}).Place(t.Context(), ask("1", 1000))
+	require.NoError(t, err)
+	fle.mu.Lock()
+	fle.refuse, fle.dead[cans[0].id] = true, true
+	fle.mu.Unlock()
+	for _, id := range []string{self, cans[1].id} {
+		fle.hosts[id].suspect(cans[0].id, errors.New("connection refused"))
+	}
+	lea.End()
+	time.Sleep(300 * time.Millisecond)
+	fle.mu.Lock()
+	defer fle.mu.Unlock()
+	require.Equal(t, map[string]int{cans[0].id: 2, cans[1].id: 1}, fle.noticed)
+}
+
 // TestAnnounce ends the planner: its successor learns of the grants in progress
 // before it plans, and of their end.
 func TestAnnounce(t *testing.T) {
--- a/process/assigner/planners.go
+++ b/process/assigner/planners.go
@@ -278,21 +278,28 @@
 
 // HandleNotices takes notices, or passes them on to the planner that they are for.
 func (pla *Planners) HandleNotices(nots *messenger.PlanNotices) *messenger.Envelope {
-	now := pla.Clock()
-	var eves []planner.Event
-	for _, not := range nots.GetNotices() {
-		eves = append(eves, eventOf(not, now))
-	}
-	des := host{address: nots.GetFor()}
-	if des.address == pla.Address {
-		des.address = ""
-	}
-	for _, eve := range eves {
-		pla.notify(des, nots.GetPool(), eve)
+	if add := nots.GetFor(); add != "" && add != pla.Address {
+		go pla.deliver(add, nots)
+	} else {
+		now := pla.Clock()
+		for _, not := range nots.GetNotices() {
+			pla.Runner.Notify(nots.GetPool(), eventOf(not, now))
+		}
 	}
 	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
 }
 
+// deliver passes the notices of a host that can't reach a planner on to it. They take
+// no second detour: two hosts would send them to each other for as long as the planner
+// is gone.
+func (pla *Planners) deliver(address string, nots *messenger.PlanNotices) {
+	ctx, stop := context.WithTimeout(context.Background(), noticeTimeout)
+	defer stop()
+	if _, err := pla.Caller.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_PlanNotices{PlanNotices: nots}}); err != nil {
+		pla.Log.Warn().Str("Peer", address).Int("Notices", len(nots.GetNotices())).Err(err).Msg("plan notices lost; the planner learns by reports and deadlines")
+	}
+}
+
 // notify tells the planner of a pool what became of a grant: at once on this
 // host, and with others after a short delay on another.
 func (pla *Planners) notify(hos host, pool string, eve planner.Event) {
