Close sessions between hosts through their connection

Cause: a yamux session that is closed first wakes the readers of its streams, which then poll without a pause until the connection under it is closed. Ruled out: a loop of our own (no goroutine of ours was running), the garbage collector (idle).

--- a/connection/multiplexer/heartbeat.go
+++ b/connection/multiplexer/heartbeat.go
@@ -1,10 +1,6 @@
 package multiplexer
 
-import (
-	"time"
-
-	"github.com/hashicorp/yamux"
-)
+import "time"
 
 const (
 	heartbeatInterval = 500 * time.Millisecond
@@ -18,27 +14,27 @@
 // guard sends heartbeats on a session as long as it is busy with calls, and
 // closes it when one is not answered. A session without calls costs nothing;
 // idle, if not nil, reports whether it may be closed after idleTimeout.
-func guard(ses *yamux.Session, busy, idle func() bool) {
+func guard(lin link, busy, idle func() bool) {
 	tic := time.NewTicker(heartbeatInterval)
 	defer tic.Stop()
 	var quiet time.Duration
 	for {
 		select {
 		case <-tic.C:
-		case <-ses.CloseChan():
+		case <-lin.CloseChan():
 			return
 		}
 		if busy() {
 			quiet = 0
-			if _, err := ses.Ping(); err != nil {
-				ses.Close()
+			if _, err := lin.Ping(); err != nil {
+				lin.Close()
 				return
 			}
 			continue
 		}
 		quiet += heartbeatInterval
 		if idle != nil && quiet >= idleTimeout && idle() {
-			ses.Close()
+			lin.Close()
 			return
 		}
 	}
--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -39,13 +39,13 @@
 
 	mu       sync.Mutex
 	sessions map[string]*session
-	accepted map[*yamux.Session]struct{}
+	accepted map[link]struct{}
 	closed   bool
 }
 
 // session is a dialed session.
 type session struct {
-	*yamux.Session
+	link
 	// calls counts those in progress; the multiplexer's lock guards it.
 	calls int
 
@@ -140,12 +140,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "Multiplexer.acquire: dial peer %s", address)
 	}
-	yam, err := yamux.Client(mul.Traffic.Wrap(con), sessionConfig())
+	lin, err := dialed(mul.Traffic.Wrap(con))
 	if err != nil {
 		con.Close()
-		return nil, eris.Wrapf(err, "Multiplexer.acquire: open session to peer %s", address)
+		return nil, eris.Wrapf(err, "Multiplexer.acquire: peer %s", address)
 	}
-	return mul.keep(address, &session{Session: yam})
+	return mul.keep(address, &session{link: lin})
 }
 
 func (mul *Multiplexer) reuse(address string) *session {
@@ -178,7 +178,7 @@
 	ses.calls++
 	mul.sessions[address] = ses
 	go func() {
-		guard(ses.Session, func() bool { return mul.busy(ses) }, func() bool { return mul.expire(address, ses) })
+		guard(ses.link, func() bool { return mul.busy(ses) }, func() bool { return mul.expire(address, ses) })
 		mul.retire(address, ses)
 	}()
 	return ses, nil
@@ -245,18 +245,18 @@
 }
 
 func (mul *Multiplexer) serveConn(con net.Conn) {
-	ses, err := yamux.Server(mul.Traffic.Wrap(con), sessionConfig())
+	lin, err := accepted(mul.Traffic.Wrap(con))
 	if err != nil {
 		con.Close()
 		return
 	}
-	mul.track(ses, true)
-	defer mul.track(ses, false)
-	defer ses.Close()
+	mul.track(lin, true)
+	defer mul.track(lin, false)
+	defer lin.Close()
 	var cou counted
-	go guard(ses, cou.busy, nil)
+	go guard(lin, cou.busy, nil)
 	for {
-		str, err := ses.AcceptStream()
+		str, err := lin.AcceptStream()
 		if err != nil {
 			return
 		}
@@ -278,17 +278,17 @@
 	}
 }
 
-func (mul *Multiplexer) track(ses *yamux.Session, on bool) {
+func (mul *Multiplexer) track(lin link, on bool) {
 	mul.mu.Lock()
 	defer mul.mu.Unlock()
 	if mul.accepted == nil {
-		mul.accepted = map[*yamux.Session]struct{}{}
+		mul.accepted = map[link]struct{}{}
 	}
 	if on {
-		mul.accepted[ses] = struct{}{}
+		mul.accepted[lin] = struct{}{}
 		return
 	}
-	delete(mul.accepted, ses)
+	delete(mul.accepted, lin)
 }
 
 func (mul *Multiplexer) serveStream(str *yamux.Stream, cou *counted) {
@@ -325,7 +325,7 @@
 	for _, ses := range mul.sessions {
 		ses.Close()
 	}
-	for ses := range mul.accepted {
-		ses.Close()
+	for lin := range mul.accepted {
+		lin.Close()
 	}
 }
