--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -28,8 +28,10 @@
 	dialTimeout = 400 * time.Millisecond
 	// readBuffer holds an answer's head and several events of a stream.
 	readBuffer = 4 << 10
-	// maxInterim bounds the interim answers before a final one.
+	// maxInterim bounds the interim answers before a final one, and maxHead the bytes
+	// of all their heads: an endpoint in trouble may send bytes without end.
 	maxInterim = 8
+	maxHead    = 64 << 10
 	// concurrentBody is the size from which a body is sent while the answer is
 	// read, since an endpoint may answer before it has read it.
 	concurrentBody = 16 << 10
@@ -169,27 +171,39 @@
 
 // receive reads the head of the final answer.
 func receive(con net.Conn, method string) (*http.Response, error) {
-	rea := bufio.NewReaderSize(con, readBuffer)
+	hea := &headReader{Reader: con, left: maxHead}
+	rea := bufio.NewReaderSize(hea, readBuffer)
 	for range maxInterim {
 		res, err := http.ReadResponse(rea, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if res.StatusCode >= http.StatusOK {
+			hea.done = true
 			return res, nil
 		}
 	}
 	return nil, errors.New("too many interim answers")
 }
 
-// ReadAll reads the rest of a body of at most max bytes.
-func (ans *Answer) ReadAll(limit int64) ([]byte, error) {
-	buf, err := io.ReadAll(io.LimitReader(ans.Body, limit+1))
-	if err != nil {
-		return nil, err
+var errHeadTooLarge = fmt.Errorf("the head of the answer is over %d bytes", maxHead)
+
+// headReader bounds what is read until the head of an answer is done.
+type headReader struct {
+	io.Reader
+	left int
+	done bool
+}
+
+// Read reads from the connection.
+func (hea *headReader) Read(buf []byte) (int, error) {
+	if hea.done {
+		return hea.Reader.Read(buf)
 	}
-	if int64(len(buf)) > limit {
-		return nil, fmt.Errorf("the body of the answer is over %d bytes", limit)
+	if hea.left <= 0 {
+		return 0, errHeadTooLarge
 	}
-	return buf, nil
+	num, err := hea.Reader.Read(buf[:min(len(buf), hea.left)])
+	hea.left -= num
+	return num, err
 }
--- a/request/relayer/event.go
+++ b/request/relayer/event.go
@@ -8,8 +8,9 @@
 	"strconv"
 )
 
-// maxEvent bounds one event of a stream.
-const maxEvent = 1 << 20
+// maxEvent bounds one event of a stream: an endpoint in trouble may send bytes without
+// end, and a host passes hundreds of streams on.
+const maxEvent = 256 << 10
 
 var errEventTooLarge = errors.New("an event of the stream is too large")
 
@@ -29,6 +30,9 @@
 		if err != nil {
 			return eve, err
 		}
+		if len(eve.raw) > maxEvent {
+			return eve, errEventTooLarge
+		}
 		if len(lin) == 0 {
 			if len(bytes.TrimSpace(eve.raw)) == 0 {
 				eve.raw = eve.raw[:0]
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -21,8 +21,9 @@
 const (
 	// defaultTime bounds a call whose caller and route name no time.
 	defaultTime = 30 * time.Second
-	// maxAnswer bounds an answer that is no stream.
-	maxAnswer = 32 << 20
+	// maxAnswer bounds an answer that is no stream: an endpoint in trouble may send
+	// bytes without end.
+	maxAnswer = 8 << 20
 	// startHold is how long a call waits at a host that has no tables yet. Hosts learn
 	// them within some hundred milliseconds of their start, and after a failure of all
 	// hosts no other one knows more.
@@ -71,13 +72,15 @@
 // run is one call in progress.
 type run struct {
 	*Relayer
-	wri     http.ResponseWriter
-	htr     *http.Request
-	call    Call
-	route   parser.Route
-	pool    parser.Pool
-	team    parser.Team
-	body    []byte
+	wri   http.ResponseWriter
+	htr   *http.Request
+	call  Call
+	route parser.Route
+	pool  parser.Pool
+	team  parser.Team
+	body  []byte
+	// kept holds the memory of answer.
+	kept    *receiver.Body
 	arrived time.Time
 	end     time.Time
 	state   State
@@ -213,6 +216,7 @@
 // serve sends the call until it has an answer.
 func (run *run) serve(ctx context.Context) {
 	run.Budget.Earn(run.pool.Name, run.arrived)
+	defer run.releaseAnswer()
 	ctx, stop := context.WithDeadlineCause(ctx, run.end, errTimeLimit)
 	defer stop()
 	for {
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlockpin/connection/exchanger"
+	"hemlockpin/request/receiver"
 )
 
 const (
@@ -29,8 +30,13 @@
 	// answerFactor is how many times the objective an answer that is no stream
 	// may take before the call is sent elsewhere.
 	answerFactor = 2
+	// maxRepeated is the number of events that an endpoint may repeat to a caller that
+	// resumes a stream. Streams have some dozens of events.
+	maxRepeated = 1024
 )
 
+var errRepeats = errors.New("the stream repeats events that the caller has")
+
 // perConnection are the headers that concern one connection only.
 var perConnection = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
@@ -130,17 +136,35 @@
 	case ans.Status == http.StatusOK && isStream(ans.Header):
 		return run.stream(ctx, lea, ans, sil)
 	}
-	bod, err := ans.ReadAll(maxAnswer)
-	if err != nil {
+	if err := run.keepAnswer(ans); err != nil {
 		return run.failed(ctx, lea, err)
 	}
-	run.answer = answer{ans.Status, ans.Header, bod}
 	if ans.Status >= http.StatusInternalServerError {
 		return Answered{Status: ans.Status}
 	}
 	return Whole{}
 }
 
+// keepAnswer reads an answer to its end, within the memory for bodies.
+func (run *run) keepAnswer(ans *exchanger.Answer) error {
+	bod := receiver.NewBody(io.NopCloser(ans.Body), run.Bodies, ans.Length, maxAnswer)
+	buf, err := receiver.ReadBody(bod, maxAnswer)
+	if err != nil {
+		bod.Release()
+		return err
+	}
+	run.releaseAnswer()
+	run.answer, run.kept = answer{ans.Status, ans.Header, buf}, bod
+	return nil
+}
+
+func (run *run) releaseAnswer() {
+	if run.kept != nil {
+		run.kept.Release()
+		run.kept = nil
+	}
+}
+
 // promises reports whether a status tells callers that nothing has run.
 func promises(status int) bool {
 	switch status {
@@ -160,7 +184,7 @@
 	var buf []byte
 	lim := run.pauseLimit()
 	con := http.NewResponseController(run.wri)
-	beg := true
+	beg, rep := true, 0
 	for {
 		eve, err := readEvent(ans.Body, buf)
 		switch {
@@ -171,15 +195,20 @@
 			return run.failed(ctx, lea, err)
 		}
 		buf = eve.raw
-		sil.Reset(lim)
 		if beg {
 			beg = false
 			lea.Began()
 			run.log.Info().Str("Endpoint", lea.Endpoint.ID).Dur("AfterMs", run.Clock().Sub(run.arrived)).Dur("ExpectedMs", lea.First).Msg("stream began")
 		}
 		if !follows(eve.id, run.last) {
+			// What the caller has already is no sign of life: an endpoint in trouble may
+			// repeat it without end.
+			if rep++; rep > maxRepeated {
+				return run.failed(ctx, lea, errRepeats)
+			}
 			continue
 		}
+		sil.Reset(lim)
 		run.begin(ans)
 		if _, err := run.wri.Write(eve.raw); err != nil {
 			return CallerGone{}
