Name at most 16 engines in a call, and read the store less

Engines answered 400 to ledgers over one engine's memory: with reservations the lead is named, too, so a prompt on 17 engines named 17, and sites of 14 engines never did. New planners knew nothing of the engines' work for as long as grants were made. Ruled out: watchers short of processor time (their reads took what the store took).

--- a/cmd/hemlockpind/main.go
+++ b/cmd/hemlockpind/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -52,6 +53,9 @@
 }
 
 func run(set configurer.Settings, hup <-chan os.Signal) error {
+	if num := set.HeapBytes(); num > 0 {
+		debug.SetMemoryLimit(num)
+	}
 	lev, _ := zerolog.ParseLevel(set.LogLevel)
 	wri := logger.New(os.Stdout, logger.DefaultBytes)
 	defer wri.Close()
--- /dev/null
+++ b/process/configurer/bound_test.go
@@ -0,0 +1,29 @@
+package configurer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBounds(t *testing.T) {
+	tts := []struct {
+		name                string
+		memory              int64
+		files               int
+		heap, bodies, conns int64
+	}{
+		{"unknown", 0, 0, 0, 512 << 20, 10_000},
+		{"small host", 184, 4100, 135_056_588, 77_175_193, 1850},
+		{"large host", 4096, 65_536, 3_006_477_107, 512 << 20, 10_000},
+		{"hardly any descriptors", 184, 512, 135_056_588, 77_175_193, 56},
+	}
+	for _, tt := range tts {
+		t.Run(tt.name, func(t *testing.T) {
+			set := Settings{Host: Host{MemoryMB: tt.memory, MaxFiles: tt.files}, Limits: Limits{MaxBodyMemory: 512 << 20, MaxConns: 10_000}}
+			require.Equal(t, tt.heap, set.HeapBytes())
+			require.Equal(t, tt.bodies, set.BodyBytes())
+			require.Equal(t, tt.conns, set.CallerConns())
+		})
+	}
+}
--- a/process/configurer/validator.go
+++ b/process/configurer/validator.go
@@ -17,6 +17,10 @@
 	maxNameBytes = 63
 	// maxCores bounds --cpu-share against values in other units.
 	maxCores = 1024
+	// leastMemoryMB holds the program, the tables and some requests; leastFiles the
+	// listeners, the sessions with other hosts and some requests.
+	leastMemoryMB = 48
+	leastFiles    = 512
 )
 
 // Validate returns a FaultsError with every fault, or nil.
@@ -49,6 +53,12 @@
 	if !(hos.CPUShare >= 0 && hos.CPUShare <= maxCores) {
 		fas = append(fas, fmt.Sprintf("--cpu-share %g must be 0 to %d", hos.CPUShare, maxCores))
 	}
+	if hos.MemoryMB != 0 && hos.MemoryMB < leastMemoryMB {
+		fas = append(fas, fmt.Sprintf("--memory-mb %d must be 0 or at least %d", hos.MemoryMB, leastMemoryMB))
+	}
+	if hos.MaxFiles != 0 && hos.MaxFiles < leastFiles {
+		fas = append(fas, fmt.Sprintf("--max-files %d must be 0 or at least %d", hos.MaxFiles, leastFiles))
+	}
 	see := map[string]string{}
 	adds := []struct{ flag, val string }{
 		{"--listen", hos.Listen}, {"--peer-listen", hos.PeerListen}, {"--operator-listen", hos.Operator},
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -24,9 +24,9 @@
 	// defaultWait stands in for a Wait that is not set.
 	defaultWait = 700 * time.Millisecond
 	// watchGrace is added to the wait of a watch before it counts as lost.
-	watchGrace = 400 * time.Millisecond
-	// readTimeout bounds a read without a wait.
-	readTimeout = 1200 * time.Millisecond
+	watchGrace = 300 * time.Millisecond
+	// readTimeout bounds a read without a wait. A slow store answers within 250 ms.
+	readTimeout = 900 * time.Millisecond
 	// dutyInterval is how often a host without a duty looks whether it has one. Each
 	// look wakes the process.
 	dutyInterval = 200 * time.Millisecond
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -81,6 +81,9 @@
 	// ready is closed once the host has tables and knows the endpoints.
 	ready     chan struct{}
 	readyOnce sync.Once
+	// news is what was learned of endpoints and waits to be passed on.
+	newsMu sync.Mutex
+	news   []registrar.Endpoint
 	// requestDrain has the effect of SIGTERM. It is set by Run.
 	requestDrain context.CancelFunc
 }
@@ -97,7 +100,7 @@
 func New(set configurer.Settings, pla Platform, log zerolog.Logger, incarnation uint64) *Forwarder {
 	fwd := &Forwarder{Settings: set, Platform: pla, Log: log, Incarnation: incarnation, started: time.Now(), ready: make(chan struct{})}
 	fwd.scope, fwd.metrics = measurer.New(log)
-	fwd.bodies.MaxBytes = set.MaxBodyMemory
+	fwd.bodies.MaxBytes = set.BodyBytes()
 	fwd.publisher = &publisher.Publisher{}
 	fwd.multiplexer = &multiplexer.Multiplexer{Handler: fwd.handlePeer}
 	fwd.joinPeers()
@@ -161,7 +164,7 @@
 	gro.Go(func() { fwd.watchHosts(work) })
 	gro.Go(func() { fwd.askWatchers(work) })
 	cal := fwd.callerServer()
-	lis := &acceptor.Listener{Listener: liss.caller, Max: int64(fwd.Settings.MaxConns), Refused: fwd.scope.Counter("connections_refused")}
+	lis := &acceptor.Listener{Listener: liss.caller, Max: fwd.Settings.CallerConns(), Refused: fwd.scope.Counter("connections_refused")}
 	sers := []*http.Server{{Handler: fwd.readyRoutes(), ReadHeaderTimeout: headerTimeout}, {Handler: fwd.operatorRoutes(), ReadHeaderTimeout: headerTimeout}}
 	gro.Go(func() { _ = cal.Serve(lis) })
 	gro.Go(func() { _ = sers[0].Serve(liss.ready) })
--- a/process/forwarder/knowledge.go
+++ b/process/forwarder/knowledge.go
@@ -15,6 +15,12 @@
 const (
 	// spreadTimeout bounds the spreading of news to peers.
 	spreadTimeout = 2 * time.Second
+	// newsDelay collects news of endpoints, so that many travel in one message. News
+	// passes a dozen hosts on its way, within 2 s.
+	newsDelay = 15 * time.Millisecond
+	// notedEndpoints is the number of endpoints that get a line each in the log when
+	// they change at once.
+	notedEndpoints = 4
 	// hostsInterval is the interval at which replaced and dead hosts are looked for.
 	hostsInterval = 500 * time.Millisecond
 )
@@ -105,18 +111,51 @@
 	if len(news) == 0 {
 		return
 	}
-	for _, end := range news {
-		fwd.Log.Info().Str("Endpoint", end.ID).Str("Service", end.Service).Str("Address", end.Address).Bool("Leaving", end.Leaving).
-			Bool("Gone", end.Gone).Uint64("Revision", end.Revision).Str("From", from).Msg("endpoint changed")
-	}
+	fwd.noteEndpoints(news, from)
 	fwd.runner.Refresh()
-	go fwd.spread(func(ctx context.Context) {
+	fwd.newsMu.Lock()
+	defer fwd.newsMu.Unlock()
+	if len(fwd.news) == 0 {
+		time.AfterFunc(newsDelay, fwd.passNews)
+	}
+	fwd.news = append(fwd.news, news...)
+}
+
+// passNews passes on what was learned of endpoints lately.
+func (fwd *Forwarder) passNews() {
+	fwd.newsMu.Lock()
+	news := fwd.news
+	fwd.news = nil
+	fwd.newsMu.Unlock()
+	fwd.spread(func(ctx context.Context) {
 		fwd.gossiper.Spread(ctx, func() *messenger.Envelope {
 			return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: registrar.Message(news, 0)}}
 		})
 	})
 }
 
+// noteEndpoints logs a line for each endpoint, or one with counts for many at once.
+func (fwd *Forwarder) noteEndpoints(news []registrar.Endpoint, from string) {
+	if len(news) <= notedEndpoints {
+		for _, end := range news {
+			fwd.Log.Info().Str("Endpoint", end.ID).Str("Service", end.Service).Str("Address", end.Address).Bool("Leaving", end.Leaving).
+				Bool("Gone", end.Gone).Uint64("Revision", end.Revision).Str("From", from).Msg("endpoint changed")
+		}
+		return
+	}
+	leaving, gone, rev := 0, 0, uint64(0)
+	for _, end := range news {
+		rev = max(rev, end.Revision)
+		switch {
+		case end.Gone:
+			gone++
+		case end.Leaving:
+			leaving++
+		}
+	}
+	fwd.Log.Info().Int("Endpoints", len(news)).Int("Leaving", leaving).Int("Gone", gone).Uint64("Revision", rev).Str("From", from).Msg("endpoints changed")
+}
+
 // receiveEndpoints takes records that a peer spreads.
 func (fwd *Forwarder) receiveEndpoints(pus *messenger.EndpointsPush, now time.Time) *messenger.Envelope {
 	fwd.learned(fwd.registry.Merge(registrar.FromMessage(pus), 0, now), "peer")
--- a/process/forwarder/watch.go
+++ b/process/forwarder/watch.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/publisher"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,18 +24,23 @@
 	watchShare = 0.35
 	askShare   = 0.15
 	staleShare = 0.65
+	// spreadShare is the part of that time over which hosts whose knowledge has become
+	// stale at once spread their reads: the first ones may find that a watcher answers
+	// again.
+	spreadShare = 0.1
 	// maxWatch, maxAsk and maxStale keep the knowledge of endpoints younger than the
 	// age that the registry takes for an outage of the store.
-	maxWatch = time.Second
-	maxAsk   = 800 * time.Millisecond
-	maxStale = 2 * time.Second
+	maxWatch = 800 * time.Millisecond
+	maxAsk   = 600 * time.Millisecond
+	maxStale = 2600 * time.Millisecond
 	// startPeriod is how long a host asks for the members often after its start, as
 	// all hosts may be starting.
 	startPeriod = 4 * time.Second
 	// peerWait is how long any host that starts waits for a peer to tell it the tables
 	// and the endpoints before it reads them from the store. Peers answer within some
-	// milliseconds, and callers are waiting.
-	peerWait = 60 * time.Millisecond
+	// milliseconds, or some dozens where processor time is short, and callers are
+	// waiting.
+	peerWait = 100 * time.Millisecond
 	// startInterval is how often a host that starts looks whether it knows enough.
 	startInterval = 10 * time.Millisecond
 )
@@ -51,7 +59,11 @@
 
 func (fwd *Forwarder) askInterval() time.Duration { return min(maxAsk, fwd.share(askShare)) }
 
-func (fwd *Forwarder) staleAge() time.Duration { return min(maxStale, fwd.share(staleShare)) }
+// staleAge differs between hosts by up to spreadShare.
+func (fwd *Forwarder) staleAge() time.Duration {
+	pla := float64(xxhash.Sum64String(fwd.Settings.HostID)) / math.MaxUint64
+	return min(maxStale, fwd.share(staleShare)) + fwd.share(spreadShare*pla)
+}
 
 // watchers are the hosts of the region that watch the store, as they follow from the
 // membership at a number of its changes.
@@ -108,20 +120,26 @@
 // duty reports whether this host is to read the store: as one of the watchers of
 // its region, or since nobody has confirmed its knowledge lately.
 func (fwd *Forwarder) duty(now time.Time) bool {
-	_, known := fwd.registry.Revision()
-	rev, age := fwd.publisher.Freshness(now)
-	if !known || rev == 0 || age > fwd.staleAge() || fwd.registry.Age(now) > fwd.staleAge() {
+	if !fwd.fresh(now) {
 		return true
 	}
 	_, self := fwd.watchers(now)
 	return self
 }
 
+// fresh reports whether the store has confirmed the host's knowledge lately. That may
+// be that it holds no tables yet.
+func (fwd *Forwarder) fresh(now time.Time) bool {
+	_, known := fwd.registry.Revision()
+	_, age := fwd.publisher.Freshness(now)
+	return known && max(age, fwd.registry.Age(now)) <= fwd.staleAge()
+}
+
 // patient reports whether a host that starts leaves the store alone for now.
 func (fwd *Forwarder) patient(now time.Time) bool {
 	up := now.Sub(fwd.started)
 	switch {
-	case fwd.knows():
+	case fwd.fresh(now):
 		return false
 	case up < peerWait:
 		return true
--- a/process/gossiper/join.go
+++ b/process/gossiper/join.go
@@ -88,10 +88,14 @@
 // start, when many hosts may be starting.
 func (gos *Gossiper) Refresh(ctx context.Context) { gos.syncAny(ctx) }
 
-// syncAny learns the members from any peer.
+// syncAny learns the members from any peer, and from the seeds only if no other one
+// is known or answers: hundreds of hosts may start at once, and a list of them all
+// would take up the seeds' links.
 func (gos *Gossiper) syncAny(ctx context.Context) bool {
 	adds := gos.contacts(1)
-	rand.Shuffle(len(adds), func(one, two int) { adds[one], adds[two] = adds[two], adds[one] })
+	fir := min(1, len(gos.Live(time.Now())))
+	sees := adds[fir:]
+	rand.Shuffle(len(sees), func(one, two int) { sees[one], sees[two] = sees[two], sees[one] })
 	for _, add := range adds {
 		if gos.sync(ctx, add) {
 			return true
--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -12,9 +12,11 @@
 	longRead = 90
 	// leastPart is the least time of a part in ms; smaller ones gain nothing.
 	leastPart = 40
-	// maxParts is the number of engines that may read one prompt: the first one
-	// and 16 helpers.
-	maxParts = 17
+	// maxHelpers is the number of engines that a call may name; the engines refuse
+	// calls that name more. The lead is named only where it holds reserved memory.
+	maxHelpers = 16
+	// maxParts is the number of engines that may read one prompt.
+	maxParts = maxHelpers + 1
 	// acceptLoss is the share of its weight that a request may be expected to
 	// lose and still start, when it could also wait.
 	acceptLoss = 0.06
@@ -250,6 +252,9 @@
 	lea := pla.leader(one, cans, rea, now)
 	if lea < 0 {
 		var ok bool
+		if num > maxHelpers {
+			return choice{}, false
+		}
 		if cho.reserve, ok = pla.spread(one, cans[:num]); !ok {
 			return choice{}, false
 		}
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -279,17 +279,20 @@
 	}
 	eng.accept(eve.Load)
 	lag := time.Duration(pla.fig.ReportLagMs * float64(time.Millisecond))
-	own, mem := 0, int64(0)
+	// The report may be older than the newest grants, and contain them or not.
+	var own, fresh int
+	var freshMemory int64
 	for _, gra := range eng.grants {
 		own++
-		mem += gra.need
 		if now.Sub(gra.since) < 2*lag {
-			// The report may be older than the grant, so nothing can be concluded.
-			return
+			fresh++
+			freshMemory += gra.need
 		}
 	}
-	eng.foreign = max(0, eve.Load.Running+eve.Load.Waiting-own)
-	eng.foreignMemory = max(0, eve.Load.MemoryUsed-max(mem, eng.memory))
+	oth := eve.Load.Running + eve.Load.Waiting - own
+	eng.foreign = max(0, min(max(eng.foreign, oth), oth+fresh))
+	mem := eve.Load.MemoryUsed - eng.memory
+	eng.foreignMemory = max(0, min(max(eng.foreignMemory, mem), mem+freshMemory))
 }
 
 func (pla *Plan) hostGone(eve HostGone, now time.Time) {
--- /dev/null
+++ b/process/planner/report_test.go
@@ -0,0 +1,57 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestForeignWork reads the reports of an engine that works on requests of a plan that
+// is lost, while new grants are made: what the report shows for certain counts at once,
+// and what may be a new grant counts once that is clear.
+func TestForeignWork(t *testing.T) {
+	tts := []struct {
+		name string
+		// old grants are in every report, fresh ones may be.
+		old, fresh int
+		// before is what was known to be foreign.
+		before  int
+		running int
+		want    int
+	}{
+		{"idle", 0, 0, 0, 0, 0},
+		{"all foreign", 0, 0, 0, 12, 12},
+		{"own ones only", 3, 0, 0, 3, 0},
+		{"foreign beside own ones", 3, 0, 0, 9, 6},
+		{"foreign ones beside fresh grants", 0, 2, 0, 12, 10},
+		{"fresh grants that the report lacks", 3, 2, 0, 3, 0},
+		{"fresh grants that it may hold", 3, 2, 0, 5, 0},
+		{"foreign ones that have ended", 0, 0, 12, 0, 0},
+		{"foreign ones that may have ended", 0, 2, 12, 5, 5},
+		{"foreign ones that are known", 0, 2, 12, 13, 12},
+	}
+	for _, tt := range tts {
+		t.Run(tt.name, func(t *testing.T) {
+			var pla Plan
+			pla.Next(Figures{batching}, epoch)
+			pla.Next(Listing{[]Engine{{ID: "e", Address: "e"}}}, epoch)
+			now := epoch
+			grant := func(num int) {
+				for range num {
+					id := fmt.Sprint(len(pla.grants))
+					acts := pla.Next(Ask{ID: id, Prompt: Prompt{Tokens: 1000, MaxTokens: 500, Objective: 10 * time.Second, Target: now.Add(10 * time.Second), Deadline: now.Add(time.Minute)}}, now)
+					require.Len(t, acts, 1)
+				}
+			}
+			grant(tt.old)
+			now = now.Add(10 * time.Second)
+			grant(tt.fresh)
+			pla.engines["e"].foreign, pla.engines["e"].foreignMemory = tt.before, int64(tt.before)*1500
+			pla.Next(Report{"e", Load{Running: tt.running, MemoryUsed: int64(tt.running) * 1500, Pace: 1}}, now)
+			require.Equal(t, tt.want, pla.engines["e"].foreign)
+			require.EqualValues(t, tt.want*1500, pla.engines["e"].foreignMemory)
+		})
+	}
+}
--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -157,6 +157,8 @@
 	run.plans[pool] = one
 	run.refresh(one)
 	run.Log.Info().Str("Pool", pool).Int("Engines", len(one.engines)).Msg("planning of a pool begins")
+	// The plan before this one may be lost, and with it the account of the engines.
+	run.poll(context.Background(), one)
 	return one
 }
 
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -18,8 +18,9 @@
 	returnGrace = 2 * time.Second
 	// outageAge is the time without a confirmation, by the store or through peers,
 	// that counts as an outage. The entries of endpoints that can't reach the store
-	// lapse after 3.6 s. A store that turns away this host alone is no outage.
-	outageAge = 2500 * time.Millisecond
+	// lapse after 3.6 s. A store that turns away this host alone is no outage, nor are
+	// watches that have gone silent.
+	outageAge = 3300 * time.Millisecond
 	// massGrace delays the removal of many entries at once, which rather shows an
 	// outage that this host has not noticed. It is under the 2 s within which a
 	// leaving endpoint must be left.
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -90,7 +90,7 @@
 	ser.scope, ser.metrics = measurer.New(log)
 	own := invoker.Owner{Host: set.HostID, Incarnation: ser.Incarnation}
 	ser.meter = newMeter(ser.scope)
-	ser.bodies.MaxBytes = set.MaxBodyMemory
+	ser.bodies.MaxBytes = set.BodyBytes()
 	ser.invoker = &invoker.Invoker{}
 	ser.persister = ser.newPersister()
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
@@ -136,7 +136,7 @@
 	gro.Go(func() { _ = ser.multiplexer.Serve(liss.peer) })
 	cal := ser.callerServer(ser.countRequests(ser.edge(ser.callerRoutes())))
 	ope := ser.operatorServer()
-	lis := &acceptor.Listener{Listener: liss.caller, Max: int64(ser.Settings.MaxConns), Refused: ser.scope.Counter("connections_refused")}
+	lis := &acceptor.Listener{Listener: liss.caller, Max: ser.Settings.CallerConns(), Refused: ser.scope.Counter("connections_refused")}
 	gro.Go(func() { _ = cal.Serve(lis) })
 	gro.Go(func() { _ = ope.Serve(liss.operator) })
 	ser.Log.Info().Str("Listen", ser.Settings.Listen).Msg("host started")
