Give the plans of the assigner's tests a loader of reports

Cause: a plan reads the engines' reports as it begins; the tests had no loader (nil), and the commit before this one failed them. Before / After: go test ./process/assigner: panic; passes.

--- a/process/assigner/assigner_test.go
+++ b/process/assigner/assigner_test.go
@@ -86,6 +86,11 @@
 	return nil, errors.New("unknown message")
 }
 
+// idle loads the reports of engines without work.
+type idle struct{}
+
+func (idle) Load(context.Context, string) (planner.Load, error) { return planner.Load{Pace: 1}, nil }
+
 func newFleet(num int) *fleet {
 	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, leaving: map[string]bool{}, noticed: map[string]int{}, asked: map[string]int{}, cut: map[string]bool{}}
 	var pers []gossiper.Peer
@@ -95,6 +100,7 @@
 	}
 	for _, per := range pers {
 		run := &planner.Runner{
+			Loader: idle{},
 			Engines: func(parser.Pool, time.Time) []planner.Engine {
 				return []planner.Engine{{ID: "e1", Address: "10.0.0.1:1"}, {ID: "e2", Address: "10.0.0.2:1"}, {ID: "e3", Address: "10.0.0.3:1"}}
 			},
