--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -37,7 +37,7 @@
 	concurrentBody = 16 << 10
 )
 
-// DialError reports that no connection was made, so nothing was sent.
+// DialError reports that nothing was sent: no connection was made, or not in time.
 type DialError struct {
 	Peer string
 	Err  error
@@ -71,7 +71,10 @@
 	// Target is the path and query as the caller sent them.
 	Target string
 	Host   string
-	Header http.Header
+	// Header makes the head once the connection stands, so that the times in it are
+	// those of the send. It fails where the request must not be sent any more, and then
+	// nothing was sent.
+	Header func() (http.Header, error)
 	Body   []byte
 }
 
@@ -114,9 +117,14 @@
 	if err != nil {
 		return nil, &DialError{Peer: address, Err: err}
 	}
+	hea, err := req.Header()
+	if err != nil {
+		_ = con.Close()
+		return nil, &DialError{Peer: address, Err: err}
+	}
 	con = exc.Traffic.Wrap(con)
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() })
-	ans, bro := exchange(con, address, req)
+	ans, bro := exchange(con, address, req, hea)
 	if bro != nil {
 		stop()
 		_ = con.Close()
@@ -129,12 +137,12 @@
 	return ans, nil
 }
 
-func exchange(con net.Conn, address string, req Request) (*Answer, *BrokenError) {
+func exchange(con net.Conn, address string, req Request, hea http.Header) (*Answer, *BrokenError) {
 	sent := make(chan error, 1)
 	if len(req.Body) >= concurrentBody {
-		go func() { sent <- send(con, req) }()
+		go func() { sent <- send(con, req, hea) }()
 	} else {
-		sent <- send(con, req)
+		sent <- send(con, req, hea)
 	}
 	res, err := receive(con, req.Method) //nolint:bodyclose // Answer.Close ends the connection.
 	if err != nil {
@@ -154,13 +162,13 @@
 }
 
 // send writes the head and the body in one call.
-func send(con net.Conn, req Request) error {
+func send(con net.Conn, req Request, header http.Header) error {
 	var hea bytes.Buffer
 	fmt.Fprintf(&hea, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
 	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut {
 		fmt.Fprintf(&hea, "Content-Length: %d\r\n", len(req.Body))
 	}
-	if err := req.Header.Write(&hea); err != nil {
+	if err := header.Write(&hea); err != nil {
 		return err
 	}
 	hea.WriteString("\r\n")
--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 	Handler Handler
 	// Traffic counts the bytes of all sessions.
 	Traffic counter.Traffic
+	// Panicked is told of a call that the handler could not answer because it
+	// panicked; nil for nobody. The peer gets a failure, and the host goes on.
+	Panicked func(env *messenger.Envelope, cause any, stack []byte)
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -274,6 +278,19 @@
 	delete(mul.accepted, lin)
 }
 
+// Answer answers one call with the handler. One message must not end the process.
+func (mul *Multiplexer) Answer(ctx context.Context, env *messenger.Envelope) (rep *messenger.Envelope) {
+	defer func() {
+		if val := recover(); val != nil {
+			if mul.Panicked != nil {
+				mul.Panicked(env, val, debug.Stack())
+			}
+			rep = messenger.NewFailure("internal", "the host could not answer the message")
+		}
+	}()
+	return mul.Handler(ctx, env)
+}
+
 func (mul *Multiplexer) serveStream(str *yamux.Stream, gua *guard) {
 	defer str.Close()
 	env, err := messenger.Read(str)
@@ -284,7 +301,7 @@
 		return
 	}
 	if env.GetCall() > 0 {
-		servePipeline(str, gua.handler(mul.Handler), env)
+		servePipeline(str, gua.handler(mul.Answer), env)
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -295,7 +312,7 @@
 		_, _ = str.Read(one[:])
 		cancel()
 	}()
-	if rep := gua.handler(mul.Handler)(ctx, env); rep != nil {
+	if rep := gua.handler(mul.Answer)(ctx, env); rep != nil {
 		_ = messenger.Write(str, rep)
 	}
 }
--- a/connection/multiplexer/multiplexer_test.go
+++ b/connection/multiplexer/multiplexer_test.go
@@ -135,3 +135,33 @@
 }
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestHandlerPanics has a handler panic on one message, on a shared stream and on one of
+// its own: the caller is told, the panic is noted, and the next call is answered.
+func TestHandlerPanics(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var noted atomic.Int64
+	srv := &multiplexer.Multiplexer{
+		Handler: func(_ context.Context, env *messenger.Envelope) *messenger.Envelope {
+			if env.GetPing() == nil {
+				panic("a message that nobody thought of")
+			}
+			return done()
+		},
+		Panicked: func(*messenger.Envelope, any, []byte) { noted.Add(1) },
+	}
+	go func() { _ = srv.Serve(lis) }()
+	defer srv.Close()
+	defer lis.Close()
+	mul := &multiplexer.Multiplexer{}
+	defer mul.Close()
+	large := &messenger.Envelope{Body: &messenger.Envelope_TablesPush{TablesPush: &messenger.TablesPush{Document: make([]byte, 64<<10)}}}
+	for ind, env := range []*messenger.Envelope{done(), large} {
+		_, err = mul.Call(t.Context(), lis.Addr().String(), env)
+		require.ErrorContains(t, err, "internal")
+		require.EqualValues(t, ind+1, noted.Load())
+		_, err = mul.Call(t.Context(), lis.Addr().String(), ping())
+		require.NoError(t, err)
+	}
+}
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -102,7 +102,7 @@
 	fwd.scope, fwd.metrics = measurer.New(log)
 	fwd.bodies.MaxBytes = set.BodyBytes()
 	fwd.publisher = &publisher.Publisher{}
-	fwd.multiplexer = &multiplexer.Multiplexer{Handler: fwd.handlePeer}
+	fwd.multiplexer = &multiplexer.Multiplexer{Handler: fwd.handlePeer, Panicked: fwd.notePanic}
 	fwd.joinPeers()
 	fwd.follower = &follower.Follower{
 		Source: pla.Source, Wait: fwd.watchWait(), Duty: fwd.duty, TakeTables: fwd.takeTables, TakeEndpoints: fwd.takeEndpoints, Away: fwd.away, Back: fwd.back, Log: log,
@@ -210,6 +210,12 @@
 		Dur("RetryWindowMs", set.RetryWindow).Msg("settings reloaded")
 }
 
+// notePanic logs a message of a peer that could not be answered.
+func (fwd *Forwarder) notePanic(env *messenger.Envelope, cause any, stack []byte) {
+	fwd.scope.Counter("handler_panics").Inc(1)
+	fwd.Log.Error().Type("Message", env.GetBody()).Interface("Panic", cause).Str("Stack", string(stack)).Msg("a peer's message could not be answered")
+}
+
 // handlePeer answers one call of another host.
 func (fwd *Forwarder) handlePeer(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
 	now := time.Now()
--- /dev/null
+++ b/process/forwarder/peer_test.go
@@ -0,0 +1,140 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hemlockpin/connection/messenger"
+	"hemlockpin/process/follower"
+	"hemlockpin/process/planner"
+	"hemlockpin/process/registrar"
+	"hemlockpin/version/parser"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// noEngines are engines that don't answer.
+type noEngines struct{}
+
+func (noEngines) Load(context.Context, string) (planner.Load, error) {
+	return planner.Load{}, context.DeadlineExceeded
+}
+
+func (noEngines) Reserve(context.Context, string, string, int64, time.Duration) (bool, error) {
+	return false, context.DeadlineExceeded
+}
+
+func (noEngines) Release(context.Context, string, string) error { return context.DeadlineExceeded }
+
+// newPlannerHost makes a host that plans a pool of engines.
+func newPlannerHost(t *testing.T) *Forwarder {
+	fwd := newHost(t, 0, 1, 2*time.Second)
+	fwd.runner.Loader = noEngines{}
+	fwd.takeTables(follower.Tables{Found: true, Revision: 1, Tables: parser.Tables{
+		Revision: 1, Pools: []parser.Pool{{
+			Name: "llm", Kind: parser.PoolService, Selector: parser.Selector{Service: "llm"},
+			Batching: &parser.Batching{Slots: 4, MemoryTokens: 100_000, StepMs: 1, Stride: 10, ReadRate: 100_000, PairsMs: 0.1},
+		}},
+	}}, time.Now())
+	fwd.takeEndpoints(follower.Endpoints{Whole: true, Revision: 1, Endpoints: []registrar.Endpoint{
+		{ID: "e1", Service: "llm", Address: "127.0.0.1:1", Revision: 1}, {ID: "e2", Service: "llm", Address: "127.0.0.1:2", Revision: 1},
+	}}, time.Now())
+	return fwd
+}
+
+// fill sets the fields of a message to values that no host sends.
+func fill(ran *rand.Rand, msg protoreflect.Message, depth int) {
+	fies := msg.Descriptor().Fields()
+	for ind := range fies.Len() {
+		fie := fies.Get(ind)
+		switch {
+		case ran.IntN(4) == 0:
+		case fie.IsMap():
+		case fie.IsList():
+			lis := msg.Mutable(fie).List()
+			for range ran.IntN(3) {
+				if fie.Message() == nil {
+					lis.Append(scalar(ran, fie))
+				} else if val := lis.NewElement(); depth > 0 {
+					fill(ran, val.Message(), depth-1)
+					lis.Append(val)
+				}
+			}
+		case fie.Message() != nil:
+			if depth > 0 {
+				fill(ran, msg.Mutable(fie).Message(), depth-1)
+			}
+		default:
+			msg.Set(fie, scalar(ran, fie))
+		}
+	}
+}
+
+func scalar(ran *rand.Rand, fie protoreflect.FieldDescriptor) protoreflect.Value {
+	nums := []int64{0, 1, -1, 7, 1 << 20, -1 << 40, 1<<62 - 1, -1 << 62}
+	num := nums[ran.IntN(len(nums))]
+	switch fie.Kind() {
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(num%2 == 0)
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString([]string{"", "llm", "e1", "host-0", "a/b", "127.0.0.1:1"}[ran.IntN(6)])
+	case protoreflect.BytesKind:
+		return protoreflect.ValueOfBytes([]byte("{nonsense"))
+	case protoreflect.EnumKind:
+		return protoreflect.ValueOfEnum(protoreflect.EnumNumber(ran.IntN(8)))
+	case protoreflect.Int32Kind:
+		return protoreflect.ValueOfInt32(int32(num))
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(uint32(num))
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(uint64(num))
+	case protoreflect.FloatKind:
+		return protoreflect.ValueOfFloat32(float32(num))
+	case protoreflect.DoubleKind:
+		return protoreflect.ValueOfFloat64(float64(num))
+	default:
+		return protoreflect.ValueOfInt64(num)
+	}
+}
+
+// TestStrangeMessages sends every kind of message between hosts, empty and with values
+// that no host sends: each gets an answer, and the host goes on planning.
+func TestStrangeMessages(t *testing.T) {
+	const seeds = 60
+	fies := (&messenger.Envelope{}).ProtoReflect().Descriptor().Oneofs().ByName("body").Fields()
+	for ind := range fies.Len() {
+		fie := fies.Get(ind)
+		t.Run(string(fie.Name()), func(t *testing.T) {
+			fwd := newPlannerHost(t)
+			fwd.multiplexer.Panicked = func(env *messenger.Envelope, cause any, stack []byte) {
+				require.Fail(t, "the handler panicked", "%v: %v\n%s", env, cause, stack)
+			}
+			for seed := range uint64(seeds) {
+				env := &messenger.Envelope{}
+				bod := env.ProtoReflect().Mutable(fie).Message()
+				if seed > 0 {
+					fill(rand.New(rand.NewPCG(seed, 1)), bod, 3)
+				}
+				if req := env.GetPlanRequest(); req != nil {
+					// It would wait for its answer.
+					req.HoldMs = min(req.GetHoldMs(), 1)
+				}
+				buf, err := proto.Marshal(env)
+				require.NoError(t, err)
+				require.NoError(t, proto.Unmarshal(buf, env))
+				ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+				require.NotNil(t, fwd.multiplexer.Answer(ctx, env))
+				stop()
+			}
+			rep := fwd.multiplexer.Answer(t.Context(), &messenger.Envelope{Body: &messenger.Envelope_PlanRequest{PlanRequest: &messenger.PlanRequest{
+				Id: "sound", Host: "host-1", Pool: "llm", PromptTokens: 1000, MaxTokens: 100, TargetMs: 1000, BudgetMs: 5000, ObjectiveMs: 1000, PauseMs: 500, HoldMs: 50, Relayed: true,
+			}}})
+			require.NotNil(t, rep.GetPlanReply(), rep)
+			require.Empty(t, rep.GetPlanReply().GetRefusal(), rep)
+		})
+	}
+}
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -97,7 +97,7 @@
 	ser.lister = ser.newLister()
 	ser.watcher = &watcher.Watcher{Lister: ser.lister, Loader: summaryLoader{ser.invoker}}
 	ser.admitter = &admitter.Admitter{MaxRequests: set.MaxRequests}
-	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.servePeer}
+	ser.multiplexer = &multiplexer.Multiplexer{Handler: ser.servePeer, Panicked: ser.notePanic}
 	ser.joinTables()
 	ser.journal = ser.newJournal()
 	ser.allocator = ser.newAllocator(own)
--- a/process/server/trace.go
+++ b/process/server/trace.go
@@ -83,6 +83,12 @@
 	return strings.TrimPrefix(fmt.Sprintf("%T", env.GetBody()), messagePrefix)
 }
 
+// notePanic logs a message of a peer that could not be answered.
+func (ser *Server) notePanic(env *messenger.Envelope, cause any, stack []byte) {
+	ser.scope.Counter("handler_panics").Inc(1)
+	ser.Log.Error().Type("Message", env.GetBody()).Interface("Panic", cause).Str("Stack", string(stack)).Msg("a peer's message could not be answered")
+}
+
 // servePeer continues the trace of the request that a peer's call serves.
 func (ser *Server) servePeer(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
 	if env.GetTraceParent() == "" {
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -61,14 +61,9 @@
 	now := run.Clock()
 	sil := time.AfterFunc(run.firstLimit(lea, now), func() { cancel(errSilent) })
 	defer sil.Stop()
-	hea := run.htr.Header.Clone()
-	strip(hea)
-	run.Codec.Dispatch(hea, Dispatch{
-		Endpoint: lea.Endpoint.ID, Team: run.team.Name, TimeLeft: run.end.Sub(now), LastEvent: run.last, Helpers: lea.Helpers,
-	})
-	hea.Set("Connection", "close")
 	ans, err := run.Exchanger.Exchange(ctx, lea.Endpoint.Address, exchanger.Request{
-		Method: run.htr.Method, Target: run.htr.RequestURI, Host: run.htr.Host, Header: hea, Body: run.body,
+		Method: run.htr.Method, Target: run.htr.RequestURI, Host: run.htr.Host, Body: run.body,
+		Header: func() (http.Header, error) { return run.header(lea) },
 	})
 	if err != nil {
 		return run.failed(ctx, lea, err)
@@ -77,6 +72,22 @@
 	return run.take(ctx, lea, ans, sil)
 }
 
+// header makes the head of a send. A host that was paused since it had the connection
+// made does not send a call whose time is over.
+func (run *run) header(lea Lease) (http.Header, error) {
+	lef := run.end.Sub(run.Clock())
+	if lef <= 0 {
+		return nil, errTimeLimit
+	}
+	hea := run.htr.Header.Clone()
+	strip(hea)
+	run.Codec.Dispatch(hea, Dispatch{
+		Endpoint: lea.Endpoint.ID, Team: run.team.Name, TimeLeft: lef, LastEvent: run.last, Helpers: lea.Helpers,
+	})
+	hea.Set("Connection", "close")
+	return hea, nil
+}
+
 // firstLimit is how long the endpoint may be silent before its first byte. Only
 // calls that can be sent again are given up before their time.
 func (run *run) firstLimit(lea Lease, now time.Time) time.Duration {
@@ -106,6 +117,8 @@
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent):
 		return run.ended(ctx, !unreached)
+	case unreached && errors.Is(err, errTimeLimit):
+		return TimedOut{}
 	case unreached:
 		lea.Failed("")
 		run.log.Warn().Str("Endpoint", lea.Endpoint.ID).Str("Peer", lea.Endpoint.Address).Err(err).Msg("endpoint unreached")
