Count the time for which a host was suspended

Cause: the platform suspends machines; the steady clock, by which ages and deadlines are counted, stands still meanwhile. Change: process/detector compares the steady clock with the one that goes on. After a suspension knowledge is old until it is confirmed, calls wait up to 0.4 s for that, ages told to peers and the time left of a call count it. Conclusion: leases of the own interface are not covered; they are compared by what was seen of an object and end by fencing numbers.

--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/assigner"
 	"hemlockpin/process/configurer"
+	"hemlockpin/process/detector"
 	"hemlockpin/process/follower"
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/incarnator"
@@ -78,6 +79,7 @@
 	storeAway   atomic.Bool
 	started     time.Time
 	watching    watchers
+	detector    detector.Detector
 	// ready is closed once the host has tables and knows the endpoints.
 	ready     chan struct{}
 	readyOnce sync.Once
@@ -123,7 +125,7 @@
 		Placer: &assigner.Assigner{
 			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.Engines, DataCenter: set.DataCenter, Clock: time.Now, Log: log,
 		},
-		Bodies: &fwd.bodies, Ready: fwd.ready, Draining: fwd.draining.Load, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
+		Bodies: &fwd.bodies, Ready: fwd.ready, Stale: fwd.staleSinceWake, Slept: fwd.slept, Draining: fwd.draining.Load, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
 		Tracer: otel.Tracer("hemlockpin"),
 	}
 	return fwd
--- a/process/forwarder/knowledge.go
+++ b/process/forwarder/knowledge.go
@@ -34,11 +34,11 @@
 			CapacityMilli: capacityMilli(set),
 		},
 		Multiplexer: fwd.multiplexer, Publisher: fwd.publisher, Entries: func() []persister.Entry { return nil },
-		Seeds: set.SeedPeers, Scope: fwd.scope, Log: fwd.Log,
+		Seeds: set.SeedPeers, Scope: fwd.scope, Log: fwd.Log, Aged: fwd.detector.Aged,
 		Cargo: gossiper.Cargo{
 			Endpoints: func(now time.Time) (uint64, time.Duration) {
 				rev, _ := fwd.registry.Revision()
-				return rev, fwd.registry.Age(now)
+				return rev, fwd.detector.Aged(fwd.registry.Confirmed(), now)
 			},
 			SeeEndpoints: fwd.seeEndpoints,
 			Synced: func(ctx context.Context, address string) {
--- a/process/forwarder/watch.go
+++ b/process/forwarder/watch.go
@@ -131,8 +131,26 @@
 // be that it holds no tables yet.
 func (fwd *Forwarder) fresh(now time.Time) bool {
 	_, known := fwd.registry.Revision()
-	_, age := fwd.publisher.Freshness(now)
-	return known && max(age, fwd.registry.Age(now)) <= fwd.staleAge()
+	return known && fwd.age(now) <= fwd.staleAge()
+}
+
+// age is how long ago the store confirmed the host's knowledge, with the time for which
+// the host was suspended since.
+func (fwd *Forwarder) age(now time.Time) time.Duration {
+	return max(fwd.detector.Aged(fwd.publisher.Confirmed(), now), fwd.detector.Aged(fwd.registry.Confirmed(), now))
+}
+
+// slept is the time for which the host was suspended in all.
+func (fwd *Forwarder) slept(now time.Time) time.Duration {
+	sle, _ := fwd.detector.Look(now)
+	return sle
+}
+
+// staleSinceWake reports whether the host was suspended and has not learned since what
+// has changed meanwhile.
+func (fwd *Forwarder) staleSinceWake(now time.Time) bool {
+	sle, wok := fwd.detector.Look(now)
+	return sle > 0 && !(fwd.registry.Confirmed().After(wok) && fwd.publisher.Confirmed().After(wok))
 }
 
 // patient reports whether a host that starts leaves the store alone for now.
--- a/process/forwarder/watch_test.go
+++ b/process/forwarder/watch_test.go
@@ -183,3 +183,27 @@
 		}
 	}
 }
+
+// TestSuspendedHost suspends a host for longer than its steady clock shows: its knowledge
+// is stale, calls wait for news, and peers are told the true age.
+func TestSuspendedHost(t *testing.T) {
+	fwd := newHost(t, 1, 60, 4*time.Second)
+	var slept time.Duration
+	fwd.detector.Clocks = func() (time.Duration, time.Duration, error) { return 0, slept, nil }
+	now := time.Now()
+	require.Zero(t, fwd.slept(now))
+	learn(fwd, now)
+	require.True(t, fwd.fresh(now))
+	slept = 5 * time.Second
+	now = now.Add(100 * time.Millisecond)
+	require.Equal(t, slept, fwd.slept(now))
+	require.False(t, fwd.fresh(now))
+	require.True(t, fwd.duty(now), "it reads the store")
+	require.True(t, fwd.staleSinceWake(now))
+	_, age := fwd.gossiper.Cargo.Endpoints(now)
+	require.GreaterOrEqual(t, age, slept)
+	now = now.Add(100 * time.Millisecond)
+	learn(fwd, now)
+	require.True(t, fwd.fresh(now))
+	require.False(t, fwd.staleSinceWake(now))
+}
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -12,7 +12,7 @@
 func (gos *Gossiper) ping(target string) *messenger.Envelope {
 	now := time.Now()
 	upds, self, reg := gos.updates(target)
-	rev, age := gos.Publisher.Freshness(now)
+	rev, age := gos.Publisher.Current().Revision(), gos.aged(gos.Publisher.Confirmed(), now)
 	end, endAge := gos.endpoints(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
@@ -24,7 +24,7 @@
 func (gos *Gossiper) pong(target string) *messenger.Envelope {
 	now := time.Now()
 	upds, self, reg := gos.updates(target)
-	rev, age := gos.Publisher.Freshness(now)
+	rev, age := gos.Publisher.Current().Revision(), gos.aged(gos.Publisher.Confirmed(), now)
 	end, endAge := gos.endpoints(now)
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
@@ -46,6 +46,14 @@
 	return membersOf(ros.Updates(target)), ros.Self.Member(), reg
 }
 
+// aged is the age that peers are told of something that was true at a time.
+func (gos *Gossiper) aged(at, now time.Time) time.Duration {
+	if gos.Aged != nil {
+		return gos.Aged(at, now)
+	}
+	return max(0, now.Sub(at))
+}
+
 func (gos *Gossiper) cells(region string, now time.Time) []*messenger.CellDigest {
 	if gos.Cargo.Cells == nil {
 		return nil
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -66,6 +66,9 @@
 	// Seeds are the peers to ask when the platform's list can't be read.
 	Seeds []string
 	Cargo Cargo
+	// Aged is the age of something that was true at a time, with suspensions of the host;
+	// nil for a host that never is.
+	Aged func(at, now time.Time) time.Duration
 	// Scope counts probes and changes; nil counts nothing.
 	Scope tally.Scope
 	Log   zerolog.Logger
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -100,12 +100,12 @@
 	reg.confirmed = at
 }
 
-// Age returns how long ago the store confirmed the records, as far as this host
-// knows directly or through peers.
-func (reg *Registry) Age(now time.Time) time.Duration {
+// Confirmed returns the last time at which the store held nothing newer, as far as this
+// host knows directly or through peers.
+func (reg *Registry) Confirmed() time.Time {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	return max(0, now.Sub(reg.confirmed))
+	return reg.confirmed
 }
 
 // Merge takes some records and returns those that were news. revision is that up
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -161,7 +161,7 @@
 	var reg Registry
 	reg.Replace([]Endpoint{ready("a", 1)}, 5, epoch)
 	reg.Confirm(5, epoch)
-	require.Equal(t, time.Second, reg.Age(epoch.Add(time.Second)))
+	require.Equal(t, epoch, reg.Confirmed())
 	reg.Confirm(4, epoch.Add(time.Second))
-	require.Equal(t, time.Second, reg.Age(epoch.Add(time.Second)), "an older revision confirms nothing")
+	require.Equal(t, epoch, reg.Confirmed(), "an older revision confirms nothing")
 }
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -28,6 +28,8 @@
 	// them within some hundred milliseconds of their start, and after a failure of all
 	// hosts no other one knows more.
 	startHold = 400 * time.Millisecond
+	// freshInterval is how often a held call looks whether the host knows enough.
+	freshInterval = 10 * time.Millisecond
 	// startRetryAfter is told to callers of a host that has no tables by then.
 	startRetryAfter = 500 * time.Millisecond
 	// leastRetryAfter is the shortest time told to a refused caller.
@@ -59,6 +61,11 @@
 	// Ready is closed once the host has tables and knows the endpoints; nil if it always
 	// does.
 	Ready <-chan struct{}
+	// Stale reports whether the host's knowledge has to be confirmed before calls are
+	// accepted, as after a suspension; nil if it never has. Slept is the time for which
+	// the host was suspended in all; nil if it never is.
+	Stale func(now time.Time) bool
+	Slept func(now time.Time) time.Duration
 	// Draining reports whether callers are to leave their connections.
 	Draining func() bool
 	// MaxBodyBytes bounds a body where the tables don't.
@@ -83,7 +90,9 @@
 	kept    *receiver.Body
 	arrived time.Time
 	end     time.Time
-	state   State
+	// slept is the time for which the host was suspended before the call arrived.
+	slept time.Duration
+	state State
 	// excluded endpoints have failed the call; last is the last event forwarded.
 	excluded []string
 	last     string
@@ -104,6 +113,7 @@
 // ServeHTTP forwards one call.
 func (rel *Relayer) ServeHTTP(wri http.ResponseWriter, htr *http.Request) {
 	run := &run{Relayer: rel, wri: wri, htr: htr, arrived: rel.Clock()}
+	run.slept = run.sleptSince(run.arrived)
 	ctx, spa := rel.Tracer.Start(htr.Context(), "forward", trace.WithSpanKind(trace.SpanKindServer))
 	defer spa.End()
 	if rel.Draining() {
@@ -133,6 +143,7 @@
 	}
 	run.log = run.Log.With().Str("RequestID", run.call.ID).Logger()
 	run.awaitTables()
+	run.awaitFresh()
 	mat := run.Tables()
 	if mat.Revision() == 0 {
 		return &rejection{status: http.StatusServiceUnavailable, code: "host_starting", message: "the host has no tables yet", retryAfter: startRetryAfter}
@@ -183,6 +194,32 @@
 	}
 }
 
+// awaitFresh holds the call for a moment while a host that was suspended learns what
+// has changed meanwhile. A store that is away must not keep calls from being served.
+func (run *run) awaitFresh() {
+	if run.Stale == nil || !run.Stale(run.arrived) {
+		return
+	}
+	tic := time.NewTicker(freshInterval)
+	defer tic.Stop()
+	for now := run.arrived; now.Sub(run.arrived) < startHold && run.Stale(now); now = run.Clock() {
+		select {
+		case <-tic.C:
+		case <-run.htr.Context().Done():
+			return
+		}
+	}
+	run.log.Info().Dur("HeldMs", run.Clock().Sub(run.arrived)).Bool("Stale", run.Stale(run.Clock())).Msg("call waited for a host that was suspended")
+}
+
+// sleptSince is the time for which the host was suspended since the call arrived.
+func (run *run) sleptSince(now time.Time) time.Duration {
+	if run.Slept == nil {
+		return 0
+	}
+	return run.Slept(now) - run.slept
+}
+
 func (run *run) authorize(mat *matcher.Matcher) *rejection {
 	if run.route.Public || len(mat.Tables().Teams) == 0 {
 		return nil
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -72,10 +72,11 @@
 	return run.take(ctx, lea, ans, sil)
 }
 
-// header makes the head of a send. A host that was paused since it had the connection
-// made does not send a call whose time is over.
+// header makes the head of a send. A host that was paused or suspended since it had the
+// connection made does not send a call whose time is over.
 func (run *run) header(lea Lease) (http.Header, error) {
-	lef := run.end.Sub(run.Clock())
+	now := run.Clock()
+	lef := run.end.Sub(now) - run.sleptSince(now)
 	if lef <= 0 {
 		return nil, errTimeLimit
 	}
