--- a/process/forwarder/watch.go
+++ b/process/forwarder/watch.go
@@ -150,7 +150,7 @@
 // has changed meanwhile.
 func (fwd *Forwarder) staleSinceWake(now time.Time) bool {
 	sle, wok := fwd.detector.Look(now)
-	return sle > 0 && !(fwd.registry.Confirmed().After(wok) && fwd.publisher.Confirmed().After(wok))
+	return sle > 0 && (!fwd.registry.Confirmed().After(wok) || !fwd.publisher.Confirmed().After(wok))
 }
 
 // patient reports whether a host that starts leaves the store alone for now.
