--- a/process/detector/detector_test.go
+++ b/process/detector/detector_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestDetector(t *testing.T) {
-	steady, whole := 10 * time.Second, 15 * time.Second
+	steady, whole := 10*time.Second, 15*time.Second
 	var fail error
 	det := &Detector{Clocks: func() (time.Duration, time.Duration, error) { return steady, whole, fail }}
 	now := time.Unix(1000, 0)
