Bound what a step of the plan looks at, and what makes a planner suspect

Each event of a plan looked at every ask that waited again, a look at a long ask took 10 ms at 112 engines (for each engine the engines with short answers were counted, over maps), and one ask that waited was looked at a thousand times a second. The benchmark with long prompts at seven times their rate did not end within ten minutes. All reports were read at once, and one late reply made a planner suspect. Change: asks that wait are looked at each 8 ms, the less urgent ones less often, and a new one waits its turn behind those of its kind; counts and contexts are kept with the engines; reports are read spread over their interval; a planner is suspect after two replies that stayed out, 0.3 s apart.

--- a/process/assigner/planners.go
+++ b/process/assigner/planners.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,6 +36,11 @@
 	// some seconds to find a silent host dead.
 	suspectPeriod = 2 * time.Second
 	maxSuspect    = 16 * time.Second
+	// missPeriod is the time after a planner's first reply that did not come in time at
+	// which the next one makes it suspect. Until then others are asked in its place, and
+	// they relay to it: a host with little processor time may be late itself, and each
+	// suspicion leads to a second plan.
+	missPeriod = 300 * time.Millisecond
 	// maxPlanners bounds the planners that one call tries.
 	maxPlanners = 2
 	// relayHold and relayGrace are those of a request that is relayed. Together they
@@ -80,6 +86,8 @@
 
 // suspicion is that of a planner that did not answer.
 type suspicion struct {
+	// missed is when its first reply since the last one in time stayed out.
+	missed time.Time
 	until  time.Time
 	period time.Duration
 }
@@ -221,12 +229,20 @@
 	if pla.suspects == nil {
 		pla.suspects = map[string]suspicion{}
 	}
-	if now.Before(pla.suspects[id].until) {
+	old := pla.suspects[id]
+	if now.Before(old.until) {
 		// Another ask has found it out.
 		return
 	}
-	per := min(maxSuspect, max(suspectPeriod, 2*pla.suspects[id].period))
-	pla.suspects[id] = suspicion{now.Add(per), per}
+	if old.missed.IsZero() {
+		old.missed = now
+	}
+	if errors.Is(err, context.DeadlineExceeded) && now.Sub(old.missed) < missPeriod {
+		pla.suspects[id] = old
+		return
+	}
+	per := min(maxSuspect, max(suspectPeriod, 2*old.period))
+	pla.suspects[id] = suspicion{missed: old.missed, until: now.Add(per), period: per}
 	pla.Log.Warn().Str("Peer", id).Err(err).Dur("ForMs", per).Msg("planner does not answer")
 }
 
--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -7,6 +7,11 @@
 )
 
 const (
+	// retryInterval is the shortest time between two looks at an ask that waits; parts of
+	// a read take some tens of milliseconds. retryAtOnce asks of a kind are looked at that
+	// often, as many more half as often, and so on.
+	retryInterval = 8 * time.Millisecond
+	retryAtOnce   = 3
 	// longRead is the time of a read on one engine, in ms, from which a prompt
 	// counts as long and may be divided.
 	longRead = 90
@@ -99,14 +104,26 @@
 	reserve []int64
 }
 
-// dispatch grants what can be granted, the most urgent asks first.
+// dispatch grants what can be granted, the most urgent asks first. A new ask is looked at
+// at once if none of its kind waits before it. Those that wait are looked at again after
+// retryInterval, and later the more of their kind are before them, so that the work of a
+// step hardly grows with the backlog.
 func (pla *Plan) dispatch(now time.Time) {
-	if len(pla.waiting) == 0 {
+	if len(pla.waiting) == 0 || !pla.fresh && now.Sub(pla.dispatched) < retryInterval {
 		return
 	}
+	pla.fresh, pla.dispatched = false, now
 	pla.sort(now)
+	var before [2]int
 	var left []*ask
 	for _, one := range pla.waiting {
+		num := &before[one.kind()]
+		if !one.due(*num, now) {
+			left = append(left, one)
+			*num++
+			continue
+		}
+		one.tried = now
 		cho, ok := pla.choose(one, now)
 		switch {
 		case ok && pla.starts(one, cho, now):
@@ -114,11 +131,28 @@
 		case pla.refuses(one, cho, ok, now):
 		default:
 			left = append(left, one)
+			*num++
 		}
 	}
 	pla.waiting = left
 }
 
+// kind is 1 for asks of long prompts, and 0 for the others.
+func (one *ask) kind() int {
+	if one.long() {
+		return 1
+	}
+	return 0
+}
+
+// due reports whether an ask with a number of others of its kind before it is looked at.
+func (one *ask) due(before int, now time.Time) bool {
+	if one.tried.IsZero() {
+		return before == 0 || now.Sub(one.arrived) >= retryInterval
+	}
+	return now.Sub(one.tried) >= retryInterval*time.Duration(1+before/retryAtOnce)
+}
+
 // best is the least time to the first event of an ask, on idle engines.
 func (pla *Plan) best(one *ask) ms {
 	num := max(1, min(maxParts, len(pla.order), int(one.read/leastPart)))
@@ -228,9 +262,10 @@
 	}
 	var bes choice
 	found := false
+	sho := pla.shortEngines()
 	most := min(maxParts, len(cans), max(1, int(one.read/leastPart)))
 	for num := most; num >= 1; num = min(num-1, num*4/5) {
-		cho, ok := pla.divide(one, cans, num, now)
+		cho, ok := pla.divide(one, cans, num, sho, now)
 		if ok && (!found || cho.cost < bes.cost) {
 			bes, found = cho, true
 		}
@@ -238,13 +273,14 @@
 	return bes, found
 }
 
-// divide finds a number of engines for a prompt.
-func (pla *Plan) divide(one *ask, cans []candidate, num int, now time.Time) (choice, bool) {
+// divide finds a number of engines for a prompt. shorts is the number of engines that
+// serve short prompts.
+func (pla *Plan) divide(one *ask, cans []candidate, num, shorts int, now time.Time) (choice, bool) {
 	rea := one.read / ms(num)
 	for ind := range cans {
 		can := &cans[ind]
 		can.ready = can.eng.ready(num > 1, now)
-		can.harm = pla.harm(can.eng, rea, 0, num > 1, now) + pla.block(can.eng, rea, now)
+		can.harm = pla.harm(can.eng, rea, 0, num > 1, now) + pla.block(can.eng, rea, shorts, now)
 		can.key = can.ready + rea*can.eng.pace + harmTime*ms(can.harm)
 	}
 	slices.SortStableFunc(cans, func(a, b candidate) int { return cmp.Compare(a.key, b.key) })
@@ -312,7 +348,7 @@
 
 func (pla *Plan) grant(one *ask, cho choice, now time.Time) {
 	gra := &grant{ask: one, lead: cho.lead, since: now, need: one.need, expected: now.Add(cho.first.duration()), unread: len(cho.parts)}
-	cho.lead.grants[one.ID] = gra
+	cho.lead.lead(gra)
 	for ind, eng := range cho.parts {
 		num := len(cho.parts)
 		par := &part{gra: gra, eng: eng, read: one.read / ms(num) * eng.pace, tokens: float64(one.prompt.Tokens) / float64(num)}
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -54,9 +54,12 @@
 	// unconfirmed are divided parts that should have been read, of grants whose first
 	// event has not arrived.
 	unconfirmed []*part
-	// grants are those that the engine leads.
-	grants map[string]*grant
-	memory int64
+	// grants are those that the engine leads, shorts the number of short prompts among
+	// them, and context their tokens.
+	grants  []*grant
+	shorts  int
+	context int64
+	memory  int64
 	// foreign counts requests, and foreignMemory tokens, of others.
 	foreign       int
 	foreignMemory int64
@@ -98,6 +101,27 @@
 // writing reports whether the engine that leads writes the answer.
 func (gra *grant) writing() bool { return gra.began || gra.unread == 0 }
 
+// lead counts a grant that the engine leads; leave takes it back.
+func (eng *engine) lead(gra *grant) {
+	eng.grants = append(eng.grants, gra)
+	eng.context += gra.ask.prompt.Tokens
+	if !gra.ask.long() {
+		eng.shorts++
+	}
+}
+
+func (eng *engine) leave(gra *grant) {
+	ind := slices.Index(eng.grants, gra)
+	if ind < 0 {
+		return
+	}
+	eng.grants = slices.Delete(eng.grants, ind, ind+1)
+	eng.context -= gra.ask.prompt.Tokens
+	if !gra.ask.long() {
+		eng.shorts--
+	}
+}
+
 // usable reports whether the engine may get work for a request.
 func (eng *engine) usable(one *ask, now time.Time) bool {
 	if eng.gone || eng.misses >= lostReports || now.Before(eng.suspect) {
@@ -231,10 +255,7 @@
 // nextWriteTime is that of the next pass, when what is read now is written too,
 // with some more tokens of context.
 func (eng *engine) nextWriteTime(fig figures, more int64) ms {
-	answers, context := eng.foreign+len(eng.grants), more
-	for _, gra := range eng.grants {
-		context += gra.ask.prompt.Tokens
-	}
+	answers, context := eng.foreign+len(eng.grants), more+eng.context
 	if more > 0 {
 		answers++
 	}
--- a/process/planner/loss.go
+++ b/process/planner/loss.go
@@ -77,27 +77,22 @@
 
 // block is the expected loss of the short prompts that will come while an engine
 // which serves such prompts reads a long part. Those engines share them.
-func (pla *Plan) block(eng *engine, read ms, now time.Time) float64 {
-	if read < blockRead || !eng.servesShort() {
+func (pla *Plan) block(eng *engine, read ms, shorts int, now time.Time) float64 {
+	if read < blockRead || eng.shorts == 0 {
 		return 0
 	}
-	num := 0
-	for _, oth := range pla.order {
-		if oth.servesShort() {
-			num++
-		}
-	}
-	return blockShare * lateLoss * shortWeight * pla.short.value(now) * float64(read) / 1000 / float64(num)
+	return blockShare * lateLoss * shortWeight * pla.short.value(now) * float64(read) / 1000 / float64(max(1, shorts))
 }
 
-// servesShort reports whether the engine leads a short prompt.
-func (eng *engine) servesShort() bool {
-	for _, gra := range eng.grants {
-		if !gra.ask.long() {
-			return true
+// shortEngines counts the engines that lead short prompts.
+func (pla *Plan) shortEngines() int {
+	num := 0
+	for _, eng := range pla.order {
+		if eng.shorts > 0 {
+			num++
 		}
 	}
-	return false
+	return num
 }
 
 // pauseHarm is the loss of an answer whose pass takes longer than it may pause.
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -28,6 +28,8 @@
 	seen    time.Time
 	// patience is when the caller gives up without an event.
 	patience time.Time
+	// tried is when the plan looked at it last; zero if it has not yet.
+	tried time.Time
 	// latest is when it must start to meet its objective on idle engines.
 	latest time.Time
 }
@@ -41,6 +43,10 @@
 	waiting []*ask
 	grants  map[string]*grant
 	acts    []Action
+	// fresh says that an ask came since the plan looked at those that wait, dispatched
+	// when that was.
+	fresh      bool
+	dispatched time.Time
 	// long is the recent work of long prompts, in engines; short the recent rate of
 	// short ones, a second.
 	long  average
@@ -113,6 +119,7 @@
 	}
 	one := pla.newAsk(eve, now)
 	pla.waiting = append(pla.waiting, one)
+	pla.fresh = true
 	if one.long() {
 		pla.long = pla.long.with(float64(one.read)/1000, now)
 	} else {
@@ -152,7 +159,7 @@
 		gra.parts = append(gra.parts, par)
 	}
 	gra.need = gra.parts[0].memory
-	gra.lead.grants[one.ID] = gra
+	gra.lead.lead(gra)
 	pla.grants[one.ID] = gra
 	for _, par := range gra.parts {
 		pla.holdPart(par, eve, now)
@@ -226,7 +233,7 @@
 		return
 	}
 	delete(pla.grants, id)
-	delete(gra.lead.grants, id)
+	gra.lead.leave(gra)
 	for _, par := range gra.parts {
 		par.eng.remove(par, now)
 		par.eng.memory -= par.memory
@@ -247,7 +254,7 @@
 		see[end.ID] = true
 		eng := pla.engines[end.ID]
 		if eng == nil || !eng.Started.Equal(end.Started) && !end.Started.IsZero() {
-			eng = &engine{Engine: end, pace: 1, grants: map[string]*grant{}}
+			eng = &engine{Engine: end, pace: 1}
 			pla.engines[end.ID] = eng
 		}
 		eng.Engine, eng.gone = end, false
--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -20,6 +20,8 @@
 	// forgetTime that after which a plan is dropped.
 	idleTime   = 3 * time.Second
 	forgetTime = 30 * time.Second
+	// firstPoll is the time over which the first reports of a plan are read.
+	firstPoll = 100 * time.Millisecond
 	// loadTimeout bounds the read of one report.
 	loadTimeout = 400 * time.Millisecond
 )
@@ -158,7 +160,7 @@
 	run.refresh(one)
 	run.Log.Info().Str("Pool", pool).Int("Engines", len(one.engines)).Msg("planning of a pool begins")
 	// The plan before this one may be lost, and with it the account of the engines.
-	run.poll(context.Background(), one)
+	run.poll(context.Background(), one, firstPoll)
 	return one
 }
 
@@ -205,19 +207,23 @@
 			}
 			run.refresh(one)
 			if idl < idleTime {
-				run.poll(ctx, one)
+				run.poll(ctx, one, run.Interval)
 			}
 		}
 	}
 }
 
-// poll reads the reports of all engines at once.
-func (run *Runner) poll(ctx context.Context, one *running) {
+// poll reads the reports of all engines, spread over a time: those of a hundred at once
+// would hold asks up.
+func (run *Runner) poll(ctx context.Context, one *running, over time.Duration) {
 	one.mu.Lock()
 	ends := one.engines
 	one.mu.Unlock()
-	for _, end := range ends {
-		go func() {
+	for ind, end := range ends {
+		time.AfterFunc(over*time.Duration(ind)/time.Duration(len(ends)), func() {
+			if ctx.Err() != nil {
+				return
+			}
 			ctx, stop := context.WithTimeout(ctx, loadTimeout)
 			defer stop()
 			loa, err := run.Loader.Load(ctx, end.Address)
@@ -227,7 +233,7 @@
 				return
 			}
 			one.next(Report{end.ID, loa}, run.Clock())
-		}()
+		})
 	}
 }
 
