Give a silent engine up only once the call can go on elsewhere

A slow but sound stream was cut; the users name this fault. Change: while the endpoint is silent the host looks for another one, and ends the send only when it has got it; an event that comes meanwhile ends the look. Ruled out: the change of the configuration (routes and pools of the call stayed), the engine (it ran on until its connection was closed), retries over budget.

--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"hemlockpin/connection/exchanger"
@@ -92,15 +93,21 @@
 	end     time.Time
 	// slept is the time for which the host was suspended before the call arrived.
 	slept time.Duration
-	state State
-	// excluded endpoints have failed the call; last is the last event forwarded.
+	// excluded endpoints have failed the call.
 	excluded []string
-	last     string
-	// lastAt is when the last event was forwarded; zero before the first one.
-	lastAt time.Time
-	log    zerolog.Logger
+	log      zerolog.Logger
 	// answer is what the last endpoint answered, if it is whole.
 	answer answer
+	// next is the endpoint at which the call goes on, found while the last one was silent.
+	next *Lease
+
+	// mu guards what follows against the look for another endpoint.
+	mu    sync.Mutex
+	state State
+	// last is the last event forwarded, and lastAt when that was; zero before the first
+	// one.
+	last   string
+	lastAt time.Time
 }
 
 // answer is a whole answer.
@@ -257,7 +264,7 @@
 	ctx, stop := context.WithDeadlineCause(ctx, run.end, errTimeLimit)
 	defer stop()
 	for {
-		lea, err := run.place(ctx)
+		lea, err := run.nextLease(ctx)
 		if err != nil {
 			run.unplaced(ctx, err)
 			return
@@ -268,10 +275,11 @@
 		now := run.Clock()
 		var dec Decision
 		run.state, dec = Next(run.state, out, Terms{
-			Route: run.route, Left: run.end.Sub(now), Budget: func() bool { return run.Budget.Take(run.pool.Name, now) },
+			Route: run.route, Left: run.end.Sub(now), Budget: func() bool { return run.next != nil || run.Budget.Take(run.pool.Name, now) },
 		})
 		run.note(lea, out, dec, now)
 		if _, again := dec.(Resend); !again {
+			run.dropNext()
 			run.finish(dec, 0)
 			return
 		}
@@ -279,19 +287,40 @@
 	}
 }
 
-func (run *run) place(ctx context.Context) (Lease, error) {
+// nextLease returns the endpoint that was found while the last one was silent, or finds
+// one.
+func (run *run) nextLease(ctx context.Context) (Lease, error) {
+	if nex := run.next; nex != nil {
+		run.next = nil
+		return *nex, nil
+	}
+	return run.place(ctx, run.excluded)
+}
+
+// dropNext gives an endpoint back that the call does not need any more.
+func (run *run) dropNext() {
+	if run.next != nil {
+		run.next.End()
+		run.next = nil
+	}
+}
+
+func (run *run) place(ctx context.Context, excluded []string) (Lease, error) {
 	ctx, spa := run.Tracer.Start(ctx, "placement")
 	defer spa.End()
 	pri := run.route.Priority
 	if run.team.Priority != nil {
 		pri = *run.team.Priority
 	}
-	return run.Placer.Place(ctx, Ask{
+	run.mu.Lock()
+	ask := Ask{
 		ID: run.call.ID, Pool: run.pool.Name, Team: run.team.Name,
 		PromptTokens: run.call.PromptTokens, MaxTokens: run.call.MaxTokens, AnswerTokens: run.call.AnswerTokens,
 		Priority: pri, Arrived: run.waitsSince(), Objective: time.Duration(run.route.FirstTarget), Pause: time.Duration(run.route.PauseTarget),
-		Deadline: run.end, Excluded: run.excluded, Sends: run.state.Sends,
-	})
+		Deadline: run.end, Excluded: excluded, Sends: run.state.Sends,
+	}
+	run.mu.Unlock()
+	return run.Placer.Place(ctx, ask)
 }
 
 // waitsSince is when the caller began to wait for the next event: a stream that goes
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -30,6 +30,9 @@
 	// answerFactor is how many times the objective an answer that is no stream
 	// may take before the call is sent elsewhere.
 	answerFactor = 2
+	// silenceRetry is the pause between two looks for another endpoint while one is
+	// silent.
+	silenceRetry = 300 * time.Millisecond
 	// maxRepeated is the number of events that an endpoint may repeat to a caller that
 	// resumes a stream. Streams have some dozens of events.
 	maxRepeated = 1024
@@ -58,9 +61,8 @@
 	defer spa.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	now := run.Clock()
-	sil := time.AfterFunc(run.firstLimit(lea, now), func() { cancel(errSilent) })
-	defer sil.Stop()
+	sil := run.watchSilence(ctx, lea, cancel)
+	defer sil.stop()
 	ans, err := run.Exchanger.Exchange(ctx, lea.Endpoint.Address, exchanger.Request{
 		Method: run.htr.Method, Target: run.htr.RequestURI, Host: run.htr.Host, Body: run.body,
 		Header: func() (http.Header, error) { return run.header(lea) },
@@ -132,7 +134,7 @@
 }
 
 // take reads the answer of an endpoint.
-func (run *run) take(ctx context.Context, lea Lease, ans *exchanger.Answer, sil *time.Timer) Outcome {
+func (run *run) take(ctx context.Context, lea Lease, ans *exchanger.Answer, sil *silence) Outcome {
 	hea := run.Codec.Answer(ans.Status, ans.Header)
 	switch {
 	case hea.ID != "" && hea.ID != run.call.ID:
@@ -194,9 +196,8 @@
 }
 
 // stream passes on whole events as they arrive.
-func (run *run) stream(ctx context.Context, lea Lease, ans *exchanger.Answer, sil *time.Timer) Outcome {
+func (run *run) stream(ctx context.Context, lea Lease, ans *exchanger.Answer, sil *silence) Outcome {
 	var buf []byte
-	lim := run.pauseLimit()
 	con := http.NewResponseController(run.wri)
 	beg, rep := true, 0
 	for {
@@ -222,7 +223,7 @@
 			}
 			continue
 		}
-		sil.Reset(lim)
+		sil.heard()
 		run.begin(ans)
 		if _, err := run.wri.Write(eve.raw); err != nil {
 			return CallerGone{}
@@ -230,11 +231,18 @@
 		if err := con.Flush(); err != nil {
 			return CallerGone{}
 		}
-		run.state.Events++
-		run.lastAt = run.Clock()
-		if eve.id != "" {
-			run.last = eve.id
-		}
+		run.forwarded(eve)
+	}
+}
+
+// forwarded notes an event that the caller has got.
+func (run *run) forwarded(eve event) {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	run.state.Events++
+	run.lastAt = run.Clock()
+	if eve.id != "" {
+		run.last = eve.id
 	}
 }
 
