--- a/request/relayer/finish.go
+++ b/request/relayer/finish.go
@@ -22,7 +22,11 @@
 	case Fail:
 		run.reject(&rejection{status: dec.Status, code: dec.Code, message: "the call failed and may have run"})
 	default:
-		run.log.Warn().Int("Events", run.state.Events).Interface("Decision", dec).Msg("answer cut")
+		code := ""
+		if cut, ok := dec.(Cut); ok {
+			code = cut.Code
+		}
+		run.log.Warn().Int("Events", run.state.Events).Str("Code", code).Msg("answer cut")
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -35,6 +39,8 @@
 		return "refuse"
 	case Fail:
 		return "fail"
+	case Resend:
+		return "resend"
 	default:
 		return "cut"
 	}
--- /dev/null
+++ b/request/relayer/log_test.go
@@ -0,0 +1,34 @@
+package relayer
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// TestDetail writes outcomes and decisions as operators read them.
+func TestDetail(t *testing.T) {
+	tts := []struct {
+		out  Outcome
+		dec  Decision
+		want string
+	}{
+		{Whole{}, Deliver{}, `{"Outcome":"whole","Decision":"deliver"}`},
+		{Answered{Status: 500}, Resend{}, `{"Outcome":"failure","Status":500,"Decision":"resend"}`},
+		{NotRun{}, Refuse{Code: "endpoint_refused"}, `{"Outcome":"not_run","Decision":"refuse","Code":"endpoint_refused"}`},
+		{Unreached{}, Resend{}, `{"Outcome":"unreached","Decision":"resend"}`},
+		{Broken{Step: "reading the answer"}, Fail{Status: 502, Code: "endpoint_failed"}, `{"Outcome":"broken","Step":"reading the answer","Decision":"fail","Code":"endpoint_failed"}`},
+		{TimedOut{Sent: true}, Cut{Code: "time_limit"}, `{"Outcome":"time_limit","Sent":true,"Decision":"cut","Code":"time_limit"}`},
+		{CallerGone{}, Cut{Code: "caller_gone"}, `{"Outcome":"caller_gone","Decision":"cut","Code":"caller_gone"}`},
+	}
+	for _, tt := range tts {
+		t.Run(name(tt.out), func(t *testing.T) {
+			var buf bytes.Buffer
+			log := zerolog.New(&buf)
+			detail(log.Log().Str("Outcome", name(tt.out)), tt.out, tt.dec).Send()
+			require.JSONEq(t, tt.want, buf.String())
+		})
+	}
+}
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -367,11 +367,33 @@
 	default:
 		lin = run.log.Warn()
 	}
-	lin.Str("Endpoint", lea.Endpoint.ID).Uint64("EndpointRevision", lea.Endpoint.Revision).Type("Outcome", out).Interface("Detail", out).Type("Decision", dec).
+	detail(lin.Str("Endpoint", lea.Endpoint.ID).Uint64("EndpointRevision", lea.Endpoint.Revision).Str("Outcome", name(out)), out, dec).
 		Int("Sends", run.state.Sends).Int("Events", run.state.Events).Dur("AfterMs", now.Sub(run.arrived)).Msg("send ended")
 	run.Scope.Tagged(map[string]string{"route": run.route.Name, "outcome": name(out)}).Counter("forward_sends").Inc(1)
 }
 
+// detail adds the decision on an outcome and what decided it.
+func detail(lin *zerolog.Event, out Outcome, dec Decision) *zerolog.Event {
+	switch out := out.(type) {
+	case Answered:
+		lin.Int("Status", out.Status)
+	case Broken:
+		lin.Str("Step", out.Step)
+	case TimedOut:
+		lin.Bool("Sent", out.Sent)
+	}
+	lin.Str("Decision", verb(dec))
+	switch dec := dec.(type) {
+	case Refuse:
+		lin.Str("Code", dec.Code)
+	case Fail:
+		lin.Str("Code", dec.Code)
+	case Cut:
+		lin.Str("Code", dec.Code)
+	}
+	return lin
+}
+
 // name returns the label of an outcome.
 func name(out Outcome) string {
 	switch out.(type) {
