--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -72,7 +72,7 @@
 	ReadyListen string        `long:"ready-listen" env:"HEMLOCKPIN_READY_LISTEN" default:"127.0.0.1:8083" description:"address that tells a balancer whether the host takes calls, as IP:port; for forward"`
 	RetryRatio  float64       `long:"retry-ratio" env:"HEMLOCKPIN_RETRY_RATIO" default:"0.2" description:"repeats that all hosts may send to a pool in a window, as a share of its calls; for forward"`
 	RetrySlack  float64       `long:"retry-slack" env:"HEMLOCKPIN_RETRY_SLACK" default:"100" description:"repeats that all hosts may send to a pool in a window beyond that; for forward"`
-	StartWait   time.Duration `long:"start-wait" env:"HEMLOCKPIN_START_WAIT" default:"60ms" description:"how long a host that starts leaves reading the store to the watchers; longer where the whole fleet starts for the first time; for forward"`
+	StartWait   time.Duration `long:"start-wait" env:"HEMLOCKPIN_START_WAIT" default:"150ms" description:"how long a host that starts leaves reading the store to the watchers; longer where the whole fleet starts for the first time; for forward"`
 	ApplyWithin time.Duration `long:"apply-within" env:"HEMLOCKPIN_APPLY_WITHIN" default:"2s" description:"time within which accepted tables have to be in force on all hosts; for forward"`
 	LeaveWithin time.Duration `long:"leave-within" env:"HEMLOCKPIN_LEAVE_WITHIN" default:"2s" description:"time within which an endpoint that leaves has to get no new calls; for forward"`
 	RetryWindow time.Duration `long:"retry-window" env:"HEMLOCKPIN_RETRY_WINDOW" default:"10s" description:"window of the repeats; for forward"`
--- a/process/forwarder/watch.go
+++ b/process/forwarder/watch.go
@@ -33,14 +33,14 @@
 	maxWatch = 800 * time.Millisecond
 	maxAsk   = 600 * time.Millisecond
 	maxStale = 2600 * time.Millisecond
-	// startPeriod is how long a host asks for the members often after its start, as
-	// all hosts may be starting.
+	// startPeriod is how long a host asks for the members after its start as long as it
+	// learns of more, as all hosts may be starting.
 	startPeriod = 4 * time.Second
 	// peerWait is how long any host that starts waits for a peer to tell it the tables
 	// and the endpoints before it reads them from the store. Peers answer within some
 	// milliseconds, or some dozens where processor time is short, and callers are
 	// waiting.
-	peerWait = 100 * time.Millisecond
+	peerWait = 150 * time.Millisecond
 	// startInterval is how often a host that starts looks whether it knows enough.
 	startInterval = 10 * time.Millisecond
 )
@@ -189,9 +189,12 @@
 	tic := time.NewTicker(fwd.askInterval())
 	defer tic.Stop()
 	turn := rand.IntN(watcherCount)
+	known := -1
 	for {
 		now := time.Now()
-		if now.Sub(fwd.started) < startPeriod {
+		// A list of hundreds of members is worth its bytes only while it grows.
+		if num := len(fwd.gossiper.Live(now)); now.Sub(fwd.started) < startPeriod && num != known {
+			known = num
 			go fwd.gossiper.Refresh(ctx)
 		}
 		// A watcher that the store turns away learns from the others.
