--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -31,10 +31,8 @@
 	startHold = 400 * time.Millisecond
 	// freshInterval is how often a held call looks whether the host knows enough.
 	freshInterval = 10 * time.Millisecond
-	// startRetryAfter is told to callers of a host that has no tables by then: neither its
-	// peers nor the store answer, and outages of the store last for seconds. Callers ask
-	// again once or twice.
-	startRetryAfter = 2 * time.Second
+	// startRetryAfter is told to callers of a host that has no tables by then.
+	startRetryAfter = 500 * time.Millisecond
 	// leastRetryAfter is the shortest time told to a refused caller.
 	leastRetryAfter = 100 * time.Millisecond
 )
