Account for reads that join the pass in progress

The more engines there are, the more prompts come within one pass. An engine reads on within its pass, so a prompt that comes later delays the first events of all that the pass has read, and the pauses of its answers; the account let it wait for the next pass, and counted neither. Change: a further whole prompt costs the prompts whose first events have not come, and pauses are judged by the pass in progress as well as by the next one.

--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -361,6 +361,13 @@
 		par.size = par.read
 		gra.parts = append(gra.parts, par)
 	}
+	if len(gra.parts) == 1 {
+		for _, oth := range cho.lead.joined() {
+			if oth != gra {
+				oth.expected = oth.expected.Add(gra.parts[0].read.duration())
+			}
+		}
+	}
 	for _, par := range gra.parts {
 		par.eng.add(pla.fig, par, now)
 		par.eng.spoil(pla.fig)
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -390,6 +390,18 @@
 	return slices.Concat(eng.reading, eng.divided, eng.whole)
 }
 
+// joined returns the whole prompts that the engine leads whose first events have not come.
+// An engine reads on within a pass, and the first events come with its end.
+func (eng *engine) joined() []*grant {
+	var out []*grant
+	for _, gra := range eng.grants {
+		if !gra.began && len(gra.parts) == 1 {
+			out = append(out, gra)
+		}
+	}
+	return out
+}
+
 // tight counts the answers that the engine leads whose pauses are bound as
 // tightly as those of a request.
 func (eng *engine) tight(pause time.Duration) int {
--- a/process/planner/load_test.go
+++ b/process/planner/load_test.go
@@ -35,6 +35,9 @@
 func play(t *testing.T, dat *datadriven.TestData, seed uint64) *world {
 	engs := 14
 	dat.MaybeScanArgs(t, "engines", &engs)
+	// The usual rates are those of 14 engines; scale multiplies them.
+	sca := 1
+	dat.MaybeScanArgs(t, "scale", &sca)
 	wor := newWorld(engs, seed)
 	slowEngines(t, wor, dat)
 	at := epoch
@@ -44,7 +47,7 @@
 		require.NoError(t, err, lin)
 		dur := time.Duration(sec * float64(time.Second))
 		for cla, mul := range []float64{sho, mid, lon} {
-			wor.arrive(cla, classes[cla].rate*mul, at, dur)
+			wor.arrive(cla, classes[cla].rate*mul*float64(sca), at, dur)
 		}
 		at = at.Add(dur)
 	}
--- a/process/planner/loss.go
+++ b/process/planner/loss.go
@@ -63,12 +63,22 @@
 	old := eng.nextWriteTime(pla.fig, 0) + eng.queued()
 	nex := eng.nextWriteTime(pla.fig, context) + eng.queued() + read*eng.pace
 	var tot float64
+	// The pass in progress grows, too.
+	var cur ms
+	if !eng.passEnd.IsZero() {
+		cur = eng.passTime
+	}
 	for _, gra := range eng.grants {
-		tot += pla.pauseHarm(gra, old, nex)
+		tot += pla.pauseHarm(gra, max(old, cur), max(nex, cur+read*eng.pace))
 	}
 	for _, par := range eng.behind(divided) {
 		tot += pla.delayHarm(par, nex-old, now)
 	}
+	if !divided {
+		for _, gra := range eng.joined() {
+			tot += pla.joinHarm(gra, nex-old, now)
+		}
+	}
 	for _, par := range eng.overdue(now) {
 		tot += doubtShare * pla.overdueHarm(par, nex-old, now)
 	}
@@ -116,6 +126,13 @@
 	return max(0, pla.late(gra.ask, nex, now)-pla.late(gra.ask, exp, now)) + risk
 }
 
+// joinHarm is the loss of a request whose first event comes with the pass that a further
+// read prolongs.
+func (pla *Plan) joinHarm(gra *grant, delay ms, now time.Time) float64 {
+	exp := msOf(gra.expected.Sub(now))
+	return max(0, pla.late(gra.ask, exp+delay, now)-pla.late(gra.ask, exp, now))
+}
+
 // overdueHarm is the loss of an overdue request if a part of it is read later.
 func (pla *Plan) overdueHarm(par *part, delay ms, now time.Time) float64 {
 	exp := par.eng.residual(now) + par.size + par.gra.lead.nextWriteTime(pla.fig, 0) + network
