Keep the guard of sessions in a file of its own, and choose watchers in one place

Cause: reading the diff as a newcomer: heartbeat.go held the type guard, one of its methods stood in multiplexer.go, and publisher.Watches repeated the order of Watchers. Before / After: tests of multiplexer, publisher and forwarder pass; no behaviour changes.

--- a/connection/multiplexer/heartbeat.go
+++ b/connection/multiplexer/guard.go
@@ -1,8 +1,11 @@
 package multiplexer
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"hemlockpin/connection/messenger"
 )
 
 const (
@@ -96,3 +99,12 @@
 		time.AfterFunc(max(lef, heartbeatInterval), gua.checkIdle)
 	}
 }
+
+// handler wraps a handler so that its calls are counted.
+func (gua *guard) handler(han Handler) Handler {
+	return func(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
+		gua.begin()
+		defer gua.end()
+		return han(ctx, env)
+	}
+}
--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -256,15 +256,6 @@
 	}
 }
 
-// handler wraps a handler so that its calls are counted.
-func (gua *guard) handler(han Handler) Handler {
-	return func(ctx context.Context, env *messenger.Envelope) *messenger.Envelope {
-		gua.begin()
-		defer gua.end()
-		return han(ctx, env)
-	}
-}
-
 func (mul *Multiplexer) track(lin link, on bool) {
 	mul.mu.Lock()
 	defer mul.mu.Unlock()
--- a/process/publisher/refresher.go
+++ b/process/publisher/refresher.go
@@ -30,15 +30,8 @@
 // Watches reports whether a host is one of the num hosts of its region that
 // watch the store. hosts are the live ones of the region, with or without self.
 func Watches(self string, hosts []string, num int) bool {
-	mine := xxhash.Sum64String(TablesPath + "\x00" + self)
-	higher := 0
-	for _, hos := range hosts {
-		sco := xxhash.Sum64String(TablesPath + "\x00" + hos)
-		if hos != self && (sco > mine || (sco == mine && hos < self)) {
-			higher++
-		}
-	}
-	return higher < num
+	all := append(slices.DeleteFunc(slices.Clone(hosts), func(hos string) bool { return hos == self }), self)
+	return slices.Contains(Watchers(all, num), len(all)-1)
 }
 
 // Watchers returns the places of the num hosts that watch the store, of those that
