Leave engines that this host knows to be leaving, whatever the plan says

Found by reading: a host sent to the engine of a grant also when its own records said that the engine was leaving or gone, since it took both for an engine that it did not know yet; and the first confirmation of a host's records counted as the return of the store after an outage, so that removals in the two seconds after it waited for two more. A host that starts also used endpoints for two seconds that peers told it were gone. Before / After: TestPlannerBehind and TestGoneBeforeTheStart failed; they pass.

--- a/process/assigner/assigner_test.go
+++ b/process/assigner/assigner_test.go
@@ -354,6 +354,27 @@
 	require.Zero(t, res.count())
 }
 
+// TestPlannerBehind has the planner grant an engine that this host knows to be leaving: the
+// host asks again, and the planner leaves the engine alone.
+func TestPlannerBehind(t *testing.T) {
+	for nam, end := range map[string]registrar.Endpoint{
+		"leaving": {ID: "e1", Service: "llm", Address: "10.0.0.1:1", Revision: 2, Leaving: true},
+		"gone":    {ID: "e1", Service: "llm", Address: "10.0.0.1:1", Revision: 2, Gone: true},
+	} {
+		t.Run(nam, func(t *testing.T) {
+			ass := newFleet(1).assigner("host-0", &reserver{})
+			now := time.Now()
+			ass.Registry.Confirm(1, now)
+			ass.Registry.Merge([]registrar.Endpoint{end}, 2, now)
+			for ind := range 20 {
+				lea, err := ass.Place(t.Context(), ask(fmt.Sprint(ind), 1000))
+				require.NoError(t, err)
+				require.NotEqual(t, "e1", lea.Endpoint.ID)
+			}
+		})
+	}
+}
+
 func TestOwnView(t *testing.T) {
 	ass := newFleet(1).assigner("host-0", &reserver{})
 	one, err := ass.Place(t.Context(), relayer.Ask{Pool: "desk"})
--- a/process/assigner/plan.go
+++ b/process/assigner/plan.go
@@ -56,6 +56,14 @@
 // granted turns a plan into a lease, once its memory is reserved.
 func (ass *Assigner) granted(ctx context.Context, ask relayer.Ask, act planner.Assign) (relayer.Lease, bool) {
 	now := ass.Clock()
+	for _, par := range act.Parts {
+		if ass.Registry.Barred(par.Endpoint, now) {
+			// The planner has not heard of it yet.
+			ass.Log.Info().Str("RequestID", ask.ID).Str("Endpoint", par.Endpoint).Msg("the plan names an endpoint that is leaving; asking again")
+			ass.Planners.tell(act.ID, planner.Failed{ID: act.ID, Endpoint: par.Endpoint})
+			return relayer.Lease{}, false
+		}
+	}
 	end, ok := ass.Registry.Find(act.Parts[0].Endpoint, now)
 	if !ok {
 		// The planner knows an engine that this host does not know yet.
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -94,7 +94,7 @@
 	if revision < reg.revision || !at.After(reg.confirmed) {
 		return
 	}
-	if at.Sub(reg.confirmed) > outageAge {
+	if !reg.confirmed.IsZero() && at.Sub(reg.confirmed) > outageAge {
 		reg.back = at
 	}
 	reg.confirmed = at
@@ -153,6 +153,11 @@
 		rec := &record{Endpoint: end}
 		if end.Gone {
 			rec.removed = gra
+			if reg.recs[end.ID] == nil {
+				// This host never used the endpoint, so the removal can't be the mark of an
+				// outage that it has not noticed.
+				rec.removed = now
+			}
 			if old := reg.recs[end.ID]; old != nil && end.Service == "" {
 				rec.Endpoint = old.Endpoint
 				rec.Gone = true
@@ -223,6 +228,14 @@
 	return out
 }
 
+// Barred reports whether an endpoint is known to be leaving or gone.
+func (reg *Registry) Barred(id string, now time.Time) bool {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	rec := reg.recs[id]
+	return rec != nil && !rec.usable(now)
+}
+
 // Find returns an endpoint that may get new requests.
 func (reg *Registry) Find(id string, now time.Time) (Endpoint, bool) {
 	reg.mu.Lock()
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -77,6 +77,17 @@
 	require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch)))
 }
 
+// TestGoneBeforeTheStart starts a host that learns from a peer of an endpoint that is gone:
+// it never uses it, although nothing has confirmed its records yet.
+func TestGoneBeforeTheStart(t *testing.T) {
+	var reg Registry
+	reg.Learn([]Endpoint{ready("a", 1), ready("b", 3).gone()}, 3, epoch)
+	require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch)))
+	require.True(t, reg.Barred("b", epoch))
+	require.False(t, reg.Barred("a", epoch))
+	require.False(t, reg.Barred("unknown", epoch))
+}
+
 // TestOutage removes an entry at different times of an outage. Where the store
 // was away for all, the entry counts for two seconds after its return, in which
 // the endpoint may register again. Where it turned away this host alone, peers
