Keep a plan that begins with announced grants

A plan that began with an announcement had no time of a last ask, so the next tick took it for idle for ages and dropped it, with the grants; each new one read all reports. So a new planner lost the account that the hosts had given it unless an ask came first.

--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -57,6 +57,8 @@
 	plan    Plan
 	engines []Engine
 	waiters map[string]chan Action
+	// asked is when the last ask came, or when the plan began: grants that are announced
+	// come before the first one.
 	asked   time.Time
 	ticking bool
 }
@@ -152,7 +154,7 @@
 	if !ok || poo.Batching == nil {
 		return nil
 	}
-	one := &running{pool: pool, log: run.Log, waiters: map[string]chan Action{}}
+	one := &running{pool: pool, log: run.Log, waiters: map[string]chan Action{}, asked: run.Clock()}
 	if run.plans == nil {
 		run.plans = map[string]*running{}
 	}
