Count what a host pulls from a watcher as confirmed

Change: after a pull the time that the watcher gave holds for what was pulled. Ruled out: silent watches (none in the trial). Before / After: TestFreshWhileChanging failed; passes.

--- a/process/forwarder/knowledge.go
+++ b/process/forwarder/knowledge.go
@@ -43,7 +43,7 @@
 			SeeEndpoints: fwd.seeEndpoints,
 			Synced: func(ctx context.Context, address string) {
 				if _, known := fwd.registry.Revision(); !known {
-					fwd.pullEndpoints(ctx, address)
+					fwd.pullEndpoints(ctx, address, time.Time{})
 				}
 			},
 		},
@@ -179,11 +179,14 @@
 	}
 	go func() {
 		defer fwd.pulling.Store(false)
-		fwd.spread(func(ctx context.Context) { fwd.pullEndpoints(ctx, address) })
+		fwd.spread(func(ctx context.Context) { fwd.pullEndpoints(ctx, address, at) })
 	}()
 }
 
-func (fwd *Forwarder) pullEndpoints(ctx context.Context, address string) {
+// pullEndpoints takes what a peer knows. At the time at, if it is not zero, the store held
+// nothing that the peer does not know: while records change all the time, a host never
+// hears of the revision that it has.
+func (fwd *Forwarder) pullEndpoints(ctx context.Context, address string, at time.Time) {
 	have, _ := fwd.registry.Revision()
 	rep, err := fwd.multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_EndpointsPull{EndpointsPull: &messenger.EndpointsPull{HaveRevision: have}}})
 	if err != nil {
@@ -195,6 +198,9 @@
 		return
 	}
 	news := fwd.registry.Learn(registrar.FromMessage(pus), pus.GetRevision(), time.Now())
+	if !at.IsZero() {
+		fwd.registry.Confirm(pus.GetRevision(), at)
+	}
 	fwd.checkReady()
 	fwd.learned(news, "peer")
 }
--- a/process/forwarder/watch_test.go
+++ b/process/forwarder/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -207,3 +208,27 @@
 	require.True(t, fwd.fresh(now))
 	require.False(t, fwd.staleSinceWake(now))
 }
+
+// TestFreshWhileChanging has records and tables change between any two exchanges of a host
+// and a watcher: what the host pulls counts as confirmed, so that it leaves the store alone.
+func TestFreshWhileChanging(t *testing.T) {
+	const within = 4 * time.Second
+	fwd, wat := newHost(t, 1, 2, within), newHost(t, 0, 2, within)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	go func() { _ = wat.multiplexer.Serve(lis) }()
+	learn(fwd, time.Now().Add(-time.Minute))
+	require.False(t, fwd.fresh(time.Now()))
+	at := time.Now()
+	wat.takeTables(follower.Tables{Found: true, Tables: parser.Tables{Revision: 9}, Revision: 9}, at)
+	wat.takeEndpoints(follower.Endpoints{Whole: true, Revision: 9}, at)
+	fwd.gossiper.Ask(t.Context(), gossiper.Peer{ID: "host-0", Address: lis.Addr().String()})
+	require.Eventually(t, func() bool { return fwd.fresh(time.Now()) }, 5*time.Second, time.Millisecond)
+	require.EqualValues(t, 9, fwd.publisher.Current().Revision())
+	rev, _ := fwd.registry.Revision()
+	require.EqualValues(t, 9, rev)
+	for _, con := range []time.Time{fwd.registry.Confirmed(), fwd.publisher.Confirmed()} {
+		require.WithinDuration(t, at, con, 100*time.Millisecond)
+	}
+}
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -125,12 +125,13 @@
 	gos.takeCells(pin.GetCells(), now)
 	gos.takeRetries(pin.GetFrom().GetId(), pin.GetRetries(), now)
 	gos.seeEndpoints(gos.address(fro), pin.GetEndpointsRevision(), pin.GetEndpointsAgeMs(), now)
-	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), now.Add(-time.Duration(pin.GetTablesAgeMs())*time.Millisecond))
+	at := now.Add(-time.Duration(pin.GetTablesAgeMs()) * time.Millisecond)
+	gos.Publisher.ConfirmAt(pin.GetTablesRevision(), at)
 	if gos.wantsList(pin.GetList(), now) {
 		go gos.pullList(context.WithoutCancel(ctx), gos.address(fro))
 	}
 	if pin.GetTablesRevision() > gos.Publisher.Current().Revision() {
-		go gos.Pull(context.WithoutCancel(ctx), gos.address(fro))
+		go gos.pullConfirmed(context.WithoutCancel(ctx), gos.address(fro), pin.GetTablesRevision(), at)
 	}
 	return gos.pong(fro.ID)
 }
@@ -172,12 +173,13 @@
 	gos.takeCells(pon.GetCells(), now)
 	gos.takeRetries(pon.GetFrom().GetId(), pon.GetRetries(), now)
 	gos.seeEndpoints(reached, pon.GetEndpointsRevision(), pon.GetEndpointsAgeMs(), now)
-	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), now.Add(-time.Duration(pon.GetTablesAgeMs())*time.Millisecond))
+	at := now.Add(-time.Duration(pon.GetTablesAgeMs()) * time.Millisecond)
+	gos.Publisher.ConfirmAt(pon.GetTablesRevision(), at)
 	if reached != "" && gos.wantsList(pon.GetList(), now) {
 		gos.pullList(ctx, reached)
 	}
 	if reached != "" && pon.GetTablesRevision() > gos.Publisher.Current().Revision() {
-		gos.Pull(ctx, reached)
+		gos.pullConfirmed(ctx, reached, pon.GetTablesRevision(), at)
 	}
 }
 
--- a/process/gossiper/tables.go
+++ b/process/gossiper/tables.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"hemlockpin/connection/messenger"
 )
@@ -24,6 +25,16 @@
 	}
 }
 
+// pullConfirmed pulls the tables of a peer that has a newer revision, which the store held
+// as its newest at a time. While tables change all the time, a host never hears of the
+// revision that it has.
+func (gos *Gossiper) pullConfirmed(ctx context.Context, address string, revision uint64, at time.Time) {
+	gos.Pull(ctx, address)
+	if gos.Publisher.Current().Revision() >= revision {
+		gos.Publisher.Confirm(at)
+	}
+}
+
 // HandlePull answers with what the peer lacks.
 func (gos *Gossiper) HandlePull(pul *messenger.TablesPull) *messenger.Envelope {
 	pus := gos.Publisher.Offer(pul.GetHaveRevision(), pul.GetWhole())
