--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -22,6 +22,11 @@
 	forgetTime = 30 * time.Second
 	// firstPoll is the time over which the first reports of a plan are read.
 	firstPoll = 100 * time.Millisecond
+	// maxReports bounds the reports that a plan reads a second, and firstReports those of
+	// a plan that begins: they must leave the host time for asks, however many engines
+	// the pool has.
+	maxReports   = 256
+	firstReports = 1024
 	// loadTimeout bounds the read of one report.
 	loadTimeout = 400 * time.Millisecond
 )
@@ -61,6 +66,8 @@
 	// come before the first one.
 	asked   time.Time
 	ticking bool
+	// polled is until when the last reading of the reports goes on.
+	polled time.Time
 }
 
 // Ask queues a prompt and waits for an answer at most for hold. It returns nil
@@ -162,7 +169,7 @@
 	run.refresh(one)
 	run.Log.Info().Str("Pool", pool).Int("Engines", len(one.engines)).Msg("planning of a pool begins")
 	// The plan before this one may be lost, and with it the account of the engines.
-	run.poll(context.Background(), one, firstPoll)
+	run.poll(context.Background(), one, firstPoll, firstReports)
 	return one
 }
 
@@ -209,17 +216,26 @@
 			}
 			run.refresh(one)
 			if idl < idleTime {
-				run.poll(ctx, one, run.Interval)
+				run.poll(ctx, one, run.Interval, maxReports)
 			}
 		}
 	}
 }
 
-// poll reads the reports of all engines, spread over a time: those of a hundred at once
-// would hold asks up.
-func (run *Runner) poll(ctx context.Context, one *running, over time.Duration) {
+// poll reads the reports of all engines, unless the last reading of them goes on. They are
+// spread over a time, or a longer one at the rate that bounds them: those of a hundred
+// engines at once would hold asks up.
+func (run *Runner) poll(ctx context.Context, one *running, over time.Duration, rate int) {
+	now := run.Clock()
 	one.mu.Lock()
 	ends := one.engines
+	over = max(over, time.Duration(len(ends))*time.Second/time.Duration(rate))
+	if now.Before(one.polled) {
+		one.mu.Unlock()
+		return
+	}
+	// The ticker may come a little early.
+	one.polled = now.Add(over - over/8)
 	one.mu.Unlock()
 	for ind, end := range ends {
 		time.AfterFunc(over*time.Duration(ind)/time.Duration(len(ends)), func() {
--- a/process/planner/runner_test.go
+++ b/process/planner/runner_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hemlockpin/version/parser"
@@ -43,3 +46,44 @@
 	stop()
 	<-done
 }
+
+// counted counts the reports that are read.
+type counted struct{ num atomic.Int64 }
+
+func (cou *counted) Load(context.Context, string) (Load, error) {
+	cou.num.Add(1)
+	return Load{Pace: 1}, nil
+}
+
+// TestReportsAreBounded plans pools of many engines: the reports that are read a second
+// follow the engines up to a bound.
+func TestReportsAreBounded(t *testing.T) {
+	tts := []struct{ engines, least, most int }{{14, 14 * 18, 14 * 23}, {112, 112 * 18, 112 * 23}, {3000, 10 * 200, 3000 + 10*maxReports}}
+	for _, tt := range tts {
+		t.Run(fmt.Sprint(tt.engines), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var ends []Engine
+				for ind := range tt.engines {
+					ends = append(ends, Engine{ID: fmt.Sprint(ind), Address: fmt.Sprint(ind)})
+				}
+				var cou counted
+				run := &Runner{
+					Loader: &cou, Engines: func(parser.Pool, time.Time) []Engine { return ends },
+					Pool:     func(string) (parser.Pool, bool) { return parser.Pool{Name: "llm", Batching: &batching}, true },
+					Interval: 500 * time.Millisecond, Clock: time.Now, Log: zerolog.Nop(), Scope: tally.NoopScope,
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				go run.Run(ctx)
+				for range 10 {
+					now := time.Now()
+					run.Ask(ctx, "llm", Ask{ID: fmt.Sprint(now.UnixNano()), Host: "h", Prompt: Prompt{Tokens: 1000, Target: now.Add(time.Second), Deadline: now.Add(10 * time.Second), Objective: time.Second}}, time.Millisecond)
+					time.Sleep(time.Second)
+				}
+				require.GreaterOrEqual(t, int(cou.num.Load()), tt.least)
+				require.LessOrEqual(t, int(cou.num.Load()), tt.most)
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
