Spare the seeds when hundreds of hosts start, and do not wait for one that is down

Each host that starts asked all three seeds for all members, twice, and took tables and records of endpoints from them; at 300 hosts that is some 100 MB over three links of 20 Mbit/s. It also waited for the answers of all three, up to half a second where one had no power. Change: a process that starts asks for its own name only, and waits 0.1 s after the first answer; the members come from one seed, the tables and records from any peers. Ruled out: the read of the store (its link carries 1,000 Mbit/s).

--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -145,14 +146,20 @@
 	return rep
 }
 
-// HandleMembersPull lists the members.
+// HandleMembersPull lists the members, or only the one of its name for a process that has
+// no incarnation yet: hundreds of them may start at once.
 func (gos *Gossiper) HandleMembersPull(ctx context.Context, pul *messenger.MembersPull, now time.Time) *messenger.Envelope {
-	if fro, ok := PeerOf(pul.GetFrom()); ok {
+	fro, ok := PeerOf(pul.GetFrom())
+	if ok = ok && fro.Incarnation > 0; ok {
 		gos.step(ctx, Heard{From: fro}, now)
 	}
 	gos.mu.Lock()
-	defer gos.mu.Unlock()
-	return &messenger.Envelope{Body: &messenger.Envelope_MembersPush{MembersPush: &messenger.MembersPush{Members: membersOf(gos.state().Known())}}}
+	pers := gos.state().Known()
+	gos.mu.Unlock()
+	if id := pul.GetFrom().GetId(); id != "" && !ok {
+		pers = slices.DeleteFunc(pers, func(per Peer) bool { return per.ID != id })
+	}
+	return &messenger.Envelope{Body: &messenger.Envelope_MembersPush{MembersPush: &messenger.MembersPush{Members: membersOf(pers)}}}
 }
 
 // HandleNotices takes notices that a peer pushes.
--- a/process/gossiper/join.go
+++ b/process/gossiper/join.go
@@ -52,6 +52,7 @@
 // joinStep asks peers that were not asked yet. It reports whether the host has
 // joined: enough peers have answered, or all that are known were tried.
 func (gos *Gossiper) joinStep(ctx context.Context, asked map[string]bool, late bool) bool {
+	gos.meet(ctx)
 	answers := 0
 	for _, ok := range asked {
 		if ok {
@@ -84,6 +85,21 @@
 	return true
 }
 
+// meet learns the members from a seed if no peer is known. Tables are then taken from any
+// peers: hundreds of hosts may start at once, and the seeds are three of them.
+func (gos *Gossiper) meet(ctx context.Context) {
+	if len(gos.Live(time.Now())) > 0 {
+		return
+	}
+	adds := gos.contacts(0)
+	rand.Shuffle(len(adds), func(one, two int) { adds[one], adds[two] = adds[two], adds[one] })
+	for _, add := range adds {
+		if gos.pullMembers(ctx, add) {
+			return
+		}
+	}
+}
+
 // Refresh learns the members from some contact. A host calls it often after its
 // start, when many hosts may be starting.
 func (gos *Gossiper) Refresh(ctx context.Context) { gos.syncAny(ctx) }
@@ -106,12 +122,9 @@
 
 // sync learns the members and the tables from one peer.
 func (gos *Gossiper) sync(ctx context.Context, address string) bool {
-	env := &messenger.Envelope{Body: &messenger.Envelope_MembersPull{MembersPull: &messenger.MembersPull{From: gos.self()}}}
-	rep, err := gos.call(ctx, syncTimeout, address, env)
-	if err != nil {
+	if !gos.pullMembers(ctx, address) {
 		return false
 	}
-	gos.step(ctx, Heard{Updates: peersOf(rep.GetMembersPush().GetMembers())}, time.Now())
 	gos.Pull(ctx, address)
 	if gos.Cargo.Synced != nil {
 		gos.Cargo.Synced(ctx, address)
@@ -119,6 +132,17 @@
 	return true
 }
 
+// pullMembers learns the members from one peer.
+func (gos *Gossiper) pullMembers(ctx context.Context, address string) bool {
+	env := &messenger.Envelope{Body: &messenger.Envelope_MembersPull{MembersPull: &messenger.MembersPull{From: gos.self()}}}
+	rep, err := gos.call(ctx, syncTimeout, address, env)
+	if err != nil {
+		return false
+	}
+	gos.step(ctx, Heard{Updates: peersOf(rep.GetMembersPush().GetMembers())}, time.Now())
+	return true
+}
+
 // contacts returns addresses to learn from: some live peers, else the listed
 // ones, and the seeds.
 func (gos *Gossiper) contacts(num int) []string {
--- a/process/gossiper/join_test.go
+++ b/process/gossiper/join_test.go
@@ -90,3 +90,26 @@
 	go gos.runSync(ctx, 100*time.Millisecond)
 	require.Eventually(t, gos.Joined, 10*time.Second, 10*time.Millisecond)
 }
+
+// TestStartAsksForOneName has a process that has no incarnation yet ask for the members: it
+// gets the one of its name only, and is not taken for a member itself.
+func TestStartAsksForOneName(t *testing.T) {
+	gos, add := startPeer(t, "peer", 1, nil)
+	for ind := range 50 {
+		gos.Learn(Peer{ID: fmt.Sprintf("host-%d", ind), Address: "127.0.0.1:1", Incarnation: uint64(ind + 1), State: StateDead})
+		gos.Learn(Peer{ID: fmt.Sprintf("host-%d", ind), Address: "127.0.0.1:1", Incarnation: uint64(ind + 2), State: StateAlive})
+	}
+	mul := &multiplexer.Multiplexer{}
+	defer mul.Close()
+	pull := func(fro *messenger.Member) []*messenger.Member {
+		rep, err := mul.Call(t.Context(), add, &messenger.Envelope{Body: &messenger.Envelope_MembersPull{MembersPull: &messenger.MembersPull{From: fro}}})
+		require.NoError(t, err)
+		return rep.GetMembersPush().GetMembers()
+	}
+	one := pull(&messenger.Member{Id: "host-7"})
+	require.Len(t, one, 1)
+	require.EqualValues(t, 9, one[0].GetIncarnation())
+	require.Empty(t, pull(&messenger.Member{Id: "new"}))
+	require.Len(t, gos.Peers(), 50)
+	require.Len(t, pull(&messenger.Member{Id: "new", Address: "127.0.0.1:2", Incarnation: 5}), 52)
+}
--- a/process/incarnator/incarnator.go
+++ b/process/incarnator/incarnator.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// patience bounds the start of a host whose platform or peers are silent.
-	patience = time.Second
+	// patience bounds the start of a host whose platform or peers are silent, and
+	// laterPatience what it waits for further answers after the first one: one of few
+	// seeds may be down.
+	patience      = time.Second
+	laterPatience = 100 * time.Millisecond
 	// enough is the number of answers that are waited for.
 	enough = 3
 	// maxAsked bounds the peers that are asked.
@@ -58,15 +61,23 @@
 		go func() { anss <- inc.ask(ctx, add) }()
 	}
 	var hig uint64
+	var late <-chan time.Time
 	got := 0
 	for range adds {
-		ans := <-anss
-		if ans == nil {
-			continue
-		}
-		hig = max(hig, highest(ans, inc.Host))
-		if got++; got == enough {
-			break
+		select {
+		case ans := <-anss:
+			if ans == nil {
+				continue
+			}
+			hig = max(hig, highest(ans, inc.Host))
+			if got++; got == enough {
+				return hig
+			}
+			if late == nil {
+				late = time.After(laterPatience)
+			}
+		case <-late:
+			return hig
 		}
 	}
 	return hig
@@ -88,7 +99,7 @@
 
 // ask returns nil when the peer does not answer.
 func (inc *Incarnator) ask(ctx context.Context, address string) *messenger.MembersPush {
-	env, err := inc.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_MembersPull{MembersPull: &messenger.MembersPull{}}})
+	env, err := inc.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_MembersPull{MembersPull: &messenger.MembersPull{From: &messenger.Member{Id: inc.Host}}}})
 	if err != nil {
 		return nil
 	}
