Keep a session whose peer acknowledges no stream

Cause: yamux closes a session by itself 2 s after a stream was opened that the peer has not accepted (StreamOpenTimeout), as happens with a suspended host. It closes the session before the connection; until both are closed its stream readers poll in a busy loop, on one core until they are preempted, on a clock that stands still without end. Ruled out: loops of the product; all other goroutines waited. Conclusion: heartbeats of calls in progress find a dead peer, the timeout of yamux is off. A read that fails closes the connection first as well.

--- a/connection/multiplexer/link.go
+++ b/connection/multiplexer/link.go
@@ -35,11 +35,20 @@
 	return eris.Wrapf(lin.con.Close(), "link.Close: peer %s", lin.con.RemoteAddr())
 }
 
-// closeOnErrorConn is a connection that closes itself after a failed write. yamux
-// closes its session after such a failure, and the connection must be closed first,
-// as in link.Close.
+// closeOnErrorConn is a connection that closes itself after a failed read or write.
+// yamux closes its session after such a failure, and the connection must be closed
+// first, as in link.Close.
 type closeOnErrorConn struct{ net.Conn }
 
+// Read reads from the connection and closes it if the read fails.
+func (clo closeOnErrorConn) Read(buf []byte) (int, error) {
+	n, err := clo.Conn.Read(buf)
+	if err != nil {
+		_ = clo.Close()
+	}
+	return n, err
+}
+
 // Write writes to the connection and closes it if the write fails.
 func (clo closeOnErrorConn) Write(buf []byte) (int, error) {
 	n, err := clo.Conn.Write(buf)
--- a/connection/multiplexer/link_test.go
+++ b/connection/multiplexer/link_test.go
@@ -11,6 +11,25 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestUnacknowledgedStream opens a stream that the peer, which may be suspended, does not
+// accept. The session must stay open: if yamux closed it, its stream readers would poll in
+// a busy loop, on a host with one core until the scheduler preempts them, and on a clock
+// that stands still without end.
+func TestUnacknowledgedStream(t *testing.T) {
+	require.Zero(t, sessionConfig().StreamOpenTimeout, "yamux waits for the peer without a limit")
+	local, peer := net.Pipe()
+	srv, err := newAcceptedLink(peer)
+	require.NoError(t, err)
+	defer srv.Close()
+	lin, err := newDialedLink(local)
+	require.NoError(t, err)
+	defer lin.Close()
+	ses := &session{link: lin}
+	_, err = ses.pipeline()
+	require.NoError(t, err)
+	require.Never(t, lin.IsClosed, 2500*time.Millisecond, 100*time.Millisecond)
+}
+
 // slowClose is a connection whose first Close blocks until release is closed.
 type slowClose struct {
 	net.Conn
--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -22,7 +22,6 @@
 
 const (
 	dialTimeout        = 500 * time.Millisecond
-	streamOpenTimeout  = 2 * time.Second
 	streamCloseTimeout = 2 * time.Second
 )
 
@@ -61,7 +60,9 @@
 	cfg.EnableKeepAlive = false
 	// Session.Ping waits for its reply for this long as well.
 	cfg.ConnectionWriteTimeout = heartbeatTimeout
-	cfg.StreamOpenTimeout = streamOpenTimeout
+	// After this timeout yamux would close the session itself, before the connection
+	// (see link.Close). The heartbeats of the calls in progress find a dead peer.
+	cfg.StreamOpenTimeout = 0
 	cfg.StreamCloseTimeout = streamCloseTimeout
 	cfg.LogOutput = io.Discard
 	return cfg
