Give a restarted planner the grants of its earlier process, and trust it at once

Grants were announced once to each host, so a restarted planner never learned those of its earlier process, and a new one up to 0.5 s late. Ruled out: membership, which knew the new incarnations within 0.1 s. Before / After: TestRestartEndsSuspicion and TestAnnounceToRestartedPlanner fail without the change.

--- a/process/assigner/assigner_test.go
+++ b/process/assigner/assigner_test.go
@@ -44,6 +44,8 @@
 	messages       map[string]int
 	// unreachable are the pairs of hosts, as from>to, between which calls time out.
 	unreachable map[string]bool
+	// started are the incarnations of hosts that have restarted.
+	started map[string]uint64
 }
 
 // link is the network as one host sees it.
@@ -94,7 +96,7 @@
 }
 
 func newFleet(hosts int) *fleet {
-	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, leaving: map[string]bool{}, noticeMessages: map[string]int{}, messages: map[string]int{}, unreachable: map[string]bool{}}
+	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, leaving: map[string]bool{}, noticeMessages: map[string]int{}, messages: map[string]int{}, unreachable: map[string]bool{}, started: map[string]uint64{}}
 	var pers []gossiper.Peer
 	for i := range hosts {
 		id := fmt.Sprintf("host-%d", i)
@@ -114,6 +116,7 @@
 				var out []gossiper.Peer
 				for _, other := range pers {
 					if other.ID != per.ID && !fle.leaving[other.ID] {
+						other.Started = max(other.Started, fle.started[other.ID])
 						out = append(out, other)
 					}
 				}
@@ -124,6 +127,14 @@
 	return fle
 }
 
+// restart replaces the process of a host by one without a plan. Other hosts know its new
+// incarnation, as membership tells them.
+func (fle *fleet) restart(id string) {
+	run := fle.hosts[id].Runner
+	fle.started[id] = 2
+	fle.hosts[id].Runner = &planner.Runner{Loader: run.Loader, Engines: run.Engines, Pool: run.Pool, Clock: run.Clock, Log: run.Log, Scope: run.Scope}
+}
+
 // reserver records reservations, and refuses those at one address.
 type reserver struct {
 	mu      sync.Mutex
@@ -261,6 +272,40 @@
 // granted counts the grants in the plan of a host.
 func (fle *fleet) granted(id string) int { return fle.hosts[id].Runner.Granted("llm") }
 
+// TestAnnounceToRestartedPlanner restarts a planner, which has an empty plan afterwards. It
+// must receive the grants of its earlier process before it decides on further requests.
+func TestAnnounceToRestartedPlanner(t *testing.T) {
+	fle := newFleet(3)
+	cans := fle.hosts["host-0"].candidates("llm", time.Now())
+	self, planner := fle.otherThan(cans), cans[0].id
+	ass := fle.assigner(self, &reserver{})
+	_, err := ass.Place(t.Context(), placementRequest("1", 140_000))
+	require.NoError(t, err)
+	require.Equal(t, 1, fle.granted(planner))
+	fle.restart(planner)
+	require.Zero(t, fle.granted(planner))
+	_, err = ass.Place(t.Context(), placementRequest("2", 140_000))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return fle.granted(planner) == 2 }, time.Second, 5*time.Millisecond)
+}
+
+// TestRestartEndsSuspicion has the only other host refuse a connection and restart. It
+// must be a planner again as soon as membership knows its new process, also while the
+// suspicion of the old one lasts.
+func TestRestartEndsSuspicion(t *testing.T) {
+	fle := newFleet(2)
+	pla := fle.hosts["host-0"]
+	now := time.Now()
+	require.Len(t, pla.candidates("llm", now), 2)
+	pla.suspect("host-1", errors.New("connection refused"))
+	require.Len(t, pla.candidates("llm", now), 1)
+	fle.started["host-1"] = 2
+	require.Len(t, pla.candidates("llm", now), 2)
+	pla.suspect("host-1", errors.New("connection refused"))
+	require.Len(t, pla.candidates("llm", now), 1, "the new process may become suspect, too")
+	require.Equal(t, suspectPeriod, pla.suspects["host-1"].period)
+}
+
 // TestRelay makes the planner unreachable from one host: the second candidate must relay
 // the request and the end of the grant, so that one plan holds all grants.
 func TestRelay(t *testing.T) {
--- a/process/assigner/grant.go
+++ b/process/assigner/grant.go
@@ -19,9 +19,9 @@
 	planners []host
 }
 
-// announcedTo reports whether a planner has received the grant.
-func (gra *activeGrant) announcedTo(id string) bool {
-	return slices.ContainsFunc(gra.planners, func(hos host) bool { return hos.id == id })
+// announcedTo reports whether a process of a planner has received the grant.
+func (gra *activeGrant) announcedTo(hos host) bool {
+	return slices.ContainsFunc(gra.planners, func(other host) bool { return other.id == hos.id && other.incarnation >= hos.incarnation })
 }
 
 // announcement returns the event that reports the grant to another planner.
@@ -63,39 +63,50 @@
 // Announce reports the grants of this host to new planners, so that their plans include the
 // grants of earlier planners. It is called at intervals and when the planner changes.
 func (pla *Planners) Announce(now time.Time) {
-	type announcement struct {
-		hos  host
-		pool string
-		eve  planner.Announced
-	}
-	plannerOf := map[string]host{}
-	var out []announcement
-	pla.mu.Lock()
 	pools := map[string]bool{}
+	pla.mu.Lock()
 	for _, gra := range pla.grants {
 		pools[gra.pool] = true
 	}
 	pla.mu.Unlock()
 	for poo := range pools {
 		if cans := pla.candidates(poo, now); len(cans) > 0 {
-			plannerOf[poo] = cans[0]
+			pla.announceTo(cans[0], poo, now)
 		}
 	}
+}
+
+// announceTo reports the grants of a pool to a planner that has not received them.
+func (pla *Planners) announceTo(hos host, pool string, now time.Time) {
+	var eves []planner.Announced
 	pla.mu.Lock()
 	for _, gra := range pla.grants {
-		hos, ok := plannerOf[gra.pool]
-		if !ok || gra.announcedTo(hos.id) {
-			continue
+		if gra.pool == pool && !gra.announcedTo(hos) {
+			gra.planners = append(gra.planners, hos)
+			eves = append(eves, gra.announcement(now))
 		}
-		gra.planners = append(gra.planners, hos)
-		out = append(out, announcement{hos, gra.pool, gra.announcement(now)})
 	}
 	pla.mu.Unlock()
-	for _, ann := range out {
-		pla.notify(ann.hos, ann.pool, ann.eve)
+	for _, eve := range eves {
+		pla.notify(hos, pool, eve)
+	}
+	if len(eves) > 0 {
+		pla.Log.Info().Str("Peer", hos.id).Str("Pool", pool).Int("Grants", len(eves)).Msg("announced grants to a new planner")
 	}
-	if len(out) > 0 {
-		pla.Log.Info().Str("Peer", out[0].hos.id).Int("Grants", len(out)).Msg("announced grants to new planners; the key Peer names the first")
+}
+
+// recordPlanner records the planner that has decided on a request of this host. If it is
+// not the one of the pool's previous request, it receives the grants of this host at once.
+func (pla *Planners) recordPlanner(hos host, pool string, now time.Time) {
+	pla.mu.Lock()
+	if pla.lastPlanner == nil {
+		pla.lastPlanner = map[string]host{}
+	}
+	changed := pla.lastPlanner[pool] != hos
+	pla.lastPlanner[pool] = hos
+	pla.mu.Unlock()
+	if changed {
+		pla.announceTo(hos, pool, now)
 	}
 }
 
--- a/process/assigner/planners.go
+++ b/process/assigner/planners.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,16 +31,6 @@
 	// first reply.
 	laterHold  = time.Second
 	laterGrace = 250 * time.Millisecond
-	// suspectPeriod is how long a planner that did not answer receives no requests. It
-	// doubles with each successive failure up to maxSuspectPeriod, since membership takes
-	// some seconds to declare an unresponsive host dead.
-	suspectPeriod    = 2 * time.Second
-	maxSuspectPeriod = 16 * time.Second
-	// A planner becomes suspect by a timeout only if its first missed reply is at least
-	// minMissPeriod ago. Before that, requests that time out go to other hosts, which relay
-	// them to the planner: this host may itself cause the timeouts if it has little
-	// processor time, and each suspicion leads to a second plan of the pool.
-	minMissPeriod = 300 * time.Millisecond
 	// maxCandidates is the number of hosts to which one request is submitted in turn.
 	maxCandidates = 2
 	// relayHold and relayGrace apply to a relayed request. Their sum is below that of
@@ -84,22 +73,24 @@
 
 	requestSequence atomic.Uint64
 
-	mu       sync.Mutex
-	suspects map[string]suspicion
-	grants   map[string]*activeGrant
-	notices  map[destination][]*messenger.PlanNotice
-}
-
-// suspicion records the failures of a planner to answer.
-type suspicion struct {
-	// firstMissed is the time of the first missed reply since the last answer.
-	firstMissed time.Time
-	until       time.Time
-	period      time.Duration
+	mu sync.Mutex
+	// incarnations are the incarnations of the live peers as of the last choice of a
+	// planner.
+	incarnations map[string]uint64
+	suspects     map[string]suspicion
+	grants       map[string]*activeGrant
+	notices      map[destination][]*messenger.PlanNotice
+	// lastPlanner is the planner that decided on the last request of each pool.
+	lastPlanner map[string]host
 }
 
 // host is a host that may be the planner of a pool; the address is empty for this host.
-type host struct{ id, address string }
+// The incarnation distinguishes successive processes of the host, of which each has a plan
+// of its own.
+type host struct {
+	id, address string
+	incarnation uint64
+}
 
 // destination is a planner's address and a pool, for which notices are collected.
 type destination struct{ address, pool string }
@@ -110,15 +101,15 @@
 // rendezvous hashing distributes the pools over these hosts.
 func (pla *Planners) candidates(pool string, now time.Time) []host {
 	hosts := pla.longestRunning(now)
-	addresses := map[string]string{}
+	peers := map[string]gossiper.Peer{}
 	var ids []string
 	for _, per := range hosts {
-		addresses[per.ID] = per.Address
+		peers[per.ID] = per
 		ids = append(ids, per.ID)
 	}
 	var out []host
 	for _, id := range scheduler.RankHosts(pool, ids) {
-		out = append(out, host{id, addresses[id]})
+		out = append(out, host{id, peers[id].Address, peers[id].Started})
 		if len(out) == maxCandidates {
 			break
 		}
@@ -134,9 +125,10 @@
 	}
 	pla.mu.Lock()
 	for _, per := range pla.Live(now) {
-		if !now.Before(pla.suspects[per.ID].until) {
+		if !pla.suspects[per.ID].covers(per.Started, now) {
 			out = append(out, per)
 		}
+		pla.recordIncarnation(per)
 	}
 	pla.mu.Unlock()
 	out = gossiper.WithEnoughCapacity(out)
@@ -153,6 +145,7 @@
 		act, plannedBy, err := pla.requestFrom(ctx, hos, req.Pool, planReq)
 		if err == nil {
 			pla.clearSuspicion(hos.id)
+			pla.recordPlanner(plannedBy, req.Pool, pla.Clock())
 			if ass, ok := act.(planner.Assign); ok {
 				pla.addGrant(req.Pool, planReq, ass, plannedBy)
 			}
@@ -209,11 +202,17 @@
 	if err != nil {
 		return nil, hos, err
 	}
-	plannedBy := host{rep.GetPlannerId(), rep.GetPlannerAddress()}
-	if plannedBy.id == pla.Self {
-		plannedBy.address = ""
+	return actionOf(req.ID, rep), pla.plannerOf(rep), nil
+}
+
+// plannerOf returns the planner that has sent a reply, which another host may have relayed.
+func (pla *Planners) plannerOf(rep *messenger.PlanReply) host {
+	if rep.GetPlannerId() == pla.Self {
+		return host{id: pla.Self, incarnation: pla.Incarnation}
 	}
-	return actionOf(req.ID, rep), plannedBy, nil
+	pla.mu.Lock()
+	defer pla.mu.Unlock()
+	return host{rep.GetPlannerId(), rep.GetPlannerAddress(), pla.incarnations[rep.GetPlannerId()]}
 }
 
 // call sends a plan request to another host.
@@ -234,40 +233,6 @@
 	return env.GetPlanReply(), nil
 }
 
-// suspect records that a planner failed to answer. After an error other than a timeout the
-// planner becomes suspect at once, after a timeout only if minMissPeriod has passed since
-// the first missed reply.
-func (pla *Planners) suspect(id string, err error) {
-	now := pla.Clock()
-	pla.mu.Lock()
-	defer pla.mu.Unlock()
-	if pla.suspects == nil {
-		pla.suspects = map[string]suspicion{}
-	}
-	sus := pla.suspects[id]
-	if now.Before(sus.until) {
-		// Another request has already made the planner suspect.
-		return
-	}
-	if sus.firstMissed.IsZero() {
-		sus.firstMissed = now
-	}
-	if errors.Is(err, context.DeadlineExceeded) && now.Sub(sus.firstMissed) < minMissPeriod {
-		pla.suspects[id] = sus
-		return
-	}
-	period := min(maxSuspectPeriod, max(suspectPeriod, 2*sus.period))
-	pla.suspects[id] = suspicion{firstMissed: sus.firstMissed, until: now.Add(period), period: period}
-	pla.Log.Warn().Str("Peer", id).Err(err).Dur("ForMs", period).Msg("planner did not answer; sending it no requests for a time")
-}
-
-// clearSuspicion ends the suspicion of a planner that has answered.
-func (pla *Planners) clearSuspicion(id string) {
-	pla.mu.Lock()
-	defer pla.mu.Unlock()
-	delete(pla.suspects, id)
-}
-
 // HandleRequest submits a request of another host. A host that is not the planner in its
 // local view relays the request to the planner, so that hosts with different views of the
 // planner still share one plan.
--- a/process/planner/load_test.go
+++ b/process/planner/load_test.go
@@ -88,7 +88,7 @@
 				if what == "served" {
 					return req.finished
 				}
-				return req.inTime()
+				return req.inTime(cla)
 			})
 			if got >= bound {
 				fmt.Fprintf(&sb, "%s %s: at least %g\n", cla.name, what, bound)
--- a/process/planner/simulation_test.go
+++ b/process/planner/simulation_test.go
@@ -21,7 +21,7 @@
 
 // class is a class of requests: its usual rate per second, the lognormal distribution of
 // its prompts' lengths (mean, sigma, maxTokens), the mean number of events of an answer,
-// and its objectives.
+// its objectives, and the worth of an answer in time to a prompt of the mean length.
 type class struct {
 	name      string
 	rate      float64
@@ -32,12 +32,20 @@
 	objective time.Duration
 	pause     time.Duration
 	deadline  time.Duration
+	worth     float64
 }
 
 var classes = []class{
-	{"short", 28.7, 4960, 0.9, 23_800, 33, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second},
-	{"middle", 1.45, 45_000, 0.5, 110_000, 20, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second},
-	{"long", 0.88, 154_000, 0.55, 700_000, 16, 3 * time.Second, time.Second, 15 * time.Second},
+	{"short", 28.7, 4960, 0.9, 23_800, 33, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3},
+	{"middle", 1.45, 45_000, 0.5, 110_000, 20, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 4.2},
+	{"long", 0.88, 154_000, 0.55, 700_000, 16, 3 * time.Second, time.Second, 15 * time.Second, 21},
+}
+
+// fleet is a pool of equal engines with the classes of its requests.
+type fleet struct {
+	engines  int
+	batching parser.Batching
+	classes  []class
 }
 
 // simRequest is a simulated request.
@@ -55,11 +63,11 @@
 	lead         *simEngine
 	gaveUp       bool
 	refused      bool
+	retried      bool
 	finished     bool
 }
 
-func (req *simRequest) inTime() bool {
-	cla := classes[req.class]
+func (req *simRequest) inTime(cla class) bool {
 	return req.finished && req.first.Sub(req.arrived) <= cla.objective && req.longestPause <= cla.pause
 }
 
@@ -94,6 +102,7 @@
 // divided prompts within 0.1 s in the median.
 type simEngine struct {
 	id        string
+	batching  parser.Batching
 	slowdown  float64
 	divided   []*simPart
 	undivided []*simPart
@@ -140,7 +149,7 @@
 		contextTokens += req.tokens
 	}
 	answers := len(eng.decoding) + len(eng.prefilled)
-	return float64(newCostModel(batching).decodePass(answers, contextTokens)) / float64(batching.Stride)
+	return float64(newCostModel(eng.batching).decodePass(answers, contextTokens)) / float64(eng.batching.Stride)
 }
 
 // simEvent is a function that runs at a given time.
@@ -169,6 +178,7 @@
 
 // simulation drives a plan with simulated callers and engines.
 type simulation struct {
+	fleet    fleet
 	plan     Plan
 	engines  map[string]*simEngine
 	requests map[string]*simRequest
@@ -188,14 +198,18 @@
 )
 
 func newSimulation(engines int, seed uint64) *simulation {
-	sim := &simulation{engines: map[string]*simEngine{}, requests: map[string]*simRequest{}, random: rand.New(rand.NewPCG(seed, 1))}
+	return simulateFleet(fleet{engines, batching, classes}, seed)
+}
+
+func simulateFleet(fle fleet, seed uint64) *simulation {
+	sim := &simulation{fleet: fle, engines: map[string]*simEngine{}, requests: map[string]*simRequest{}, random: rand.New(rand.NewPCG(seed, 1))}
 	var listed []Engine
-	for i := range engines {
+	for i := range fle.engines {
 		id := fmt.Sprintf("e%02d", i)
-		sim.engines[id] = &simEngine{id: id, slowdown: 1}
+		sim.engines[id] = &simEngine{id: id, batching: fle.batching, slowdown: 1}
 		listed = append(listed, Engine{ID: id, Address: id})
 	}
-	sim.plan.Next(Parameters{batching}, epoch)
+	sim.plan.Next(Parameters{fle.batching}, epoch)
 	sim.plan.Next(Listing{listed}, epoch)
 	return sim
 }
@@ -221,7 +235,7 @@
 		if at.Sub(from) >= period {
 			return
 		}
-		sim.addRequest(index, sim.drawLength(classes[index]), at)
+		sim.addRequest(index, sim.drawLength(sim.fleet.classes[index]), at)
 	}
 }
 
@@ -233,7 +247,7 @@
 
 func (sim *simulation) addRequest(index int, tokens int64, at time.Time) *simRequest {
 	req := &simRequest{id: fmt.Sprintf("r%05d", len(sim.ordered)), class: index, tokens: tokens, arrived: at}
-	req.events = max(1, int(classes[index].events*math.Exp(0.5*sim.random.NormFloat64()-0.125)))
+	req.events = max(1, int(sim.fleet.classes[index].events*math.Exp(0.5*sim.random.NormFloat64()-0.125)))
 	sim.requests[req.id] = req
 	sim.ordered = append(sim.ordered, req)
 	sim.schedule(at.Add(simHop), func(now time.Time) { sim.submit(req, now) })
@@ -241,9 +255,9 @@
 }
 
 func (sim *simulation) submit(req *simRequest, now time.Time) {
-	cla := classes[req.class]
+	cla := sim.fleet.classes[req.class]
 	sim.next(Request{ID: req.id, Host: "h", Prompt: Prompt{
-		Tokens: req.tokens, MaxTokens: int64(req.events*batching.Stride) + 200, Target: req.arrived.Add(cla.objective),
+		Tokens: req.tokens, MaxTokens: int64(req.events*sim.fleet.batching.Stride) + 200, Target: req.arrived.Add(cla.objective),
 		Deadline: req.arrived.Add(cla.deadline), Objective: cla.objective, Pause: cla.pause,
 	}}, now)
 	sim.tick(now)
@@ -276,16 +290,28 @@
 		case Assign:
 			sim.schedule(now.Add(2*simHop), func(now time.Time) { sim.send(sim.requests[act.ID], act, now) })
 		case Refuse:
-			sim.requests[act.ID].refused = true
+			sim.refuse(sim.requests[act.ID], act.RetryAfter, now)
 		}
 	}
 }
 
+// refuse records a refusal. The caller tries once more after the time that it is asked to
+// wait, but not after a third of the time that it has left.
+func (sim *simulation) refuse(req *simRequest, retryAfter time.Duration, now time.Time) {
+	left := req.arrived.Add(sim.fleet.classes[req.class].deadline).Sub(now)
+	if req.retried || retryAfter <= 0 || left <= 0 {
+		req.refused = true
+		return
+	}
+	req.retried = true
+	sim.schedule(now.Add(min(retryAfter, left/3)+2*simHop), func(now time.Time) { sim.submit(req, now) })
+}
+
 func (sim *simulation) send(req *simRequest, act Assign, now time.Time) {
 	req.sent++
 	req.pendingParts = len(act.Parts)
 	req.lead = sim.engines[act.Parts[0].Endpoint]
-	prefillMs := float64(newCostModel(batching).prefill(req.tokens)) / float64(len(act.Parts))
+	prefillMs := float64(newCostModel(sim.fleet.batching).prefill(req.tokens)) / float64(len(act.Parts))
 	for _, par := range act.Parts {
 		eng := sim.engines[par.Endpoint]
 		work := &simPart{req, float64(req.tokens) / float64(len(act.Parts)), prefillMs}
@@ -296,7 +322,8 @@
 		}
 		sim.interrupt(eng, now)
 	}
-	deadline := callerDeadline(Prompt{Target: req.arrived.Add(classes[req.class].objective), Objective: classes[req.class].objective, Pause: classes[req.class].pause, Deadline: req.arrived.Add(classes[req.class].deadline)})
+	cla := sim.fleet.classes[req.class]
+	deadline := callerDeadline(Prompt{Target: req.arrived.Add(cla.objective), Objective: cla.objective, Pause: cla.pause, Deadline: req.arrived.Add(cla.deadline)})
 	sim.schedule(deadline, func(now time.Time) {
 		if req.first.IsZero() {
 			sim.giveUp(req, now)
@@ -336,7 +363,7 @@
 		return
 	}
 	if eng.stepsLeft <= 0 {
-		eng.stepsLeft = batching.Stride
+		eng.stepsLeft = eng.batching.Stride
 	}
 	steps, id := 1, eng.sliceID
 	stepMs := eng.stepTime()
@@ -345,7 +372,7 @@
 		eng.sliceStart, eng.stepMs = now, eng.slowdown*stepMs
 	} else {
 		eng.stepMs = 0
-		budget := float64(batching.ChunkTokens)
+		budget := float64(eng.batching.ChunkTokens)
 		for _, par := range queue {
 			stepMs += par.consume(&budget)
 		}
@@ -383,7 +410,7 @@
 	lead := req.lead
 	if len(lead.decoding) == 0 && len(lead.prefilled) == 0 {
 		// If the lead engine prefilled the last part, endSlice still subtracts the step.
-		lead.stepsLeft = batching.Stride + 1
+		lead.stepsLeft = lead.batching.Stride + 1
 	}
 	lead.prefilled = append(lead.prefilled, req)
 	if lead.idle {
@@ -436,3 +463,25 @@
 	}
 	return float64(n) / float64(total)
 }
+
+// worth is the worth of all answers as a share of the worth of answers in time to all
+// requests. Long prompts are worth more than short ones of their class, and late answers
+// a quarter.
+func (sim *simulation) worth(match func(*simRequest) bool) float64 {
+	var earned, owed float64
+	for _, req := range sim.ordered {
+		if !match(req) {
+			continue
+		}
+		cla := sim.fleet.classes[req.class]
+		worth := cla.worth * min(4, 0.3+0.7*float64(req.tokens)/cla.mean)
+		owed += worth
+		switch {
+		case req.inTime(cla):
+			earned += worth
+		case req.finished:
+			earned += worth / 4
+		}
+	}
+	return earned / max(1, owed)
+}
