Remove what the ablation finds worth nothing from the choice of engines

Cause: four terms of the choice were fitted constants whose use no measurement showed: parts of overdue prompts that may not be prefilled, the window before a caller gives up and the backlog of late prompts, two costs of ties, and a rate of short prompts an engine. Ruled out: removal of the other terms; see the table in docs/DECISIONS.md. Conclusion: removed; one cost of ties and the share of slots that answers occupy take the place of three constants. choose.go is split by what it decides.

--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -22,10 +22,6 @@
 	// stepDelay is the longest time in ms until a busy engine starts a new part of a divided
 	// prompt: half a step, as a step that prefills 2,048 tokens takes about 25 ms.
 	stepDelay = 12
-	// overdueDelay is how long the first event of a grant may be late before each of its
-	// unconfirmed parts counts as not prefilled with the probability overdueProbability.
-	overdueDelay       = 60 * time.Millisecond
-	overdueProbability = 0.4
 	// minPass is the least duration of a pass, and of a part's remaining prefill, in ms.
 	// It keeps the model from advancing in tiny steps.
 	minPass = 1
@@ -57,9 +53,6 @@
 	inPass         []*part
 	dividedQueue   []*part
 	undividedQueue []*part
-	// unconfirmed are the parts of divided prompts that the model counts as prefilled
-	// although the first events of their grants have not arrived.
-	unconfirmed []*part
 	// grants are those that the engine leads, shortPrompts is the number of short prompts
 	// among them, and contextTokens the sum of their prompts' lengths. memory is the number
 	// of tokens of memory that grants use.
@@ -153,9 +146,6 @@
 	for _, par := range eng.inPass {
 		if par.prefill -= par.passPrefill; par.prefill <= 0 {
 			par.gra.pendingParts--
-			if par.divided() && !par.gra.began {
-				eng.unconfirmed = append(eng.unconfirmed, par)
-			}
 		} else {
 			eng.requeue(par)
 		}
@@ -324,34 +314,6 @@
 	eng.inPass = slices.DeleteFunc(eng.inPass, match)
 	eng.dividedQueue = slices.DeleteFunc(eng.dividedQueue, match)
 	eng.undividedQueue = slices.DeleteFunc(eng.undividedQueue, match)
-	eng.unconfirmed = slices.DeleteFunc(eng.unconfirmed, match)
-}
-
-// confirm records that the prefill of a part has ended.
-func (eng *engine) confirm(par *part) {
-	eng.unconfirmed = slices.DeleteFunc(eng.unconfirmed, func(other *part) bool { return other == par })
-}
-
-// overdueParts returns the parts that the engine may still have to prefill although the
-// model counts them as done, because the first events of their grants are overdue.
-func (eng *engine) overdueParts(now time.Time) []*part {
-	var out []*part
-	for _, par := range eng.unconfirmed {
-		if now.Sub(par.gra.expectedFirst) > overdueDelay {
-			out = append(out, par)
-		}
-	}
-	return out
-}
-
-// overduePrefill is the expected time of prefills that the model counts as done although
-// they may not be.
-func (eng *engine) overduePrefill(now time.Time) ms {
-	var total ms
-	for _, par := range eng.overdueParts(now) {
-		total += overdueProbability * par.fullPrefill
-	}
-	return total
 }
 
 // residual is the time left of the pass in progress.
@@ -362,21 +324,12 @@
 	return max(0, msOf(eng.passEnd.Sub(now)))
 }
 
-// backlog is the time until the engine has prefilled all parts that it has; zero if there
-// are none.
-func (eng *engine) backlog(now time.Time) ms {
-	if len(eng.inPass) == 0 && len(eng.dividedQueue) == 0 && len(eng.undividedQueue) == 0 {
-		return 0
-	}
-	return eng.residual(now) + eng.queuedPrefill()
-}
-
 // startDelay is the time until the engine starts the prefill of a new part.
 func (eng *engine) startDelay(divided bool, now time.Time) ms {
 	if divided {
 		return min(eng.residual(now), stepDelay)
 	}
-	return eng.residual(now) + eng.queuedPrefill() + eng.overduePrefill(now)
+	return eng.residual(now) + eng.queuedPrefill()
 }
 
 // finishDelay is the time until the engine has prefilled a part that it has.
--- /dev/null
+++ b/process/planner/grant.go
@@ -0,0 +1,64 @@
+package planner
+
+import "time"
+
+func (pla *Plan) grant(pen *pending, cho choice, now time.Time) {
+	gra := &grant{req: pen, lead: cho.lead, grantedAt: now, leadMemory: pen.memory, expectedFirst: now.Add(cho.first.duration()), pendingParts: len(cho.engines)}
+	cho.lead.addGrant(gra)
+	for i, eng := range cho.engines {
+		n := len(cho.engines)
+		par := &part{gra: gra, eng: eng, prefill: pen.prefill / ms(n) * eng.pace, tokens: float64(pen.prompt.Tokens) / float64(n)}
+		switch {
+		case cho.reserve != nil:
+			par.memory = cho.reserve[i]
+		case i == 0:
+			par.memory = pen.memory
+		}
+		par.fullPrefill = par.prefill
+		gra.parts = append(gra.parts, par)
+	}
+	if len(gra.parts) == 1 {
+		for _, other := range cho.lead.undividedAwaitingFirst() {
+			if other != gra {
+				other.expectedFirst = other.expectedFirst.Add(gra.parts[0].prefill.duration())
+			}
+		}
+	}
+	for _, par := range gra.parts {
+		par.eng.addPart(pla.costs, par, now)
+		par.eng.markExceededPauses(pla.costs)
+		pla.postponeExpected(par.eng, now)
+	}
+	if cho.reserve != nil {
+		gra.leadMemory = gra.parts[0].memory
+	}
+	pla.grants[pen.ID] = gra
+	pla.appendAssign(gra, now)
+}
+
+// postponeExpected postpones the expected first events of the grants whose parts wait on
+// an engine.
+func (pla *Plan) postponeExpected(eng *engine, now time.Time) {
+	for _, pars := range [][]*part{eng.dividedQueue, eng.undividedQueue} {
+		for _, par := range pars {
+			if expected := now.Add(pla.firstEventDelay(par, now).duration()); expected.After(par.gra.expectedFirst) {
+				par.gra.expectedFirst = expected
+			}
+		}
+	}
+}
+
+// appendAssign appends the action that grants engines to a request, also when a granted
+// request is repeated.
+func (pla *Plan) appendAssign(gra *grant, now time.Time) {
+	act := Assign{ID: gra.req.ID, First: gra.expectedFirst.Sub(now), Waited: gra.grantedAt.Sub(gra.req.arrived)}
+	leadHoldsAll := len(gra.parts) > 0 && gra.parts[0].memory >= gra.req.memory
+	for _, par := range gra.parts {
+		assigned := Part{Endpoint: par.eng.ID, Address: par.eng.Address}
+		if !leadHoldsAll {
+			assigned.Reserve = par.memory
+		}
+		act.Parts = append(act.Parts, assigned)
+	}
+	pla.actions = append(pla.actions, act)
+}
--- a/process/planner/load_test.go
+++ b/process/planner/load_test.go
@@ -39,19 +39,24 @@
 	dat.MaybeScanArgs(t, "scale", &scale)
 	sim := newSimulation(engines, seed)
 	slowEngines(t, sim, dat)
+	sim.addPhases(t, dat.Input, float64(scale))
+	sim.run()
+	return sim
+}
+
+// addPhases adds the requests of the phases of a pattern, a phase a line.
+func (sim *simulation) addPhases(t *testing.T, phases string, scale float64) {
 	at := epoch
-	for line := range strings.SplitSeq(strings.TrimSpace(dat.Input), "\n") {
+	for line := range strings.SplitSeq(strings.TrimSpace(phases), "\n") {
 		var seconds, short, middle, long float64
 		_, err := fmt.Sscanf(line, "seconds=%g short=%g middle=%g long=%g", &seconds, &short, &middle, &long)
 		require.NoError(t, err, line)
 		length := time.Duration(seconds * float64(time.Second))
 		for index, factor := range []float64{short, middle, long} {
-			sim.addArrivals(index, classes[index].rate*factor*float64(scale), at, length)
+			sim.addArrivals(index, sim.fleet.classes[index].rate*factor*scale, at, length)
 		}
 		at = at.Add(length)
 	}
-	sim.run()
-	return sim
 }
 
 // slowEngines makes some engines slower than their parameters say and reports their pace
@@ -77,25 +82,31 @@
 	var sb strings.Builder
 	for index, cla := range classes {
 		for _, what := range []string{"intime", "served"} {
-			var text string
-			if dat.MaybeScanArgs(t, cla.name+"-"+what, &text); text == "" {
-				continue
-			}
-			var bound float64
-			_, err := fmt.Sscan(text, &bound)
-			require.NoError(t, err)
-			got := sim.share(index, func(req *simRequest) bool {
+			writeBound(t, &sb, dat, cla.name+"-"+what, sim.share(index, func(req *simRequest) bool {
 				if what == "served" {
 					return req.finished
 				}
 				return req.inTime(cla)
-			})
-			if got >= bound {
-				fmt.Fprintf(&sb, "%s %s: at least %g\n", cla.name, what, bound)
-			} else {
-				fmt.Fprintf(&sb, "%s %s: %.3f is under %g\n", cla.name, what, got, bound)
-			}
+			}))
 		}
 	}
 	return sb.String()
 }
+
+// writeBound writes whether a value reaches the bound that a pattern gives for a key, if it
+// gives one.
+func writeBound(t *testing.T, sb *strings.Builder, dat *datadriven.TestData, key string, value float64) {
+	var text string
+	if dat.MaybeScanArgs(t, key, &text); text == "" {
+		return
+	}
+	var bound float64
+	_, err := fmt.Sscan(text, &bound)
+	require.NoError(t, err)
+	name := strings.ReplaceAll(key, "-", " ")
+	if value >= bound {
+		fmt.Fprintf(sb, "%s: at least %g\n", name, bound)
+		return
+	}
+	fmt.Fprintf(sb, "%s: %.3f is under %g\n", name, value, bound)
+}
--- a/process/planner/loss.go
+++ b/process/planner/loss.go
@@ -61,7 +61,7 @@
 // a further prefill. contextTokens is the length of the prompt if the engine also generates
 // the answer, and otherwise 0.
 func (pla *Plan) interferenceLoss(eng *engine, prefill ms, contextTokens int64, divided bool, now time.Time) float64 {
-	if len(eng.grants) == 0 && len(eng.unconfirmed) == 0 && eng.passEnd.IsZero() {
+	if len(eng.grants) == 0 && eng.passEnd.IsZero() {
 		return 0
 	}
 	// passBefore and passAfter are the durations of the next pass without and with the
@@ -85,9 +85,6 @@
 			total += pla.prolongedPassLoss(gra, passAfter-passBefore, now)
 		}
 	}
-	for _, par := range eng.overdueParts(now) {
-		total += overdueProbability * pla.overdueLoss(par, passAfter-passBefore, now)
-	}
 	return total
 }
 
@@ -141,13 +138,6 @@
 	return max(0, pla.latenessLoss(gra.req, expected+delay, now)-pla.latenessLoss(gra.req, expected, now))
 }
 
-// overdueLoss is the loss of an overdue request if the prefill of one of its parts is
-// delayed.
-func (pla *Plan) overdueLoss(par *part, delay ms, now time.Time) float64 {
-	expected := par.eng.residual(now) + par.fullPrefill + par.gra.lead.nextDecodeTime(pla.costs, 0) + networkTime
-	return max(0, pla.latenessLoss(par.gra.req, expected+delay, now)-pla.latenessLoss(par.gra.req, expected, now))
-}
-
 // firstEventDelay is the time to the first event of a grant that waits for the prefill of
 // a part.
 func (pla *Plan) firstEventDelay(par *part, now time.Time) ms {
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -219,6 +219,14 @@
 	return min(1, pla.longDemand.value(now)/float64(max(1, len(pla.sortedEngines))))
 }
 
+// shortShare is the share of the engines' slots that the answers to short prompts have
+// recently occupied.
+func (pla *Plan) shortShare(now time.Time) float64 {
+	answerTime := pla.costs.decodeAnswer(pla.costs.UsualAnswer, pla.costs.UsualPrompt)
+	slots := pla.costs.Slots * max(1, len(pla.sortedEngines))
+	return min(1, pla.shortDemand.value(now)*float64(answerTime)/1000/float64(slots))
+}
+
 // markBegan records the first event of a grant. The event also shows when a pass of the
 // lead engine ended.
 func (pla *Plan) markBegan(id string, now time.Time) {
@@ -231,7 +239,6 @@
 	for _, par := range gra.parts[1:] {
 		par.eng.removePart(par, now)
 	}
-	gra.lead.confirm(gra.parts[0])
 	gra.lead.passEnded(pla.costs, gra.parts[0], now.Add(-noticeDelay))
 }
 
--- /dev/null
+++ b/process/planner/refuse.go
@@ -0,0 +1,73 @@
+package planner
+
+import "time"
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time that refused callers are asked to
+	// wait.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// refuseIfInfeasible refuses a request that cannot be served in time and reports whether it
+// did. cho is the best choice now if found is true.
+func (pla *Plan) refuseIfInfeasible(pen *pending, cho choice, found bool, now time.Time) bool {
+	usable := 0
+	for _, eng := range pla.sortedEngines {
+		if eng.usable(pen, now) {
+			usable++
+		}
+	}
+	timeLeft := msOf(min(pen.callerDeadline.Sub(now), pen.prompt.Deadline.Sub(now)))
+	wait := pla.queueWait(pen, usable)
+	if found {
+		wait += max(0, cho.first-pla.idleFirst(pen))
+	}
+	switch {
+	case usable == 0:
+		pla.appendRefuse(pen, CodeNoEngine, "no engine of the pool can take the request", minRetryAfter)
+	case pen.memory > int64(usable)*int64(memoryFill*float64(pla.costs.MemoryTokens)) && usable == len(pla.sortedEngines):
+		pla.appendRefuse(pen, CodeTooLarge, "the prompt exceeds the memory of the engines together", 0)
+	case pla.idleFirst(pen) > timeLeft:
+		pla.appendRefuse(pen, CodeTooLate, "the prompt can't be read in the time left", minRetryAfter)
+	case wait+pla.idleFirst(pen) > timeLeft:
+		pla.appendRefuse(pen, CodeOverloaded, "the engines are busy for longer than the time left", wait.duration())
+	default:
+		return false
+	}
+	return true
+}
+
+// queueWait estimates how long the requests ahead of a request occupy the engines.
+func (pla *Plan) queueWait(pen *pending, usable int) ms {
+	if !pen.long() {
+		return pla.slotWait(pen, usable)
+	}
+	var total ms
+	for _, other := range pla.waiting {
+		if other == pen {
+			break
+		}
+		total += other.prefill
+	}
+	return total / ms(max(1, usable))
+}
+
+// slotWait estimates how long the short prompts ahead of a request occupy the slots.
+func (pla *Plan) slotWait(pen *pending, usable int) ms {
+	ahead := 0
+	for _, other := range pla.waiting {
+		if other == pen {
+			break
+		}
+		if !other.long() {
+			ahead++
+		}
+	}
+	answerTime := pla.costs.decodeAnswer(pla.costs.UsualAnswer, pen.prompt.Tokens)
+	return answerTime * ms(ahead) / ms(max(1, usable*pla.costs.Slots))
+}
+
+func (pla *Plan) appendRefuse(pen *pending, code, message string, retry time.Duration) {
+	pla.actions = append(pla.actions, Refuse{ID: pen.ID, Code: code, Message: message, RetryAfter: min(maxRetryAfter, max(minRetryAfter, retry))})
+}
