Pause an unresponsive region for a quarter of a second at first

Cause: a region whose scheduler did not answer one call within 0.25 s was not chosen for 3 s. Before / After: testdata/choose: after one silent call the region is chosen again after 250 ms, not 3 s; after the fourth in a row the pause is 2 s, and never more than 3 s. The check that an unresponsive region is not chosen for three seconds stated the fault; the new one checks each pause, that calls of one pause count once and that an answer ends it. Conclusion: own interface only; not run on the users' platform.

--- a/process/allocator/overflow.go
+++ b/process/allocator/overflow.go
@@ -92,6 +92,7 @@
 		}
 		return executor.Lease{}, err
 	}
+	cel.OtherRegions.RecordAnswer(dig.Region)
 	if _, ok := act.(scheduler.Refuse); ok {
 		cel.OtherRegions.RecordRefusal(dig, time.Now())
 	}
--- a/process/overflower/digests.go
+++ b/process/overflower/digests.go
@@ -23,9 +23,12 @@
 	maxSends = 12
 	// refusalPause is how long a cell is not chosen after it refused a request.
 	refusalPause = time.Second
-	// unresponsivePause is how long a region is not chosen after its scheduler did not
-	// answer.
-	unresponsivePause = 3 * time.Second
+	// minUnresponsivePause is how long a region is not chosen after its scheduler did not
+	// answer once. A single reply may be late because this host is busy, and there may be
+	// no other region. The pause doubles with each further time up to
+	// maxUnresponsivePause.
+	minUnresponsivePause = 250 * time.Millisecond
+	maxUnresponsivePause = 3 * time.Second
 )
 
 type cellKey struct {
@@ -34,6 +37,12 @@
 	number int
 }
 
+// unresponsiveRegion records that schedulers of a region did not answer.
+type unresponsiveRegion struct {
+	pause time.Duration
+	until time.Time
+}
+
 type entry struct {
 	Digest
 	// sends is the number of heartbeats that carried the digest.
@@ -42,10 +51,10 @@
 
 // Digests stores the digests that a host has received or made. Its zero value is ready.
 type Digests struct {
-	mu             sync.Mutex
-	known          map[cellKey]entry
-	refusedAt      map[cellKey]time.Time
-	unresponsiveAt map[string]time.Time
+	mu           sync.Mutex
+	known        map[cellKey]entry
+	refusedAt    map[cellKey]time.Time
+	unresponsive map[string]unresponsiveRegion
 }
 
 // Record stores a digest if its cell has no stored digest or one that is older by at
@@ -74,14 +83,28 @@
 	digs.refusedAt[cellKey{dig.Region, dig.Pool, dig.Number}] = now
 }
 
-// RecordUnresponsive records that a scheduler of a region did not answer.
+// RecordUnresponsive records that a scheduler of a region did not answer. Calls that ended
+// during the same pause count once.
 func (digs *Digests) RecordUnresponsive(region string, now time.Time) {
 	digs.mu.Lock()
 	defer digs.mu.Unlock()
-	if digs.unresponsiveAt == nil {
-		digs.unresponsiveAt = map[string]time.Time{}
+	if digs.unresponsive == nil {
+		digs.unresponsive = map[string]unresponsiveRegion{}
 	}
-	digs.unresponsiveAt[region] = now
+	unr := digs.unresponsive[region]
+	if now.Before(unr.until) {
+		return
+	}
+	unr.pause = min(maxUnresponsivePause, max(minUnresponsivePause, 2*unr.pause))
+	unr.until = now.Add(unr.pause)
+	digs.unresponsive[region] = unr
+}
+
+// RecordAnswer records that a scheduler of a region answered.
+func (digs *Digests) RecordAnswer(region string) {
+	digs.mu.Lock()
+	defer digs.mu.Unlock()
+	delete(digs.unresponsive, region)
 }
 
 // Choose returns the digest of a cell in another region that meets the requirements, if
@@ -91,14 +114,14 @@
 }
 
 // available returns the digests without those of cells that refused a request within
-// refusalPause and of regions whose scheduler did not answer within unresponsivePause.
+// refusalPause and of regions that are unresponsive.
 func (digs *Digests) available(now time.Time) []Digest {
 	digs.mu.Lock()
 	defer digs.mu.Unlock()
 	digs.dropOld(now)
 	out := make([]Digest, 0, len(digs.known))
 	for key, ent := range digs.known {
-		if now.Sub(digs.refusedAt[key]) >= refusalPause && now.Sub(digs.unresponsiveAt[key.region]) >= unresponsivePause {
+		if now.Sub(digs.refusedAt[key]) >= refusalPause && !now.Before(digs.unresponsive[key.region].until) {
 			out = append(out, ent.Digest)
 		}
 	}
