Count only the work of others as demand for the engines of a late prompt

Cause: opportunityLoss counted a long prompt's own arrival as demand. Ruled out: reservations and feasibility; the prompt can be read in 8.6 s of 10.2 s. Conclusion: a late prompt starts at once on idle engines.

--- a/process/planner/backlog_test.go
+++ b/process/planner/backlog_test.go
@@ -54,3 +54,15 @@
 	}
 	require.True(t, sim.plan.waiting[len(sim.plan.waiting)-1].evaluated.IsZero())
 }
+
+// TestLatePromptOnIdleEngines submits a prompt that three idle engines can't prefill within
+// its objective, but long before its caller gives up. It must be granted at once: its own
+// work is no demand of others for the engines.
+func TestLatePromptOnIdleEngines(t *testing.T) {
+	sim := newSimulation(3, 1)
+	acts := sim.plan.Next(Request{ID: "r", Host: "h", Prompt: Prompt{
+		Tokens: 500_000, Target: epoch.Add(3 * time.Second), Deadline: epoch.Add(15 * time.Second), Objective: 3 * time.Second, Pause: time.Second,
+	}}, epoch)
+	require.Len(t, acts, 1)
+	require.IsType(t, Assign{}, acts[0])
+}
--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -19,8 +19,7 @@
 	maxParts = maxHelpers + 1
 	// newLeadCost is the cost, in units of loss, of placing a short prompt on an engine
 	// that leads no answer with as tight a limit on pauses. It keeps such engines free for
-	// long prompts, and falls as 1/(1+n) with the n such answers that the engine leads. The
-	// value fits a pool in which long prompts occupy half of the engines.
+	// long prompts, and falls as 1/(1+n) with the n such answers that the engine leads.
 	newLeadCost = 0.3
 	// tieCost is the cost of the time to the first event, per weight of the request and as a
 	// share of its objective. It decides between choices of equal loss.
--- a/process/planner/dispatch.go
+++ b/process/planner/dispatch.go
@@ -127,6 +127,6 @@
 // prefill a late prompt. It grows with the share of the engines that other requests
 // occupy.
 func (pla *Plan) opportunityLoss(pen *pending, now time.Time) float64 {
-	busy := min(1, pla.longShare(now)+pla.shortShare(now))
+	busy := min(1, pla.longShare(pen, now)+pla.shortShare(now))
 	return opportunityRate * busy * busy * float64(pen.prefill) / 1000
 }
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -66,45 +66,6 @@
 	foreignMemory int64
 }
 
-// part is the prefill that one engine does for a grant.
-type part struct {
-	gra *grant
-	eng *engine
-	// prefill is the time left to prefill at the engine's pace, fullPrefill that of the
-	// complete part, tokens the number of tokens that no pass has started to prefill, and
-	// passPrefill the share of prefill that belongs to the pass in progress. memory is the
-	// number of tokens of memory that the part uses on its engine.
-	prefill     ms
-	fullPrefill ms
-	tokens      float64
-	passPrefill ms
-	memory      int64
-}
-
-// divided reports whether other engines prefill parts of the same prompt.
-func (par *part) divided() bool { return len(par.gra.parts) > 1 }
-
-// grant is a request with the engines that serve it.
-type grant struct {
-	req   *pending
-	lead  *engine
-	parts []*part
-	// pendingParts is the estimated number of parts whose prefill has not ended.
-	pendingParts int
-	began        bool
-	// pauseExceeded reports that the answer has paused, or will pause, for longer than its
-	// limit on pauses.
-	pauseExceeded bool
-	grantedAt     time.Time
-	// expectedFirst is the time at which the first event should arrive.
-	expectedFirst time.Time
-	// leadMemory is the memory in tokens that the grant holds on the lead engine.
-	leadMemory int64
-}
-
-// decoding reports whether the lead engine generates the answer.
-func (gra *grant) decoding() bool { return gra.began || gra.pendingParts == 0 }
-
 // addGrant adds a grant that the engine leads; removeGrant removes it.
 func (eng *engine) addGrant(gra *grant) {
 	eng.grants = append(eng.grants, gra)
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -162,7 +162,6 @@
 		if i == 0 && leadHoldsAll {
 			par.memory = pen.memory
 		}
-		par.fullPrefill = par.prefill
 		gra.parts = append(gra.parts, par)
 	}
 	gra.leadMemory = gra.parts[0].memory
@@ -214,9 +213,14 @@
 	return average{ave.value(now) + amount/demandPeriod.Seconds(), now}
 }
 
-// longShare is the share of the engines that long prompts have recently occupied.
-func (pla *Plan) longShare(now time.Time) float64 {
-	return min(1, pla.longDemand.value(now)/float64(max(1, len(pla.sortedEngines))))
+// longShare is the share of the engines that long prompts other than a request's have
+// recently occupied.
+func (pla *Plan) longShare(pen *pending, now time.Time) float64 {
+	demand := pla.longDemand.value(now)
+	if pen.long() {
+		demand -= average{}.plus(float64(pen.prefill)/1000, pen.arrived).value(now)
+	}
+	return min(1, max(0, demand)/float64(max(1, len(pla.sortedEngines))))
 }
 
 // shortShare is the share of the engines' slots that the answers to short prompts have
