Count only plan requests in the assigner's tests, under their lock

Since planners get announcements at once, notices are sent there, and they were counted as requests. Ruled out: a race of the product; both sides are in the test's fleet. The counts are of plan requests, which is what the checks state; notices have their own counter.

--- a/process/assigner/assigner_test.go
+++ b/process/assigner/assigner_test.go
@@ -38,10 +38,11 @@
 	dead    map[string]bool
 	leaving map[string]bool
 	// refuseDead makes dead hosts refuse connections at once. noticeMessages counts the
-	// messages with notices to each host, messages those other than relayed plan requests.
+	// messages with notices to each host, planRequests the plan requests to each host that
+	// were not relayed.
 	refuseDead     bool
 	noticeMessages map[string]int
-	messages       map[string]int
+	planRequests   map[string]int
 	// unreachable are the pairs of hosts, as from>to, between which calls time out.
 	unreachable map[string]bool
 	// started are the incarnations of hosts that have restarted.
@@ -65,8 +66,8 @@
 func (fle *fleet) Call(ctx context.Context, address string, env *messenger.Envelope) (*messenger.Envelope, error) {
 	fle.mu.Lock()
 	hos, dead := fle.hosts[address], fle.dead[address]
-	if !env.GetPlanRequest().GetRelayed() {
-		fle.messages[address]++
+	if req := env.GetPlanRequest(); req != nil && !req.GetRelayed() {
+		fle.planRequests[address]++
 	}
 	if env.GetPlanNotices() != nil {
 		fle.noticeMessages[address]++
@@ -88,6 +89,13 @@
 	return nil, errors.New("unknown message")
 }
 
+// requestsTo returns the number of plan requests that were sent to a host.
+func (fle *fleet) requestsTo(id string) int {
+	fle.mu.Lock()
+	defer fle.mu.Unlock()
+	return fle.planRequests[id]
+}
+
 // idleEngines reports engines without load.
 type idleEngines struct{}
 
@@ -96,7 +104,7 @@
 }
 
 func newFleet(hosts int) *fleet {
-	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, leaving: map[string]bool{}, noticeMessages: map[string]int{}, messages: map[string]int{}, unreachable: map[string]bool{}, started: map[string]uint64{}}
+	fle := &fleet{hosts: map[string]*Planners{}, dead: map[string]bool{}, leaving: map[string]bool{}, noticeMessages: map[string]int{}, planRequests: map[string]int{}, unreachable: map[string]bool{}, started: map[string]uint64{}}
 	var pers []gossiper.Peer
 	for i := range hosts {
 		id := fmt.Sprintf("host-%d", i)
@@ -193,7 +201,7 @@
 		seen[lea.Endpoint.ID]++
 	}
 	require.Equal(t, map[string]int{"e1": 16, "e2": 16, "e3": 16}, seen, "a single plan fills the slots of all engines and no more")
-	require.LessOrEqual(t, len(fle.messages), 1)
+	require.LessOrEqual(t, len(fle.planRequests), 1)
 }
 
 // TestPlannerUnresponsive makes the planner unresponsive: the next host must plan within a
@@ -214,7 +222,7 @@
 	_, err := ass.Place(t.Context(), placementRequest("1", 1000))
 	require.NoError(t, err)
 	require.Less(t, time.Since(start), time.Second)
-	require.Positive(t, fle.messages[first[1].id])
+	require.Positive(t, fle.requestsTo(first[1].id))
 	for id := range fle.hosts {
 		fle.dead[id] = true
 	}
@@ -239,10 +247,10 @@
 	var clockOffset time.Duration
 	pla.Clock = func() time.Time { return time.Now().Add(clockOffset) }
 	place := func() int {
-		before := fle.messages[first[0].id]
+		before := fle.requestsTo(first[0].id)
 		_, err := pla.requestPlan(t.Context(), placementRequest(fmt.Sprint(clockOffset), 1000))
 		require.NoError(t, err)
-		return fle.messages[first[0].id] - before
+		return fle.requestsTo(first[0].id) - before
 	}
 	fle.dead[first[0].id] = true
 	require.Equal(t, 1, place())
