Log the shared parts of a prompt and of the calls that engines break off

What callers saw: prompts with one part ended engine after engine. Cause of the change: the logs could not distinguish the hypotheses of the incident, since no line named the parts of a prompt. No decision changes.

--- a/request/relayer/call.go
+++ b/request/relayer/call.go
@@ -30,6 +30,9 @@
 	// AnswerTokens is the caller's estimate of the length of the answer; 0 if it sent
 	// none.
 	AnswerTokens int64
+	// SharedParts are the IDs of the parts of the prompt that other prompts may contain
+	// too, in their order; the last part, which no other call has, is left out.
+	SharedParts []string
 }
 
 // Helper is an engine that prefills a prompt or holds a part of it for the engine that
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -186,7 +186,7 @@
 	fwd.deadline = fwd.arrived.Add(min(timeout, time.Duration(rou.TimeLimit)))
 	fwd.lastEvent = fwd.call.LastEvent
 	fwd.log.Info().Str("Route", rou.Name).Str("Pool", fwd.pool.Name).Str("Team", fwd.team.Name).Uint64("TablesRevision", mat.Revision()).
-		Int64("PromptTokens", fwd.call.PromptTokens).Dur("LeftMs", fwd.deadline.Sub(fwd.arrived)).Msg("call accepted")
+		Int64("PromptTokens", fwd.call.PromptTokens).Strs("SharedParts", fwd.call.SharedParts).Dur("LeftMs", fwd.deadline.Sub(fwd.arrived)).Msg("call accepted")
 	return nil
 }
 
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -137,7 +137,8 @@
 		return Unreached{}
 	default:
 		lea.ReportFailure("")
-		fwd.log.Warn().Str("Endpoint", lea.Endpoint.ID).Str("Peer", lea.Endpoint.Address).AnErr("Cause", context.Cause(ctx)).Err(err).Msg("endpoint failed the call")
+		fwd.log.Warn().Str("Endpoint", lea.Endpoint.ID).Str("Peer", lea.Endpoint.Address).Strs("SharedParts", fwd.call.SharedParts).AnErr("Cause", context.Cause(ctx)).Err(err).
+			Msg("endpoint failed the call")
 		return Broken{Cause: err.Error()}
 	}
 }
