Quarantine the parts of prompts on which engines crash

Cause: nothing kept what an engine was working on when it ended. Each host placed and resent such a call like any other. Fix: each send is a trial of the parts of its prompt. If it breaks off and the engine then refuses connections, the parts are suspected; a crash counts only on top of what was known when its prompt was sent, so one incident that ends many engines counts once. An answer of two events clears a part. Three crashes in a row quarantine the suspected parts of the prompt together, so prompts with only some of them are served; a later answer lifts it. Hosts push and pull suspects and quarantines; the store keeps quarantines, and a host that starts has them before it is ready. The check runs before placement and again when the call is sent.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"hemlockpin/connection/counter"
@@ -140,6 +141,18 @@
 	return ans, nil
 }
 
+// Refuses reports whether an endpoint refuses connections, as it does after its process has
+// ended. It reports false if the endpoint can't be reached at all.
+func (exc *Exchanger) Refuses(ctx context.Context, address string, timeout time.Duration) bool {
+	dialer := net.Dialer{Timeout: timeout}
+	con, err := dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
+	if err == nil {
+		_ = con.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func exchange(con net.Conn, address string, req Request, hea http.Header) (*Answer, *NoAnswerError) {
 	sendResult := make(chan error, 1)
 	if len(req.Body) >= concurrentBodyBytes {
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -51,6 +51,8 @@
 	Source       follower.Source
 	Codec        relayer.Codec
 	EngineClient EngineClient
+	// Quarantines keeps quarantines of prompts; nil to keep them in the hosts only.
+	Quarantines QuarantineStore
 }
 
 // Forwarder is one entry host.
@@ -82,6 +84,7 @@
 	started          time.Time
 	watcherCache     watcherCache
 	detector         detector.Detector
+	quarantine       quarantineSync
 	// ready is closed once the host has tables and the list of endpoints.
 	ready     chan struct{}
 	readyOnce sync.Once
@@ -110,6 +113,8 @@
 	fwd.publisher = &publisher.Publisher{}
 	fwd.multiplexer = &multiplexer.Multiplexer{Handler: fwd.handlePeer, OnPanic: fwd.logPanic}
 	fwd.initGossiper()
+	fwd.quarantine.known.Store(pla.Quarantines == nil)
+	fwd.quarantine.ledger.OnChange, fwd.quarantine.ledger.Log = fwd.shareQuarantines, log
 	fwd.follower = &follower.Follower{
 		Source: pla.Source, Wait: fwd.watchWait(), ShouldRead: fwd.shouldReadStore, OnTables: fwd.applyTables, OnEndpoints: fwd.applyEndpoints, OnUnavailable: fwd.setStoreUnavailable, OnAvailable: fwd.setStoreAvailable, Log: log,
 	}
@@ -129,7 +134,8 @@
 		Placer: &assigner.Assigner{
 			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.EngineClient, DataCenter: set.DataCenter, Clock: time.Now, Log: log,
 		},
-		Bodies: &fwd.bodyMemory, Ready: fwd.ready, Stale: fwd.staleSinceResume, SuspendedFor: fwd.suspendedTime, Draining: fwd.draining.Load, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
+		Quarantine: &fwd.quarantine.ledger,
+		Bodies:     &fwd.bodyMemory, Ready: fwd.ready, Stale: fwd.staleSinceResume, SuspendedFor: fwd.suspendedTime, Draining: fwd.draining.Load, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
 		Tracer: otel.Tracer("hemlockpin"),
 	}
 	return fwd
@@ -171,6 +177,7 @@
 	gro.Go(func() { fwd.planRunner.Run(workCtx) })
 	gro.Go(func() { fwd.monitorHosts(workCtx) })
 	gro.Go(func() { fwd.pollWatchers(workCtx) })
+	gro.Go(func() { fwd.followQuarantines(workCtx) })
 	callerSrv := fwd.callerServer()
 	lis := &acceptor.Listener{Listener: listeners.caller, Max: fwd.Settings.CallerConnLimit(), Refused: fwd.scope.Counter("connections_refused")}
 	httpServers := []*http.Server{{Handler: fwd.readyRoutes(), ReadHeaderTimeout: headerTimeout}, {Handler: fwd.operatorRoutes(), ReadHeaderTimeout: headerTimeout}}
@@ -247,6 +254,10 @@
 		return fwd.handleEndpointsPush(bod.EndpointsPush, now)
 	case *messenger.Envelope_EndpointsPull:
 		return fwd.handleEndpointsPull(bod.EndpointsPull)
+	case *messenger.Envelope_QuarantinePush:
+		return fwd.handleQuarantinePush(bod.QuarantinePush, now)
+	case *messenger.Envelope_QuarantinePull:
+		return fwd.handleQuarantinePull(now)
 	default:
 		return messenger.NewFailure("unknown_message", "this host does not know the message")
 	}
--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -15,6 +15,7 @@
 	"hemlockpin/connection/acceptor"
 	"hemlockpin/process/drainer"
 	"hemlockpin/process/gossiper"
+	"hemlockpin/process/quarantiner"
 	"hemlockpin/process/registrar"
 
 	"github.com/gorilla/mux"
@@ -81,6 +82,8 @@
 		return "the host has no tables yet"
 	case !known:
 		return "the host does not know the endpoints yet"
+	case !fwd.quarantine.known.Load():
+		return "the host does not know the quarantines of prompts yet"
 	default:
 		return ""
 	}
@@ -110,9 +113,10 @@
 		EndpointsRevision uint64
 		Peers             []gossiper.Peer
 		Endpoints         []registrar.Endpoint
+		Quarantines       []quarantiner.Quarantine
 	}{
 		fwd.Settings.HostID, fwd.Incarnation, fwd.notReadyReason(), fwd.inFlight.Load(), !fwd.storeUnavailable.Load(), tablesRev, age.Milliseconds(),
-		endpointsRev, fwd.gossiper.Peers(), ends,
+		endpointsRev, fwd.gossiper.Peers(), ends, fwd.quarantine.ledger.Everything(now).Quarantines,
 	}
 	wri.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(wri).Encode(out); err != nil {
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -43,8 +43,13 @@
 				rev, _ := fwd.registry.Revision()
 				return rev, fwd.detector.Age(fwd.registry.Confirmed(), now)
 			},
-			ObserveEndpoints: fwd.comparePeerRevision,
+			ObserveEndpoints:   fwd.comparePeerRevision,
+			QuarantineDigest:   fwd.quarantine.ledger.Digest,
+			ObserveQuarantines: fwd.compareQuarantines,
 			Synced: func(ctx context.Context, address string) {
+				if !fwd.quarantine.known.Load() {
+					fwd.pullQuarantines(ctx, address)
+				}
 				if _, known := fwd.registry.Revision(); !known {
 					fwd.pullEndpoints(ctx, address, time.Time{})
 				}
@@ -75,9 +80,9 @@
 }
 
 // releaseWaitingCalls releases the calls that wait for a starting host, if the host has
-// tables and endpoints.
+// tables, endpoints and the quarantines of prompts.
 func (fwd *Forwarder) releaseWaitingCalls() {
-	if fwd.hasTablesAndEndpoints() {
+	if fwd.hasTablesAndEndpoints() && fwd.quarantine.known.Load() {
 		fwd.readyOnce.Do(func() { close(fwd.ready) })
 	}
 }
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -18,7 +18,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(region, now), Retries: gos.retryBudget(now),
-		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(),
+		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now),
 	}}}
 }
 
@@ -30,7 +30,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(region, now), Retries: gos.retryBudget(now),
-		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(),
+		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now),
 	}}}
 }
 
@@ -94,6 +94,19 @@
 	}
 }
 
+func (gos *Gossiper) quarantineDigest(now time.Time) uint64 {
+	if gos.Payload.QuarantineDigest == nil {
+		return 0
+	}
+	return gos.Payload.QuarantineDigest(now)
+}
+
+func (gos *Gossiper) observeQuarantines(address string, digest uint64) {
+	if gos.Payload.ObserveQuarantines != nil && address != "" {
+		gos.Payload.ObserveQuarantines(address, digest)
+	}
+}
+
 // Broadcast sends a message to the neighbours of this host and to one host of each other
 // region. newEnvelope returns the message for each call.
 func (gos *Gossiper) Broadcast(ctx context.Context, newEnvelope func() *messenger.Envelope) {
@@ -127,6 +140,7 @@
 	gos.mergeCells(pin.GetCells(), now)
 	gos.mergeRetryBudget(pin.GetFrom().GetId(), pin.GetRetries(), now)
 	gos.observeEndpoints(gos.dialAddress(from), pin.GetEndpointsRevision(), pin.GetEndpointsAgeMs(), now)
+	gos.observeQuarantines(gos.dialAddress(from), pin.GetQuarantineDigest())
 	at := now.Add(-time.Duration(pin.GetTablesAgeMs()) * time.Millisecond)
 	gos.Publisher.ConfirmRevision(pin.GetTablesRevision(), at)
 	if gos.observeStamp(pin.GetList(), now) {
@@ -184,6 +198,7 @@
 	gos.mergeCells(pon.GetCells(), now)
 	gos.mergeRetryBudget(pon.GetFrom().GetId(), pon.GetRetries(), now)
 	gos.observeEndpoints(address, pon.GetEndpointsRevision(), pon.GetEndpointsAgeMs(), now)
+	gos.observeQuarantines(address, pon.GetQuarantineDigest())
 	at := now.Add(-time.Duration(pon.GetTablesAgeMs()) * time.Millisecond)
 	gos.Publisher.ConfirmRevision(pon.GetTablesRevision(), at)
 	if address != "" && gos.observeStamp(pon.GetList(), now) {
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -58,6 +58,10 @@
 	// ObserveEndpoints receives the address of a peer, the revision of its endpoint records
 	// and the time at which the store confirmed that revision.
 	ObserveEndpoints func(address string, revision uint64, at time.Time)
+	// QuarantineDigest returns the digest of the quarantines that this host knows.
+	// ObserveQuarantines receives the address of a peer and its digest.
+	QuarantineDigest   func(now time.Time) uint64
+	ObserveQuarantines func(address string, digest uint64)
 	// Synced is called after this host has pulled members and tables from a peer.
 	Synced func(ctx context.Context, address string)
 }
--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -15,10 +15,13 @@
 	minObjectiveShare = 0.25
 	// minSendTime is the least time left for another send.
 	minSendTime = 50 * time.Millisecond
+	// codeQuarantined is the code of calls that are refused because engines crash on parts
+	// of their prompts.
+	codeQuarantined = "prompt_quarantined"
 )
 
-// Outcome is the result of a send: Whole, Answered, NotRun, Unreached, Broken, TimedOut
-// or CallerDisconnected.
+// Outcome is the result of a send: Whole, Answered, NotRun, Unreached, Quarantined, Broken,
+// TimedOut or CallerDisconnected.
 type Outcome interface{ outcome() }
 
 // Whole is a complete answer that reports no failure, or a complete stream.
@@ -33,6 +36,9 @@
 // Unreached says that no connection to the endpoint was made.
 type Unreached struct{}
 
+// Quarantined says that the call was not sent, because engines crash on its prompt.
+type Quarantined struct{}
+
 // Broken says that the send failed: the answer was aborted, invalid, too large or
 // stalled. Cause is the text of the error.
 type Broken struct{ Cause string }
@@ -48,6 +54,7 @@
 func (Answered) outcome()           {}
 func (NotRun) outcome()             {}
 func (Unreached) outcome()          {}
+func (Quarantined) outcome()        {}
 func (Broken) outcome()             {}
 func (TimedOut) outcome()           {}
 func (CallerDisconnected) outcome() {}
@@ -137,6 +144,10 @@
 			return sta, Resend{}
 		}
 		return sta, sta.endIncomplete(http.StatusBadGateway, "endpoint_unreached")
+	case Quarantined:
+		// The call was not sent, although WithSend has counted it.
+		sta.Sends--
+		return sta, sta.endIncomplete(http.StatusBadGateway, codeQuarantined)
 	case Broken:
 		sta.Ran = true
 		if lim.Route.AllowsResend() && sta.mayResend(lim) {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hemlockpin/connection/exchanger"
+	"hemlockpin/process/quarantiner"
 	"hemlockpin/request/receiver"
 	"hemlockpin/version/matcher"
 	"hemlockpin/version/parser"
@@ -44,6 +45,8 @@
 var (
 	errTimeLimit = errors.New("the time limit of the call has passed")
 	errStalled   = errors.New("the endpoint is stalled and another endpoint is available")
+	// errQuarantined is the cause for which a call is not sent.
+	errQuarantined = errors.New("engines crash on parts of the prompt")
 )
 
 // RetryBudget limits the resends of calls, for each pool.
@@ -63,6 +66,8 @@
 	Exchanger   *exchanger.Exchanger
 	RetryBudget RetryBudget
 	Bodies      *receiver.MemoryBudget
+	// Quarantine learns on which parts of prompts engines crash; nil for none.
+	Quarantine *quarantiner.Ledger
 	// Ready is closed once the host has tables and the list of endpoints; nil if it
 	// always has both.
 	Ready <-chan struct{}
@@ -101,7 +106,9 @@
 	suspendedBefore time.Duration
 	// excluded lists the endpoints that have failed the call.
 	excluded []string
-	log      zerolog.Logger
+	// trial is the last send as a trial of the prompt's parts.
+	trial quarantiner.Trial
+	log   zerolog.Logger
 	// answer is the last complete answer of an endpoint.
 	answer bufferedAnswer
 	// replacement is a lease on another endpoint, obtained while the current endpoint
@@ -275,6 +282,11 @@
 	ctx, stop := context.WithDeadlineCause(ctx, fwd.deadline, errTimeLimit)
 	defer stop()
 	for {
+		if left := fwd.quarantineLeft(fwd.Clock()); left > 0 {
+			fwd.dropReplacement()
+			fwd.finish(fwd.state.endIncomplete(http.StatusBadGateway, codeQuarantined), left)
+			return
+		}
 		lea, err := fwd.nextLease(ctx)
 		if err != nil {
 			fwd.finishUnplaced(ctx, err)
@@ -292,7 +304,7 @@
 		fwd.logSend(lea, out, dec, now)
 		if _, again := dec.(Resend); !again {
 			fwd.dropReplacement()
-			fwd.finish(dec, 0)
+			fwd.finish(dec, fwd.quarantineLeft(now))
 			return
 		}
 		fwd.excluded = append(fwd.excluded, lea.Endpoint.ID)
@@ -421,6 +433,8 @@
 		return "not_run"
 	case Unreached:
 		return "unreached"
+	case Quarantined:
+		return "quarantined"
 	case Broken:
 		return "broken"
 	case TimedOut:
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -73,21 +73,30 @@
 		Header: func() (http.Header, error) { return fwd.header(lea) },
 	})
 	if err != nil {
-		return fwd.sendFailure(ctx, lea, err)
+		out := fwd.sendFailure(ctx, lea, err)
+		fwd.recordTrial(ctx, lea, out, nil, 0)
+		return out
 	}
 	defer ans.Close()
-	return fwd.readAnswer(ctx, lea, ans, watch)
+	before := fwd.state.Events
+	out := fwd.readAnswer(ctx, lea, ans, watch)
+	fwd.recordTrial(ctx, lea, out, ans, fwd.state.Events-before)
+	return out
 }
 
 // header returns the headers of a send. It runs once the connection is established, and
 // fails if the time limit has passed, for example because the host was suspended
-// meanwhile.
+// meanwhile, or if the prompt was quarantined while the call waited for an endpoint.
 func (fwd *forwarding) header(lea Lease) (http.Header, error) {
 	now := fwd.Clock()
 	left := fwd.deadline.Sub(now) - fwd.suspendedSince(now)
 	if left <= 0 {
 		return nil, errTimeLimit
 	}
+	if fwd.quarantineLeft(now) > 0 {
+		return nil, errQuarantined
+	}
+	fwd.trial = fwd.newTrial()
 	hea := fwd.htr.Header.Clone()
 	stripHopHeaders(hea)
 	fwd.Codec.Dispatch(hea, Dispatch{
@@ -131,6 +140,8 @@
 		return fwd.endOutcome(ctx, !unreached)
 	case unreached && errors.Is(err, errTimeLimit):
 		return TimedOut{}
+	case errors.Is(err, errQuarantined):
+		return Quarantined{}
 	case unreached:
 		lea.ReportFailure("")
 		fwd.log.Warn().Str("Endpoint", lea.Endpoint.ID).Str("Peer", lea.Endpoint.Address).Err(err).Msg("connecting to the endpoint failed")
@@ -211,7 +222,7 @@
 func (fwd *forwarding) stream(ctx context.Context, lea Lease, ans *exchanger.Answer, watch *stallWatch) Outcome {
 	var buf []byte
 	ctl := http.NewResponseController(fwd.wri)
-	first, repeated := true, 0
+	first, repeated, forwarded := true, 0, 0
 	for {
 		eve, err := readEvent(ans.Body, buf)
 		switch {
@@ -244,6 +255,9 @@
 			return CallerDisconnected{}
 		}
 		fwd.recordForwarded(eve)
+		if forwarded++; forwarded == soundEvents {
+			fwd.recordSound()
+		}
 	}
 }
 
