--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -113,6 +113,7 @@
 	fwd.publisher = &publisher.Publisher{}
 	fwd.multiplexer = &multiplexer.Multiplexer{Handler: fwd.handlePeer, OnPanic: fwd.logPanic}
 	fwd.initGossiper()
+	fwd.quarantine.learned = make(chan struct{}, 1)
 	fwd.quarantine.known.Store(pla.Quarantines == nil)
 	fwd.quarantine.ledger.OnChange, fwd.quarantine.ledger.Log = fwd.shareQuarantines, log
 	fwd.follower = &follower.Follower{
--- a/process/forwarder/quarantine.go
+++ b/process/forwarder/quarantine.go
@@ -46,6 +46,8 @@
 	// once the host serves without them.
 	known   atomic.Bool
 	pulling atomic.Bool
+	// learned has an entry after this host has learned of a quarantine.
+	learned chan struct{}
 	// usualPeers is the number of live peers that is taken as usual.
 	usualPeers float64
 
@@ -60,6 +62,12 @@
 		return
 	}
 	syn := &fwd.quarantine
+	if len(cha.Quarantines) > 0 {
+		select {
+		case syn.learned <- struct{}{}:
+		default:
+		}
+	}
 	syn.mu.Lock()
 	defer syn.mu.Unlock()
 	if syn.pending.Empty() {
@@ -141,14 +149,14 @@
 	for {
 		select {
 		case <-tic.C:
+			if fwd.missesPeers(time.Now()) {
+				fwd.readQuarantines(ctx)
+			}
+		case <-fwd.quarantine.learned:
 		case <-ctx.Done():
 			return
 		}
-		now := time.Now()
-		if fwd.missesPeers(now) {
-			fwd.readQuarantines(ctx)
-		}
-		fwd.writeQuarantines(ctx, now)
+		fwd.writeQuarantines(ctx, time.Now())
 	}
 }
 
