Log the limit that an endpoint names in its answers

What callers saw: nothing; engines in need got more calls than the limit that they named. Evidence: nothing in the code read the header. In the logs of the incident the engine got 20 grants in the 4 s before the rule was broken, 18 of them for hosts that had passed on an answer with the limit, and its rate was the same before and after. No decision changes.

--- a/request/relayer/call.go
+++ b/request/relayer/call.go
@@ -68,6 +68,10 @@
 	// FaultyEndpoint is the address of the endpoint that caused the failure; empty if
 	// the called endpoint caused it.
 	FaultyEndpoint string
+	// Limit is the number of calls a second that the endpoint takes from all hosts
+	// together, if HasLimit is set.
+	Limit    float64
+	HasLimit bool
 }
 
 // Codec translates the headers of calls and answers.
