Keep the calls of all hosts below the limit that an endpoint names

What callers saw: engines in need got more calls than the limit that they named (LIMIT), 20 in 4 s where 13 were allowed. Cause: no code read the header with the limit; planner and hosts went on as before. Fix: hosts exchange the limits that answers name. The plan of a pool takes each grant from a bucket of the engine; for calls without a plan, one host for each limited endpoint gives permits. Buckets begin empty and save up one call, so a limit that was just named, a new planner or another host in charge adds no burst. An answer without a limit ends it only if its call was sent after the limit was known. If all engines are limited, what can't be served in time is refused at once.

--- a/process/assigner/assigner.go
+++ b/process/assigner/assigner.go
@@ -28,13 +28,14 @@
 const (
 	codeNoEndpoint = "no_endpoint"
 	codeReserve    = "memory_not_reserved"
+	codeLimited    = "endpoints_limited"
 )
 
 // errNoPlanner reports that no host answered a request for the plan of a pool.
 var errNoPlanner = errors.New("assigner: no planner answered")
 
-// Assigner assigns endpoints to calls. All its exported fields except Ejector are
-// required.
+// Assigner assigns endpoints to calls. All its exported fields except Ejector and
+// Permits are required.
 type Assigner struct {
 	Registry *registrar.Registry
 	Pool     func(name string) (parser.Pool, bool)
@@ -43,8 +44,10 @@
 	// DataCenter is the data centre of this host.
 	DataCenter string
 	Ejector    ejector.Ejector
-	Clock      func() time.Time
-	Log        zerolog.Logger
+	// Permits limits the calls to endpoints that name limits; nil for no limits.
+	Permits *Permits
+	Clock   func() time.Time
+	Log     zerolog.Logger
 
 	mu          sync.Mutex
 	activeCalls map[string]int
@@ -60,17 +63,21 @@
 		}
 		ass.Log.Warn().Str("RequestID", req.ID).Str("Pool", req.Pool).Msg("no planner answered; choosing an endpoint by the local view")
 	}
-	return ass.placeByView(req)
+	share := 1.0
+	if ok && poo.Batching != nil {
+		share -= planShare
+	}
+	return ass.placeByView(ctx, req, share)
 }
 
 // placeByView chooses the endpoint that has the fewest calls of this host, among equals
-// one of this host's data centre. It avoids ejected endpoints if any others are left.
-func (ass *Assigner) placeByView(req relayer.PlacementRequest) (relayer.Lease, error) {
+// one of this host's data centre. It avoids ejected endpoints if any others are left, and
+// endpoints whose limit allows no call now. share is the share of the limits that such calls
+// may use.
+func (ass *Assigner) placeByView(ctx context.Context, req relayer.PlacementRequest, share float64) (relayer.Lease, error) {
 	now := ass.Clock()
 	ends := slices.DeleteFunc(ass.Registry.Usable(req.Pool, now), func(end registrar.Endpoint) bool { return slices.Contains(req.Excluded, end.ID) })
-	if len(ends) == 0 {
-		return relayer.Lease{}, &relayer.RefusedError{Code: codeNoEndpoint, Message: "no endpoint of the pool can take the call", RetryAfter: retryAfter}
-	}
+	refused := &relayer.RefusedError{Code: codeNoEndpoint, Message: "no endpoint of the pool can take the call", RetryAfter: retryAfter}
 	ejected := ass.Ejector.Excluded(len(ends), false, func(id string) bool {
 		return slices.ContainsFunc(ends, func(end registrar.Endpoint) bool { return end.ID == id })
 	}, now)
@@ -78,12 +85,70 @@
 		ends = healthy
 	}
 	rand.Shuffle(len(ends), func(a, b int) { ends[a], ends[b] = ends[b], ends[a] })
+	for len(ends) > 0 {
+		end := ass.takeLeastBusy(ends)
+		sent := ass.limitSequence(end.ID)
+		permitted, wait := ass.permit(ctx, end.ID, share, now)
+		if permitted {
+			return ass.newLease(end, sent), nil
+		}
+		ass.returnCall(end)
+		ass.Log.Info().Str("RequestID", req.ID).Str("Endpoint", end.ID).Dur("WaitMs", wait).Int("Others", len(ends)-1).Msg("limit of the endpoint allows no call now")
+		if refused.Code != codeLimited || wait < refused.RetryAfter {
+			refused = &relayer.RefusedError{Code: codeLimited, Message: "the endpoints take no more calls now", RetryAfter: wait}
+		}
+		ends = slices.DeleteFunc(ends, func(other registrar.Endpoint) bool { return other.ID == end.ID })
+	}
+	return relayer.Lease{}, refused
+}
+
+// permit asks for permission to send a call to an endpoint.
+func (ass *Assigner) permit(ctx context.Context, endpoint string, share float64, now time.Time) (permitted bool, wait time.Duration) {
+	if ass.Permits == nil {
+		return true, 0
+	}
+	return ass.Permits.take(ctx, endpoint, share, now)
+}
+
+// limitSequence returns the sequence of an endpoint's limit as known now.
+func (ass *Assigner) limitSequence(endpoint string) uint64 {
+	if ass.Permits == nil {
+		return 0
+	}
+	return ass.Permits.Throttler.Limit(endpoint).Sequence
+}
+
+// observeLimit returns the function that records what an answer says of the limit of its
+// endpoint. sent is the sequence of the limit when the call was sent.
+func (ass *Assigner) observeLimit(endpoint string, sent uint64) func(rate float64, named bool) {
+	return func(rate float64, named bool) {
+		if ass.Permits != nil {
+			ass.Permits.Throttler.Observe(endpoint, sent, rate, named, ass.Clock())
+		}
+	}
+}
+
+// takeLeastBusy counts a call on the endpoint that has the fewest calls of this host.
+func (ass *Assigner) takeLeastBusy(ends []registrar.Endpoint) registrar.Endpoint {
 	ass.mu.Lock()
 	defer ass.mu.Unlock()
 	end := slices.MinFunc(ends, func(a, b registrar.Endpoint) int {
 		return cmp.Or(cmp.Compare(ass.activeCalls[a.ID], ass.activeCalls[b.ID]), cmp.Compare(ass.distance(a), ass.distance(b)))
 	})
-	return ass.newLease(end), nil
+	if ass.activeCalls == nil {
+		ass.activeCalls = map[string]int{}
+	}
+	ass.activeCalls[end.ID]++
+	return end
+}
+
+// returnCall ends a call that takeLeastBusy has counted.
+func (ass *Assigner) returnCall(end registrar.Endpoint) {
+	ass.mu.Lock()
+	defer ass.mu.Unlock()
+	if ass.activeCalls[end.ID]--; ass.activeCalls[end.ID] <= 0 {
+		delete(ass.activeCalls, end.ID)
+	}
 }
 
 // distance is 0 for the endpoints in this host's data centre and 1 for others.
@@ -94,17 +159,14 @@
 	return 1
 }
 
-// newLease counts a call on an endpoint and returns the lease of the endpoint. ass.mu must
-// be held.
-func (ass *Assigner) newLease(end registrar.Endpoint) relayer.Lease {
-	if ass.activeCalls == nil {
-		ass.activeCalls = map[string]int{}
-	}
-	ass.activeCalls[end.ID]++
+// newLease returns the lease of an endpoint on which a call was counted. sent is the sequence
+// of the endpoint's limit.
+func (ass *Assigner) newLease(end registrar.Endpoint, sent uint64) relayer.Lease {
 	failed := false
 	return relayer.Lease{
 		Endpoint:         end,
 		ReportFirstEvent: func() {},
+		ReportLimit:      ass.observeLimit(end.ID, sent),
 		ReportFailure: func(string) {
 			failed = true
 			ass.Ejector.RecordFailure(end.ID, ass.Clock())
@@ -113,11 +175,7 @@
 			if !failed {
 				ass.Ejector.RecordSuccess(end.ID)
 			}
-			ass.mu.Lock()
-			defer ass.mu.Unlock()
-			if ass.activeCalls[end.ID]--; ass.activeCalls[end.ID] <= 0 {
-				delete(ass.activeCalls, end.ID)
-			}
+			ass.returnCall(end)
 		}),
 	}
 }
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"hemlockpin/process/planner"
 	"hemlockpin/process/publisher"
 	"hemlockpin/process/registrar"
+	"hemlockpin/process/throttler"
 	"hemlockpin/request/budgeter"
 	"hemlockpin/request/receiver"
 	"hemlockpin/request/relayer"
@@ -85,6 +86,8 @@
 	watcherCache     watcherCache
 	detector         detector.Detector
 	quarantine       quarantineSync
+	throttler        throttler.Throttler
+	permits          *assigner.Permits
 	// ready is closed once the host has tables and the list of endpoints.
 	ready     chan struct{}
 	readyOnce sync.Once
@@ -126,6 +129,10 @@
 		Self: set.HostID, Incarnation: incarnation, Address: set.PeerListen, CapacityMilli: capacityMilli(set), Live: fwd.gossiper.Live, Leaving: fwd.draining.Load, Peers: fwd.multiplexer,
 		Runner: fwd.planRunner, Clock: time.Now, Log: log,
 	}
+	fwd.throttler.OnChange, fwd.throttler.Log = fwd.shareLimits, log
+	fwd.permits = &assigner.Permits{
+		Self: set.HostID, Throttler: &fwd.throttler, Live: fwd.gossiper.Live, Leaving: fwd.draining.Load, Peers: fwd.multiplexer, Log: log,
+	}
 	fwd.retryBudget = &budgeter.Quota{
 		Limits: budgeter.QuotaLimits{Ratio: set.RetryRatio, Slack: set.RetrySlack, Window: set.RetryWindow},
 		Hosts:  func() int { return len(fwd.gossiper.Live(time.Now())) + 1 },
@@ -133,7 +140,7 @@
 	fwd.relayer = &relayer.Relayer{
 		Codec: pla.Codec, Tables: fwd.publisher.Current, Exchanger: &exchanger.Exchanger{Traffic: &fwd.endpointTraffic}, RetryBudget: fwd.retryBudget,
 		Placer: &assigner.Assigner{
-			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.EngineClient, DataCenter: set.DataCenter, Clock: time.Now, Log: log,
+			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.EngineClient, DataCenter: set.DataCenter, Permits: fwd.permits, Clock: time.Now, Log: log,
 		},
 		Quarantine: &fwd.quarantine.ledger,
 		Bodies:     &fwd.bodyMemory, Ready: fwd.ready, Stale: fwd.staleSinceResume, SuspendedFor: fwd.suspendedTime, Draining: fwd.draining.Load, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
@@ -154,7 +161,8 @@
 func (fwd *Forwarder) engines(poo parser.Pool, now time.Time) []planner.Engine {
 	var out []planner.Engine
 	for _, end := range fwd.registry.Usable(poo.Selector.Service, now) {
-		out = append(out, planner.Engine{ID: end.ID, Address: end.Address, Started: end.Started})
+		lim := fwd.throttler.Limit(end.ID)
+		out = append(out, planner.Engine{ID: end.ID, Address: end.Address, Started: end.Started, Limited: lim.InForce(), Limit: assigner.PlanLimit(lim)})
 	}
 	return out
 }
@@ -255,6 +263,10 @@
 		return fwd.handleEndpointsPush(bod.EndpointsPush, now)
 	case *messenger.Envelope_EndpointsPull:
 		return fwd.handleEndpointsPull(bod.EndpointsPull)
+	case *messenger.Envelope_LimitsPush:
+		return fwd.handleLimitsPush(bod.LimitsPush, now)
+	case *messenger.Envelope_PermitRequest:
+		return fwd.permits.HandlePermit(bod.PermitRequest, now)
 	case *messenger.Envelope_QuarantinePush:
 		return fwd.handleQuarantinePush(bod.QuarantinePush, now)
 	case *messenger.Envelope_QuarantinePull:
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -46,6 +46,8 @@
 			ObserveEndpoints:   fwd.comparePeerRevision,
 			QuarantineDigest:   fwd.quarantine.ledger.Digest,
 			ObserveQuarantines: fwd.compareQuarantines,
+			Limits:             fwd.probeLimits,
+			MergeLimits:        fwd.mergeLimits,
 			Synced: func(ctx context.Context, address string) {
 				if !fwd.quarantine.known.Load() {
 					fwd.pullQuarantines(ctx, address)
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -18,7 +18,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(region, now), Retries: gos.retryBudget(now),
-		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now),
+		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now), Limits: gos.limits(),
 	}}}
 }
 
@@ -30,7 +30,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(region, now), Retries: gos.retryBudget(now),
-		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now),
+		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now), Limits: gos.limits(),
 	}}}
 }
 
@@ -107,6 +107,19 @@
 	}
 }
 
+func (gos *Gossiper) limits() []*messenger.LimitRecord {
+	if gos.Payload.Limits == nil {
+		return nil
+	}
+	return gos.Payload.Limits()
+}
+
+func (gos *Gossiper) mergeLimits(lims []*messenger.LimitRecord, now time.Time) {
+	if gos.Payload.MergeLimits != nil && len(lims) > 0 {
+		gos.Payload.MergeLimits(lims, now)
+	}
+}
+
 // Broadcast sends a message to the neighbours of this host and to one host of each other
 // region. newEnvelope returns the message for each call.
 func (gos *Gossiper) Broadcast(ctx context.Context, newEnvelope func() *messenger.Envelope) {
@@ -141,6 +154,7 @@
 	gos.mergeRetryBudget(pin.GetFrom().GetId(), pin.GetRetries(), now)
 	gos.observeEndpoints(gos.dialAddress(from), pin.GetEndpointsRevision(), pin.GetEndpointsAgeMs(), now)
 	gos.observeQuarantines(gos.dialAddress(from), pin.GetQuarantineDigest())
+	gos.mergeLimits(pin.GetLimits(), now)
 	at := now.Add(-time.Duration(pin.GetTablesAgeMs()) * time.Millisecond)
 	gos.Publisher.ConfirmRevision(pin.GetTablesRevision(), at)
 	if gos.observeStamp(pin.GetList(), now) {
@@ -199,6 +213,7 @@
 	gos.mergeRetryBudget(pon.GetFrom().GetId(), pon.GetRetries(), now)
 	gos.observeEndpoints(address, pon.GetEndpointsRevision(), pon.GetEndpointsAgeMs(), now)
 	gos.observeQuarantines(address, pon.GetQuarantineDigest())
+	gos.mergeLimits(pon.GetLimits(), now)
 	at := now.Add(-time.Duration(pon.GetTablesAgeMs()) * time.Millisecond)
 	gos.Publisher.ConfirmRevision(pon.GetTablesRevision(), at)
 	if address != "" && gos.observeStamp(pon.GetList(), now) {
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -62,6 +62,9 @@
 	// ObserveQuarantines receives the address of a peer and its digest.
 	QuarantineDigest   func(now time.Time) uint64
 	ObserveQuarantines func(address string, digest uint64)
+	// Limits returns limits of endpoints, MergeLimits receives those of a peer.
+	Limits      func() []*messenger.LimitRecord
+	MergeLimits func(lims []*messenger.LimitRecord, now time.Time)
 	// Synced is called after this host has pulled members and tables from a peer.
 	Synced func(ctx context.Context, address string)
 }
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"hemlockpin/process/throttler"
 )
 
 const (
@@ -42,6 +44,8 @@
 	// only so that it multiplies times.
 	pace          ms
 	missedReports int
+	// bucket counts the requests that a limited engine may get.
+	bucket throttler.Bucket
 	// suspectUntil is the time until which the engine is avoided after a failure.
 	suspectUntil time.Time
 	// passEnd is the time at which the pass in progress, which lasts passTime, ends; zero
@@ -87,16 +91,28 @@
 	}
 }
 
-// usable reports whether the engine may get work for a request.
+// usable reports whether the engine may get work for a request now.
 func (eng *engine) usable(pen *pending, now time.Time) bool {
+	return eng.available(pen, now) && (!eng.Limited || eng.bucket.Allows())
+}
+
+// available reports whether the engine may get work for a request, now or once its limit
+// allows another request.
+func (eng *engine) available(pen *pending, now time.Time) bool {
 	if eng.removed || eng.missedReports >= maxMissedReports || now.Before(eng.suspectUntil) {
 		return false
 	}
 	return !slices.Contains(pen.prompt.Excluded, eng.ID)
 }
 
-// advance ends the passes that should have ended by now.
+// advance ends the passes that should have ended by now, and fills the bucket of a limited
+// engine.
 func (eng *engine) advance(cos costModel, now time.Time) {
+	if eng.Limited {
+		eng.bucket = eng.bucket.WithFill(eng.Limit, now)
+	} else {
+		eng.bucket = throttler.Bucket{}
+	}
 	for !eng.passEnd.IsZero() && !now.Before(eng.passEnd) {
 		eng.nextPass(cos, eng.passEnd)
 	}
--- a/process/planner/event.go
+++ b/process/planner/event.go
@@ -44,6 +44,9 @@
 	Address string
 	// Started distinguishes successive processes of an engine; zero if unknown.
 	Started time.Time
+	// Limited engines take at most Limit requests a second from the plan.
+	Limited bool
+	Limit   float64
 }
 
 // Load is the load that an engine reports.
--- a/process/planner/grant.go
+++ b/process/planner/grant.go
@@ -63,6 +63,9 @@
 		}
 	}
 	for _, par := range gra.parts {
+		if par.eng.Limited {
+			par.eng.bucket = par.eng.bucket.WithCall()
+		}
 		par.eng.addPart(pla.costs, par, now)
 		par.eng.markExceededPauses(pla.costs)
 		pla.postponeExpected(par.eng, now)
--- a/process/planner/refuse.go
+++ b/process/planner/refuse.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minRetryAfter and maxRetryAfter bound the time that refused callers are asked to
@@ -14,12 +17,12 @@
 func (pla *Plan) refuseIfInfeasible(pen *pending, cho choice, found bool, now time.Time) bool {
 	usable := 0
 	for _, eng := range pla.sortedEngines {
-		if eng.usable(pen, now) {
+		if eng.available(pen, now) {
 			usable++
 		}
 	}
 	timeLeft := msOf(min(pen.callerDeadline.Sub(now), pen.prompt.Deadline.Sub(now)))
-	wait := pla.queueWait(pen, usable)
+	wait := max(pla.queueWait(pen, usable), pla.limitWait(pen, now))
 	if found {
 		wait += max(0, cho.first-pla.idleFirst(pen))
 	}
@@ -53,6 +56,26 @@
 	return total / ms(max(1, usable))
 }
 
+// limitWait estimates how long a request waits for the limits of the engines, if all engines
+// have one.
+func (pla *Plan) limitWait(pen *pending, now time.Time) ms {
+	var rate float64
+	for _, eng := range pla.sortedEngines {
+		if !eng.available(pen, now) {
+			continue
+		}
+		if !eng.Limited {
+			return 0
+		}
+		rate += eng.Limit
+	}
+	ahead := slices.Index(pla.waiting, pen)
+	if ahead < 0 || rate <= 0 {
+		return 0
+	}
+	return ms(float64(ahead) / rate * 1000)
+}
+
 // slotWait estimates how long the short prompts ahead of a request occupy the slots.
 func (pla *Plan) slotWait(pen *pending, usable int) ms {
 	ahead := 0
--- /dev/null
+++ b/process/throttler/bucket.go
@@ -0,0 +1,41 @@
+package throttler
+
+import "time"
+
+const (
+	// maxTokens is the number of calls that may follow each other at once.
+	maxTokens = 1
+	// minRate is the rate in calls per second at which an endpoint with a lower limit still
+	// gets calls, since only an answer shows that its limit has been lifted.
+	minRate = 0.2
+)
+
+// Bucket counts the calls that a limit allows. It is an immutable value; the zero value
+// allows none until it has been filled.
+type Bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// WithFill returns the bucket after it was filled at a rate up to now.
+func (buc Bucket) WithFill(rate float64, now time.Time) Bucket {
+	if buc.at.IsZero() {
+		return Bucket{at: now}
+	}
+	elapsed := max(0, now.Sub(buc.at).Seconds())
+	return Bucket{tokens: min(maxTokens, buc.tokens+elapsed*max(minRate, rate)), at: now}
+}
+
+// Allows reports whether the bucket allows a call.
+func (buc Bucket) Allows() bool { return buc.tokens >= 1 }
+
+// WithCall returns the bucket after a call. More calls than allowed delay the next ones.
+func (buc Bucket) WithCall() Bucket {
+	buc.tokens--
+	return buc
+}
+
+// Wait returns the time until the bucket allows a call.
+func (buc Bucket) Wait(rate float64) time.Duration {
+	return time.Duration(max(0, 1-buc.tokens) / max(minRate, rate) * float64(time.Second))
+}
--- a/request/relayer/call.go
+++ b/request/relayer/call.go
@@ -119,8 +119,11 @@
 	ExpectedFirstEvent time.Duration
 	// ReportFirstEvent reports that the first event has arrived. ReportFailure reports
 	// that the endpoint with the address failed the call; an empty address stands for
-	// the called endpoint. Release ends the lease and is idempotent.
+	// the called endpoint. ReportLimit reports the calls a second to which an answer of the
+	// endpoint limits all hosts together, or that it names no limit. Release ends the lease
+	// and is idempotent.
 	ReportFirstEvent func()
+	ReportLimit      func(rate float64, named bool)
 	ReportFailure    func(address string)
 	Release          func()
 }
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -158,12 +158,13 @@
 // buffers the complete answer.
 func (fwd *forwarding) readAnswer(ctx context.Context, lea Lease, ans *exchanger.Answer, watch *stallWatch) Outcome {
 	info := fwd.Codec.Answer(ans.Status, ans.Header)
-	if info.HasLimit {
-		fwd.log.Info().Str("Endpoint", lea.Endpoint.ID).Float64("Limit", info.Limit).Msg("endpoint names a limit on its calls a second")
+	if info.ID != "" && info.ID != fwd.call.ID {
+		return fwd.sendFailure(ctx, lea, errors.New("answer belongs to another call"))
+	}
+	if !info.OtherEndpoint {
+		lea.ReportLimit(info.Limit, info.HasLimit)
 	}
 	switch {
-	case info.ID != "" && info.ID != fwd.call.ID:
-		return fwd.sendFailure(ctx, lea, errors.New("answer belongs to another call"))
 	case info.NotRun:
 		if info.FaultyEndpoint != "" || ans.Status != http.StatusTooManyRequests {
 			lea.ReportFailure(info.FaultyEndpoint)
