Cut a stream that the next endpoint answers with an error

Cause: after a stream had broken off, the answer of the endpoint that should continue it was buffered and delivered like any other when it was no stream, so its body went into the stream and its head was logged as superfluous. Evidence: TestErrorAfterBrokenStream: with status 500, 404 or 200 without a stream from the second endpoint the caller's stream ended without an error. After: the caller gets the events that arrived, and its connection is cut. An answer of an earlier endpoint is delivered only if no event was.

--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -370,7 +370,7 @@
 		refused = &RefusedError{Code: "placement_failed", Message: err.Error()}
 	}
 	fwd.log.Warn().Str("Code", refused.Code).Str("Message", refused.Message).Dur("RetryAfterMs", refused.RetryAfter).Int("Sends", fwd.state.Sends).Msg("no endpoint available for the call; ending the call")
-	if fwd.answer.status != 0 {
+	if fwd.answer.status != 0 && fwd.state.Events == 0 {
 		// Another endpoint has answered with a failure before; the caller gets that
 		// answer rather than an error of the host.
 		fwd.finish(Deliver{}, 0)
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -177,6 +178,8 @@
 		return fwd.sendFailure(ctx, lea, errors.New("answer carries no proof that the endpoint produced it"))
 	case ans.Status == http.StatusOK && isStream(ans.Header):
 		return fwd.stream(ctx, lea, ans, watch)
+	case fwd.state.Events > 0:
+		return fwd.sendFailure(ctx, lea, fmt.Errorf("the stream has begun, and an answer with status %d does not continue it", ans.Status))
 	}
 	if err := fwd.bufferAnswer(ans); err != nil {
 		return fwd.sendFailure(ctx, lea, err)
