Take a stream without an event and without a frame for broken off

What callers could see: an empty stream that looked complete, where the engine had ended at the moment at which it began to answer. Cause: an answer with neither a length nor chunks ends with its connection, and any clean end of the connection counted as the end of the stream. Evidence: TestAnswerWithoutFrame/stream_without_event and TestErrorAfterBrokenStream/empty_without_frame failed before (status 200 instead of 502, no error). The other cases of answers without a frame passed before: whole answers and streams are delivered, those that end in an event or are reset are not complete. After: such a send counts as broken, and is resent where the route allows it.

--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -233,6 +233,9 @@
 	for {
 		eve, err := readEvent(ans.Body, buf)
 		switch {
+		case errors.Is(err, io.EOF) && first && !ans.Framed:
+			// Nothing marks the end of such a stream, so it may as well have been broken off.
+			return fwd.sendFailure(ctx, lea, io.ErrUnexpectedEOF)
 		case errors.Is(err, io.EOF):
 			fwd.writeHead(ans)
 			return Whole{}
--- a/request/relayer/trial.go
+++ b/request/relayer/trial.go
@@ -50,7 +50,7 @@
 	}
 	switch out.(type) {
 	case Whole:
-		if ans.Status < http.StatusMultipleChoices && (events > 0 || !isStream(ans.Header)) {
+		if ans.Status < http.StatusMultipleChoices && (events > 0 && ans.Framed || !isStream(ans.Header)) {
 			fwd.recordSound()
 		}
 	case Broken:
