Stop calls to an endpoint whose answers say that it leaves

What callers could see: calls cut by an endpoint that had said in its answers that it leaves, while its entry in the store did not (DRAIN). Cause: only the entry in the store was read. Evidence: TestServerLeaving failed before for an engine and a plain server: calls went on reaching it for the 3 s that the test watches after the 2 s allowed. Fix: a host that gets such an answer marks the record of that process and pushes it to its peers, like a change of the entry. A later entry of the same process does not revoke it, a new process is not affected, nor is it by a late answer of the earlier one. After: the test passes (no call after 2 s), TestSaysLeaving covers the order of the records.

--- a/process/assigner/assigner.go
+++ b/process/assigner/assigner.go
@@ -34,8 +34,8 @@
 // errNoPlanner reports that no host answered a request for the plan of a pool.
 var errNoPlanner = errors.New("assigner: no planner answered")
 
-// Assigner assigns endpoints to calls. All its exported fields except Ejector and
-// Permits are required.
+// Assigner assigns endpoints to calls. All its exported fields except Ejector,
+// Permits and OnLeaving are required.
 type Assigner struct {
 	Registry *registrar.Registry
 	Pool     func(name string) (parser.Pool, bool)
@@ -46,8 +46,10 @@
 	Ejector    ejector.Ejector
 	// Permits limits the calls to endpoints that name limits; nil for no limits.
 	Permits *Permits
-	Clock   func() time.Time
-	Log     zerolog.Logger
+	// OnLeaving receives endpoints whose answers say that they leave; nil for none.
+	OnLeaving func(end registrar.Endpoint)
+	Clock     func() time.Time
+	Log       zerolog.Logger
 
 	mu          sync.Mutex
 	activeCalls map[string]int
@@ -118,12 +120,15 @@
 	return ass.Permits.Throttler.Limit(endpoint).Sequence
 }
 
-// observeLimit returns the function that records what an answer says of the limit of its
-// endpoint. sent is the sequence of the limit when the call was sent.
-func (ass *Assigner) observeLimit(endpoint string, sent uint64) func(rate float64, named bool) {
-	return func(rate float64, named bool) {
+// observeAnswer returns the function that records what an answer says of its endpoint. sent
+// is the sequence of the endpoint's limit when the call was sent.
+func (ass *Assigner) observeAnswer(end registrar.Endpoint, sent uint64) func(info relayer.AnswerInfo) {
+	return func(info relayer.AnswerInfo) {
 		if ass.Permits != nil {
-			ass.Permits.Throttler.Observe(endpoint, sent, rate, named, ass.Clock())
+			ass.Permits.Throttler.Observe(end.ID, sent, info.Limit, info.HasLimit, ass.Clock())
+		}
+		if info.Leaving && ass.OnLeaving != nil {
+			ass.OnLeaving(end)
 		}
 	}
 }
@@ -166,7 +171,7 @@
 	return relayer.Lease{
 		Endpoint:         end,
 		ReportFirstEvent: func() {},
-		ReportLimit:      ass.observeLimit(end.ID, sent),
+		ReportAnswer:     ass.observeAnswer(end, sent),
 		ReportFailure: func(string) {
 			failed = true
 			ass.Ejector.RecordFailure(end.ID, ass.Clock())
--- a/process/assigner/plan.go
+++ b/process/assigner/plan.go
@@ -76,7 +76,7 @@
 	if !ok {
 		return relayer.Lease{}, false
 	}
-	lea := relayer.Lease{Endpoint: end, Helpers: res.helpers, ExpectedFirstEvent: act.First, ReportLimit: ass.observeLimit(end.ID, ass.limitSequence(end.ID))}
+	lea := relayer.Lease{Endpoint: end, Helpers: res.helpers, ExpectedFirstEvent: act.First, ReportAnswer: ass.observeAnswer(end, ass.limitSequence(end.ID))}
 	lea.ReportFirstEvent = func() { ass.Planners.notifyPlanners(act.ID, planner.Began{ID: act.ID}) }
 	lea.ReportFailure = func(address string) {
 		failed := end.ID
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -140,7 +140,7 @@
 	fwd.relayer = &relayer.Relayer{
 		Codec: pla.Codec, Tables: fwd.publisher.Current, Exchanger: &exchanger.Exchanger{Traffic: &fwd.endpointTraffic}, RetryBudget: fwd.retryBudget,
 		Placer: &assigner.Assigner{
-			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.EngineClient, DataCenter: set.DataCenter, Permits: fwd.permits, Clock: time.Now, Log: log,
+			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.EngineClient, DataCenter: set.DataCenter, Permits: fwd.permits, OnLeaving: fwd.markLeaving, Clock: time.Now, Log: log,
 		},
 		Quarantine: &fwd.quarantine.ledger,
 		Bodies:     &fwd.bodyMemory, Ready: fwd.ready, Stale: fwd.staleSinceResume, SuspendedFor: fwd.suspendedTime, Draining: fwd.draining.Load, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -136,6 +136,12 @@
 	fwd.updates = append(fwd.updates, changed...)
 }
 
+// markLeaving stops new calls to an endpoint whose answers say that it leaves, at this host
+// and at its peers.
+func (fwd *Forwarder) markLeaving(end registrar.Endpoint) {
+	fwd.handleChanges(fwd.registry.MarkLeaving(end), "answer")
+}
+
 // broadcastUpdates sends the queued changes of endpoints to peers.
 func (fwd *Forwarder) broadcastUpdates() {
 	fwd.updatesMu.Lock()
@@ -154,7 +160,7 @@
 func (fwd *Forwarder) logEndpoints(changed []registrar.Endpoint, from string) {
 	if len(changed) <= maxEndpointLines {
 		for _, end := range changed {
-			fwd.Log.Info().Str("Endpoint", end.ID).Str("Service", end.Service).Str("Address", end.Address).Bool("Leaving", end.Leaving).
+			fwd.Log.Info().Str("Endpoint", end.ID).Str("Service", end.Service).Str("Address", end.Address).Bool("Leaving", end.Leaving || end.SaysLeaving).
 				Bool("Gone", end.Gone).Uint64("Revision", end.Revision).Str("From", from).Msg("endpoint changed")
 		}
 		return
@@ -165,7 +171,7 @@
 		switch {
 		case end.Gone:
 			removed++
-		case end.Leaving:
+		case end.Leaving, end.SaysLeaving:
 			leaving++
 		}
 	}
--- a/process/registrar/message.go
+++ b/process/registrar/message.go
@@ -12,7 +12,7 @@
 	for _, end := range ends {
 		rec := &messenger.EndpointRecord{
 			Id: end.ID, Service: end.Service, Address: end.Address, DataCenter: end.DataCenter,
-			Leaving: end.Leaving, Gone: end.Gone, Revision: end.Revision, Slots: uint32(max(0, end.Slots)),
+			Leaving: end.Leaving, SaysLeaving: end.SaysLeaving, Gone: end.Gone, Revision: end.Revision, Slots: uint32(max(0, end.Slots)),
 		}
 		if !end.Started.IsZero() {
 			rec.StartedMs = end.Started.UnixMilli()
@@ -31,7 +31,7 @@
 		}
 		end := Endpoint{
 			ID: rec.GetId(), Service: rec.GetService(), Address: rec.GetAddress(), DataCenter: rec.GetDataCenter(),
-			Leaving: rec.GetLeaving(), Gone: rec.GetGone(), Revision: rec.GetRevision(), Slots: int(rec.GetSlots()),
+			Leaving: rec.GetLeaving(), SaysLeaving: rec.GetSaysLeaving(), Gone: rec.GetGone(), Revision: rec.GetRevision(), Slots: int(rec.GetSlots()),
 		}
 		if ms := rec.GetStartedMs(); ms != 0 {
 			end.Started = time.UnixMilli(ms)
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -43,6 +43,9 @@
 	DataCenter string
 	// Leaving endpoints take no new requests.
 	Leaving bool
+	// SaysLeaving reports that the endpoint's answers say that it leaves, whatever its entry
+	// says.
+	SaysLeaving bool
 	// Gone reports that the store no longer holds a usable entry.
 	Gone bool
 	// Revision is the store's revision of the entry's last change.
@@ -58,7 +61,10 @@
 	if end.Revision != old.Revision {
 		return end.Revision > old.Revision
 	}
-	return end.Gone && !old.Gone
+	if end.Gone != old.Gone {
+		return end.Gone
+	}
+	return end.SaysLeaving && !old.SaysLeaving
 }
 
 // record is an endpoint with the time from which its removal takes effect.
@@ -168,6 +174,11 @@
 				rec.Revision = end.Revision
 			}
 		}
+		if old := reg.records[end.ID]; old != nil && old.SaysLeaving && old.Started.Equal(rec.Started) {
+			// Only the endpoint's answers tell; another entry of the same process does not
+			// revoke it.
+			rec.SaysLeaving = true
+		}
 		reg.records[end.ID] = rec
 	}
 	reg.revision = max(reg.revision, revision)
@@ -188,7 +199,7 @@
 	present := map[string]int{}
 	lost := map[string]int{}
 	for _, end := range updates {
-		if old := reg.records[end.ID]; end.Gone && old != nil && !old.Gone && !old.Leaving {
+		if old := reg.records[end.ID]; end.Gone && old != nil && !old.Gone && !old.Leaving && !old.SaysLeaving {
 			lost[old.Service]++
 		}
 	}
@@ -215,7 +226,7 @@
 
 // usable reports whether the endpoint may get new requests.
 func (rec *record) usable(now time.Time) bool {
-	return !rec.Leaving && rec.Address != "" && (!rec.Gone || now.Before(rec.unusableFrom))
+	return !rec.Leaving && !rec.SaysLeaving && rec.Address != "" && (!rec.Gone || now.Before(rec.unusableFrom))
 }
 
 // Usable returns the endpoints of a service that may get new requests, ordered by ID.
@@ -232,6 +243,19 @@
 	return out
 }
 
+// MarkLeaving records that the answers of an endpoint's process say that it leaves. It
+// returns the record if that is new.
+func (reg *Registry) MarkLeaving(end Endpoint) []Endpoint {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	rec := reg.records[end.ID]
+	if rec == nil || rec.SaysLeaving || !rec.Started.Equal(end.Started) {
+		return nil
+	}
+	rec.SaysLeaving = true
+	return []Endpoint{rec.Endpoint}
+}
+
 // KnownUnusable reports whether an endpoint is known and may get no new requests.
 func (reg *Registry) KnownUnusable(id string, now time.Time) bool {
 	reg.mu.Lock()
@@ -252,7 +276,7 @@
 }
 
 // RecordsAfter returns the records with a later revision than revision, all records of
-// removed entries, and the revision up to which a peer is complete after it has merged
+// removed entries and of endpoints that say that they leave, and the revision up to which a peer is complete after it has merged
 // them. It returns no records and 0 if this host's records are not complete.
 func (reg *Registry) RecordsAfter(revision uint64) ([]Endpoint, uint64) {
 	reg.mu.Lock()
@@ -262,7 +286,7 @@
 	}
 	var out []Endpoint
 	for _, rec := range reg.records {
-		if rec.Revision > revision || rec.Gone {
+		if rec.Revision > revision || rec.Gone || rec.SaysLeaving {
 			out = append(out, rec.Endpoint)
 		}
 	}
--- a/request/relayer/call.go
+++ b/request/relayer/call.go
@@ -72,6 +72,8 @@
 	// together, if HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// Leaving says that the endpoint takes no new calls and will end.
+	Leaving bool
 }
 
 // Codec translates the headers of calls and answers.
@@ -119,11 +121,10 @@
 	ExpectedFirstEvent time.Duration
 	// ReportFirstEvent reports that the first event has arrived. ReportFailure reports
 	// that the endpoint with the address failed the call; an empty address stands for
-	// the called endpoint. ReportLimit reports the calls a second to which an answer of the
-	// endpoint limits all hosts together, or that it names no limit. Release ends the lease
-	// and is idempotent.
+	// the called endpoint. ReportAnswer reports what the head of the endpoint's answer
+	// contains. Release ends the lease and is idempotent.
 	ReportFirstEvent func()
-	ReportLimit      func(rate float64, named bool)
+	ReportAnswer     func(info AnswerInfo)
 	ReportFailure    func(address string)
 	Release          func()
 }
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -163,7 +163,7 @@
 		return fwd.sendFailure(ctx, lea, errors.New("answer belongs to another call"))
 	}
 	if !info.OtherEndpoint {
-		lea.ReportLimit(info.Limit, info.HasLimit)
+		lea.ReportAnswer(info)
 	}
 	switch {
 	case info.NotRun:
