Let a call wait at most 10 ms to learn whether its endpoint has crashed

What callers could see: up to 150 ms more before a broken call is resent, where its endpoint can't be reached. Cause: the connection attempt that tells a crash from a cut was awaited. Fix: the attempt goes on beside the call after 10 ms. An engine that has crashed refuses within a few, so what it shows is known before the resend.

--- a/request/relayer/trial.go
+++ b/request/relayer/trial.go
@@ -15,8 +15,10 @@
 	// prompt.
 	soundEvents = 2
 	// crashCheckTimeout bounds the connection attempt that shows whether an endpoint has
-	// crashed.
+	// crashed. The call waits at most crashCheckWait for its result: an endpoint that has
+	// crashed refuses at once, and one that can't be reached must not delay the call.
 	crashCheckTimeout = 150 * time.Millisecond
+	crashCheckWait    = 10 * time.Millisecond
 )
 
 // quarantineLeft returns how long calls with the prompt of this call are still refused; 0 if
@@ -54,13 +56,30 @@
 			fwd.recordSound()
 		}
 	case Broken:
-		if errors.Is(context.Cause(ctx), errStalled) || !fwd.Exchanger.Refuses(ctx, lea.Endpoint.Address, crashCheckTimeout) {
-			return
-		}
 		evi := quarantiner.WeakEvidence
 		if ans != nil && events == 0 {
 			evi = quarantiner.StrongEvidence
 		}
-		fwd.Quarantine.Crashed(fwd.trial, evi, fwd.Clock())
+		if !errors.Is(context.Cause(ctx), errStalled) {
+			fwd.checkCrash(ctx, lea.Endpoint.Address, evi)
+		}
+	}
+}
+
+// checkCrash records a crash if the endpoint refuses connections.
+func (fwd *forwarding) checkCrash(ctx context.Context, address string, evi quarantiner.Evidence) {
+	checked := make(chan struct{})
+	tri := fwd.trial
+	go func() {
+		defer close(checked)
+		if fwd.Exchanger.Refuses(ctx, address, crashCheckTimeout) {
+			fwd.Quarantine.Crashed(tri, evi, fwd.Clock())
+		}
+	}()
+	timer := time.NewTimer(crashCheckWait)
+	defer timer.Stop()
+	select {
+	case <-checked:
+	case <-timer.C:
 	}
 }
