--- a/request/relayer/decide_test.go
+++ b/request/relayer/decide_test.go
@@ -50,6 +50,8 @@
 		return NotRun{}
 	case "unreached":
 		return Unreached{}
+	case "quarantined":
+		return Quarantined{}
 	case "broken":
 		return Broken{}
 	case "time-sent":
