Read quarantines together with tables and endpoints at the start

What callers could see: a host that had read tables and endpoints from the store after a restart of all hosts stayed without quarantines, so not ready, until a peer's next probe. Cause: whether the host has to read the store was asked again after its endpoints were confirmed, and the answer was no for all hosts but three. Fix: the first read goes with those of tables and endpoints; a host that has these from its peers pulls the quarantines from the same peer, and reads the store after 60 ms.

--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -192,7 +192,6 @@
 	gro.Go(func() { fwd.planRunner.Run(workCtx) })
 	gro.Go(func() { fwd.monitorHosts(workCtx) })
 	gro.Go(func() { fwd.pollWatchers(workCtx) })
-	gro.Go(func() { fwd.followQuarantines(workCtx) })
 	callerSrv := fwd.callerServer()
 	lis := &acceptor.Listener{Listener: listeners.caller, Max: fwd.Settings.CallerConnLimit(), Refused: fwd.scope.Counter("connections_refused")}
 	httpServers := []*http.Server{{Handler: fwd.readyRoutes(), ReadHeaderTimeout: headerTimeout}, {Handler: fwd.operatorRoutes(), ReadHeaderTimeout: headerTimeout}}
--- a/process/forwarder/quarantine.go
+++ b/process/forwarder/quarantine.go
@@ -22,6 +22,11 @@
 	// quarantines. If no other host runs and the store does not answer, it then serves
 	// without them.
 	quarantineWait = time.Second
+	// quarantinePeerWait is how long a starting host that has got everything else from its
+	// peers leaves them to send the quarantines. quarantineRetry is the time between reads of
+	// the store until then.
+	quarantinePeerWait = 60 * time.Millisecond
+	quarantineRetry    = 200 * time.Millisecond
 	// peersDecay is the factor by which the number of live peers that is taken as usual
 	// falls at each quarantineInterval. A host with fewer peers than usual may be cut off
 	// from those that learn of new quarantines.
@@ -137,8 +142,8 @@
 	}
 }
 
-// followQuarantines obtains the quarantines at the start and then keeps the store up to
-// date until ctx ends.
+// followQuarantines obtains the quarantines of a starting host, which no longer waits for its
+// peers, and then keeps the store up to date until ctx ends.
 func (fwd *Forwarder) followQuarantines(ctx context.Context) {
 	if fwd.Platform.Quarantines == nil {
 		return
@@ -160,20 +165,23 @@
 	}
 }
 
-// awaitQuarantines waits until a peer or the store has sent the quarantines.
+// awaitQuarantines waits until a peer or the store has sent the quarantines. A host that
+// reads tables and endpoints from the store reads them at the same time; another one leaves
+// its peers a moment to send them.
 func (fwd *Forwarder) awaitQuarantines(ctx context.Context) {
 	tic := time.NewTicker(startCheckInterval)
 	defer tic.Stop()
 	var since, nextRead time.Time
 	for !fwd.quarantine.known.Load() {
 		now := time.Now()
-		if !fwd.waitsForPeers(now) && fwd.shouldReadStore(now) && now.After(nextRead) {
-			fwd.readQuarantines(ctx)
-			nextRead = time.Now().Add(quarantineTimeout / 4)
-		}
 		if since.IsZero() && fwd.hasTablesAndEndpoints() {
 			since = now
 		}
+		peersLate := !since.IsZero() && now.Sub(since) > quarantinePeerWait
+		if now.After(nextRead) && (fwd.shouldReadStore(now) || peersLate) {
+			fwd.readQuarantines(ctx)
+			nextRead = time.Now().Add(quarantineRetry)
+		}
 		if !since.IsZero() && now.Sub(since) > quarantineWait {
 			fwd.setQuarantinesKnown("none")
 		}
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -49,9 +49,6 @@
 			Limits:             fwd.probeLimits,
 			MergeLimits:        fwd.mergeLimits,
 			Synced: func(ctx context.Context, address string) {
-				if !fwd.quarantine.known.Load() {
-					fwd.pullQuarantines(ctx, address)
-				}
 				if _, known := fwd.registry.Revision(); !known {
 					fwd.pullEndpoints(ctx, address, time.Time{})
 				}
@@ -211,6 +208,9 @@
 // at that time. Otherwise a host's records would never count as confirmed while they
 // change continuously, since each revision that peers announce is newer than the host's.
 func (fwd *Forwarder) pullEndpoints(ctx context.Context, address string, at time.Time) {
+	if !fwd.quarantine.known.Load() {
+		fwd.pullQuarantines(ctx, address)
+	}
 	have, _ := fwd.registry.Revision()
 	rep, err := fwd.multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_EndpointsPull{EndpointsPull: &messenger.EndpointsPull{HaveRevision: have}}})
 	if err != nil {
--- a/process/forwarder/watch.go
+++ b/process/forwarder/watch.go
@@ -195,7 +195,10 @@
 		}
 	}
 	tic.Stop()
+	var gro sync.WaitGroup
+	gro.Go(func() { fwd.followQuarantines(ctx) })
 	fwd.follower.Run(ctx)
+	gro.Wait()
 }
 
 // pollWatchers polls the watchers in turn for updates until ctx ends. After the host's
