Log whether a complete answer was framed

After: send ended carries Framed for complete answers, and forward_unframed_answers counts those without a length and chunks. No decision is changed.

--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -24,8 +24,9 @@
 // TimedOut or CallerDisconnected.
 type Outcome interface{ outcome() }
 
-// Whole is a complete answer that reports no failure, or a complete stream.
-type Whole struct{}
+// Whole is a complete answer that reports no failure, or a complete stream. Framed says that
+// a length or chunks mark its end; if not, it ended with its connection.
+type Whole struct{ Framed bool }
 
 // Answered is a complete answer of the endpoint that reports a failure.
 type Answered struct{ Status int }
--- a/request/relayer/log_test.go
+++ b/request/relayer/log_test.go
@@ -15,7 +15,7 @@
 		dec  Decision
 		want string
 	}{
-		{Whole{}, Deliver{}, `{"Outcome":"whole","Decision":"deliver"}`},
+		{Whole{Framed: true}, Deliver{}, `{"Outcome":"whole","Framed":true,"Decision":"deliver"}`},
 		{Answered{Status: 500}, Resend{}, `{"Outcome":"failure","Status":500,"Decision":"resend"}`},
 		{NotRun{}, Refuse{Code: "endpoint_refused"}, `{"Outcome":"not_run","Decision":"refuse","Code":"endpoint_refused"}`},
 		{Unreached{}, Resend{}, `{"Outcome":"unreached","Decision":"resend"}`},
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -389,8 +389,11 @@
 
 func (fwd *forwarding) logSend(lea Lease, out Outcome, dec Decision, now time.Time) {
 	entry := fwd.log.Info()
-	switch out.(type) {
+	switch out := out.(type) {
 	case Whole:
+		if !out.Framed {
+			fwd.Scope.Counter("forward_unframed_answers").Inc(1)
+		}
 	default:
 		entry = fwd.log.Warn()
 	}
@@ -403,6 +406,8 @@
 // event.
 func addDecision(entry *zerolog.Event, out Outcome, dec Decision) *zerolog.Event {
 	switch out := out.(type) {
+	case Whole:
+		entry.Bool("Framed", out.Framed)
 	case Answered:
 		entry.Int("Status", out.Status)
 	case Broken:
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -187,7 +187,7 @@
 	if ans.Status >= http.StatusInternalServerError {
 		return Answered{Status: ans.Status}
 	}
-	return Whole{}
+	return Whole{Framed: ans.Framed}
 }
 
 // bufferAnswer reads an answer completely, within the memory budget for bodies.
@@ -238,7 +238,7 @@
 			return fwd.sendFailure(ctx, lea, io.ErrUnexpectedEOF)
 		case errors.Is(err, io.EOF):
 			fwd.writeHead(ans)
-			return Whole{}
+			return Whole{Framed: ans.Framed}
 		case err != nil:
 			return fwd.sendFailure(ctx, lea, err)
 		}
