Reset the connection of an HTTP/1.0 caller whose stream is aborted

What callers saw: a caller that speaks HTTP/1.0, which has no chunks, gets an aborted stream that ends with a clean close, so it looks complete. Cause: aborting an answer relied on the last chunk that is missing. After: a stream whose end nothing marks has its connection set to reset on close, from its head on, until it is complete. So the end of the process in the middle of the stream is no clean close either, which no handler could ensure.

--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -107,6 +107,16 @@
 	closed atomic.Bool
 }
 
+// SetLinger sets how the connection closes, see net.TCPConn. Other connections than those of
+// TCP return an error.
+func (con *conn) SetLinger(seconds int) error {
+	tcp, ok := con.Conn.(*net.TCPConn)
+	if !ok {
+		return fmt.Errorf("conn.SetLinger: %T is no TCP connection", con.Conn)
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // Close closes the connection. Only the first call reduces the count.
 func (con *conn) Close() error {
 	if !con.closed.Swap(true) {
--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -17,6 +17,7 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/quarantiner"
 	"hemlockpin/process/registrar"
+	"hemlockpin/request/relayer"
 
 	"github.com/gorilla/mux"
 )
@@ -29,7 +30,7 @@
 	set := fwd.Settings
 	return &http.Server{
 		Handler: fwd.countCalls(fwd.relayer), ReadHeaderTimeout: min(headerTimeout, set.ReadTimeout), ReadTimeout: set.ReadTimeout,
-		IdleTimeout: set.IdleTimeout, MaxHeaderBytes: set.MaxHeader, ErrorLog: log.New(serverLog{fwd}, "", 0),
+		ConnContext: relayer.ConnContext, IdleTimeout: set.IdleTimeout, MaxHeaderBytes: set.MaxHeader, ErrorLog: log.New(serverLog{fwd}, "", 0),
 	}
 }
 
--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -70,6 +70,8 @@
 	Ran bool
 	// Events counts the events forwarded to the caller.
 	Events int
+	// Framed says that a stream to the caller has begun and that chunks will mark its end.
+	Framed bool
 }
 
 // WithSend returns the state after the call was sent.
--- a/request/relayer/finish.go
+++ b/request/relayer/finish.go
@@ -50,6 +50,9 @@
 // deliver writes a complete answer. A stream was already written as its events arrived.
 func (fwd *forwarding) deliver() {
 	if fwd.answer.status == 0 {
+		if !fwd.state.Framed {
+			fwd.endFrame()
+		}
 		return
 	}
 	fwd.copyHeader(fwd.answer.header)
--- /dev/null
+++ b/request/relayer/frame.go
@@ -0,0 +1,54 @@
+package relayer
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// connKey is the key of a caller's connection in the contexts of its calls.
+type connKey struct{}
+
+// lingerer is a connection that can be reset instead of closed, such as *net.TCPConn.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// ConnContext keeps a caller's connection in the contexts of its calls, as
+// http.Server.ConnContext.
+func ConnContext(ctx context.Context, con net.Conn) context.Context {
+	if lin, ok := con.(lingerer); ok {
+		return context.WithValue(ctx, connKey{}, lin)
+	}
+	return ctx
+}
+
+// startFrame begins a stream to the caller. It returns whether chunks mark its end, which
+// HTTP/1.0 does not have. If nothing marks it, the caller's connection is reset when it
+// closes, also when the process is killed, until endFrame is called.
+func (fwd *forwarding) startFrame() bool {
+	if fwd.htr.ProtoAtLeast(1, 1) {
+		return true
+	}
+	fwd.setLinger(0)
+	return false
+}
+
+// endFrame flushes a complete answer whose end is not marked, so that its connection can be
+// closed without a reset.
+func (fwd *forwarding) endFrame() {
+	_ = http.NewResponseController(fwd.wri).Flush()
+	fwd.setLinger(-1)
+}
+
+// setLinger sets how the caller's connection closes: 0 resets it, -1 closes it after all data
+// is sent. It returns false if the connection is not known.
+func (fwd *forwarding) setLinger(seconds int) bool {
+	lin, ok := fwd.htr.Context().Value(connKey{}).(lingerer)
+	if !ok {
+		return false
+	}
+	if err := lin.SetLinger(seconds); err != nil {
+		fwd.log.Warn().Str("Peer", fwd.htr.RemoteAddr).Int("Seconds", seconds).Err(err).Msg("setting how the caller's connection closes failed")
+		return false
+	}
+	return true
+}
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -289,5 +289,9 @@
 		return
 	}
 	fwd.copyHeader(ans.Header)
+	framed := fwd.startFrame()
+	fwd.mu.Lock()
+	fwd.state.Framed = framed
+	fwd.mu.Unlock()
 	fwd.wri.WriteHeader(ans.Status)
 }
