Forward streams without a frame as such, and never end chunks on their close

Cause: an endpoint's answer may have neither a length nor chunks and end with its connection. When such an answer broke off between two events, the host took the close for the end of the stream and sent its own last chunk, which told the caller more than the host knew. The class of fault: a relay that makes an end surer than it was. A stream whose first answer is not framed reaches the caller without chunks, with Connection: close, and ends as it ended at the host: with a close, or with a reset if it is aborted. Where the caller already has chunks, the close of an answer that is not framed is no end: the stream is resumed at another endpoint, or aborted if it can't be. Why it works: the host writes the last chunk only after it has read a marked end. A caller that sees no mark knows as much as the host did.

--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -121,6 +121,10 @@
 func Next(sta State, out Outcome, lim SendLimits) (State, Decision) {
 	switch out := out.(type) {
 	case Whole:
+		if sta.Framed && !out.Framed {
+			// The end of the caller's answer would say more than the endpoint's.
+			return sta.resendBroken(lim)
+		}
 		return sta, Deliver{}
 	case CallerDisconnected:
 		sta.Ran = true
@@ -152,16 +156,21 @@
 		sta.Sends--
 		return sta, sta.endIncomplete(http.StatusBadGateway, codeQuarantined)
 	case Broken:
-		sta.Ran = true
-		if lim.Route.AllowsResend() && sta.mayResend(lim) {
-			return sta, Resend{}
-		}
-		return sta, sta.endIncomplete(http.StatusBadGateway, "endpoint_failed")
+		return sta.resendBroken(lim)
 	default:
 		return sta, sta.endIncomplete(http.StatusBadGateway, "internal")
 	}
 }
 
+// resendBroken returns the decision after an answer without a certain end.
+func (sta State) resendBroken(lim SendLimits) (State, Decision) {
+	sta.Ran = true
+	if lim.Route.AllowsResend() && sta.mayResend(lim) {
+		return sta, Resend{}
+	}
+	return sta, sta.endIncomplete(http.StatusBadGateway, "endpoint_failed")
+}
+
 // endIncomplete returns the decision that ends a call without a complete answer. A
 // stream that has begun is aborted, since its events cannot be undone. A call that may
 // have run must not be reported as refused.
--- a/request/relayer/decide_test.go
+++ b/request/relayer/decide_test.go
@@ -23,6 +23,7 @@
 		rou.Resumable = dat.Cmd == "resumable"
 		var sta State
 		dat.MaybeScanArgs(t, "events", &sta.Events)
+		dat.MaybeScanArgs(t, "framed", &sta.Framed)
 		budget := true
 		dat.MaybeScanArgs(t, "budget", &budget)
 		var bui strings.Builder
@@ -41,6 +42,8 @@
 func outcomeNamed(t *testing.T, name string) Outcome {
 	switch name {
 	case "whole":
+		return Whole{Framed: true}
+	case "unframed":
 		return Whole{}
 	case "failure":
 		return Answered{Status: 500}
--- a/request/relayer/frame.go
+++ b/request/relayer/frame.go
@@ -13,7 +13,8 @@
 type lingerer interface{ SetLinger(seconds int) error }
 
 // ConnContext keeps a caller's connection in the contexts of its calls, as
-// http.Server.ConnContext.
+// http.Server.ConnContext. Without it, streams that end with their connection can't be
+// forwarded as such, and are aborted at their end.
 func ConnContext(ctx context.Context, con net.Conn) context.Context {
 	if lin, ok := con.(lingerer); ok {
 		return context.WithValue(ctx, connKey{}, lin)
@@ -21,14 +22,21 @@
 	return ctx
 }
 
-// startFrame begins a stream to the caller. It returns whether chunks mark its end, which
-// HTTP/1.0 does not have. If nothing marks it, the caller's connection is reset when it
-// closes, also when the process is killed, until endFrame is called.
-func (fwd *forwarding) startFrame() bool {
-	if fwd.htr.ProtoAtLeast(1, 1) {
+// startFrame begins a stream to the caller. It returns whether chunks mark its end. They don't
+// if the endpoint's answer was not framed either, and HTTP/1.0 does not have them. If nothing
+// marks the end, the caller's connection is reset when it closes, also when the process is
+// killed, until endFrame is called.
+func (fwd *forwarding) startFrame(framed bool) bool {
+	chunks := fwd.htr.ProtoAtLeast(1, 1)
+	if framed && chunks {
 		return true
 	}
-	fwd.setLinger(0)
+	if !fwd.setLinger(0) && chunks {
+		// Without a reset, the caller would take an aborted stream for complete.
+		return true
+	}
+	// net/http then sends no chunks and closes the connection.
+	fwd.wri.Header().Set("Transfer-Encoding", "identity")
 	return false
 }
 
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -289,7 +289,7 @@
 		return
 	}
 	fwd.copyHeader(ans.Header)
-	framed := fwd.startFrame()
+	framed := fwd.startFrame(ans.Framed)
 	fwd.mu.Lock()
 	fwd.state.Framed = framed
 	fwd.mu.Unlock()
