Deliver answers without a frame without a length

What callers saw: an answer of a plain service that broke off without a length reached the caller with one, so it looked complete. Cause: the same as in streams: the host adds a Content-Length to an answer that ended with its connection, which says more about its end than the host knows. After: such answers reach the caller without a length and end with the connection, which is reset if the host can't write all of it. Answers with a length or chunks have their length as before.

--- a/request/relayer/finish.go
+++ b/request/relayer/finish.go
@@ -56,9 +56,12 @@
 		return
 	}
 	fwd.copyHeader(fwd.answer.header)
-	fwd.wri.Header().Set("Content-Length", strconv.Itoa(len(fwd.answer.body)))
+	framed := fwd.startFrame(fwd.answer.framed, len(fwd.answer.body))
 	fwd.wri.WriteHeader(fwd.answer.status)
 	_, _ = fwd.wri.Write(fwd.answer.body)
+	if !framed {
+		fwd.endFrame()
+	}
 }
 
 func (fwd *forwarding) copyHeader(from http.Header) {
--- a/request/relayer/frame.go
+++ b/request/relayer/frame.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 )
 
 // connKey is the key of a caller's connection in the contexts of its calls.
@@ -22,20 +23,24 @@
 	return ctx
 }
 
-// startFrame begins a stream to the caller. It returns whether chunks mark its end. They don't
-// if the endpoint's answer was not framed either, and HTTP/1.0 does not have them. If nothing
-// marks the end, the caller's connection is reset when it closes, also when the process is
-// killed, until endFrame is called.
-func (fwd *forwarding) startFrame(framed bool) bool {
-	chunks := fwd.htr.ProtoAtLeast(1, 1)
-	if framed && chunks {
+// startFrame sets the header that tells the caller how the end of the answer is marked: by
+// its length, by chunks if length is negative, or not at all if the endpoint's answer was not
+// framed either. It returns whether the end is marked. If it is not, the caller's connection
+// is reset when it closes, also when the process is killed, until endFrame is called.
+func (fwd *forwarding) startFrame(framed bool, length int) bool {
+	stream, chunks := length < 0, fwd.htr.ProtoAtLeast(1, 1)
+	switch {
+	case framed && !stream:
+		fwd.wri.Header().Set("Content-Length", strconv.Itoa(length))
+		return true
+	case framed && chunks:
 		return true
 	}
-	if !fwd.setLinger(0) && chunks {
+	if !fwd.setLinger(0) && stream && chunks {
 		// Without a reset, the caller would take an aborted stream for complete.
 		return true
 	}
-	// net/http then sends no chunks and closes the connection.
+	// net/http then sends neither a length nor chunks and closes the connection.
 	fwd.wri.Header().Set("Transfer-Encoding", "identity")
 	return false
 }
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -129,6 +129,8 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
+	// framed says that a length or chunks marked the end of the endpoint's answer.
+	framed bool
 	body   []byte
 }
 
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -199,7 +199,7 @@
 		return err
 	}
 	fwd.releaseAnswer()
-	fwd.answer, fwd.answerBody = bufferedAnswer{ans.Status, ans.Header, buf}, bod
+	fwd.answer, fwd.answerBody = bufferedAnswer{ans.Status, ans.Header, ans.Framed, buf}, bod
 	return nil
 }
 
@@ -289,7 +289,7 @@
 		return
 	}
 	fwd.copyHeader(ans.Header)
-	framed := fwd.startFrame(ans.Framed)
+	framed := fwd.startFrame(ans.Framed, -1)
 	fwd.mu.Lock()
 	fwd.state.Framed = framed
 	fwd.mu.Unlock()
