Drop the failure of an earlier endpoint when a stream begins

What callers saw: a call that may be repeated, whose first endpoint answered 500 and whose second one streamed, got the body of the failure after the last event. Cause: the kept failure of the first endpoint was delivered at the end of the stream. After: the head of a stream takes the place of a kept failure, and its memory is released.

--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -206,7 +206,7 @@
 func (fwd *forwarding) releaseAnswer() {
 	if fwd.answerBody != nil {
 		fwd.answerBody.Release()
-		fwd.answerBody = nil
+		fwd.answer, fwd.answerBody = bufferedAnswer{}, nil
 	}
 }
 
@@ -283,11 +283,13 @@
 }
 
 // writeHead writes the head of a stream before its first event, with the headers of the
-// first endpoint that sent an event.
+// first endpoint that sent an event. The stream takes the place of an earlier endpoint's
+// failure.
 func (fwd *forwarding) writeHead(ans *exchanger.Answer) {
 	if fwd.state.Events > 0 {
 		return
 	}
+	fwd.releaseAnswer()
 	fwd.copyHeader(ans.Header)
 	framed := fwd.startFrame(ans.Framed, -1)
 	fwd.mu.Lock()
