Resume a stream only after an event with an ID, on routes that allow it

Cause: whether a call may be sent again was decided by the route alone; after the first event that is not enough. After: once events were forwarded, a call is sent again only if its route's streams can be resumed and the last event has an ID; else the stream is aborted.

--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -70,6 +70,9 @@
 	Ran bool
 	// Events counts the events forwarded to the caller.
 	Events int
+	// Numbered says that the last event forwarded had an ID, after which a stream can be
+	// resumed.
+	Numbered bool
 	// Framed says that a stream to the caller has begun and that chunks will mark its end.
 	Framed bool
 }
@@ -165,7 +168,7 @@
 // resendBroken returns the decision after an answer without a certain end.
 func (sta State) resendBroken(lim SendLimits) (State, Decision) {
 	sta.Ran = true
-	if lim.Route.AllowsResend() && sta.mayResend(lim) {
+	if sta.allowsResend(lim.Route) && sta.mayResend(lim) {
 		return sta, Resend{}
 	}
 	return sta, sta.endIncomplete(http.StatusBadGateway, "endpoint_failed")
@@ -185,6 +188,16 @@
 	}
 }
 
+// allowsResend reports whether another endpoint may run a call that an endpoint may have run.
+// Once events were forwarded, it must resume after the last one: another run from the start
+// may have other events.
+func (sta State) allowsResend(rou parser.Route) bool {
+	if sta.Events == 0 {
+		return rou.AllowsResend()
+	}
+	return rou.Resumable && sta.Numbered
+}
+
 func (sta State) mayResend(lim SendLimits) bool {
 	minLeft := max(minSendTime, time.Duration(minObjectiveShare*float64(lim.Route.FirstTarget)))
 	return sta.Sends < lim.Route.Attempts() && lim.Left >= minLeft && lim.TakeRetry()
--- a/request/relayer/decide_test.go
+++ b/request/relayer/decide_test.go
@@ -24,6 +24,8 @@
 		var sta State
 		dat.MaybeScanArgs(t, "events", &sta.Events)
 		dat.MaybeScanArgs(t, "framed", &sta.Framed)
+		sta.Numbered = sta.Events > 0
+		dat.MaybeScanArgs(t, "numbered", &sta.Numbered)
 		budget := true
 		dat.MaybeScanArgs(t, "budget", &budget)
 		var bui strings.Builder
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -276,6 +276,7 @@
 	fwd.mu.Lock()
 	defer fwd.mu.Unlock()
 	fwd.state.Events++
+	fwd.state.Numbered = eve.id != ""
 	fwd.lastEventAt = fwd.Clock()
 	if eve.id != "" {
 		fwd.lastEvent = eve.id
--- a/request/relayer/stall.go
+++ b/request/relayer/stall.go
@@ -97,7 +97,7 @@
 	fwd.mu.Lock()
 	sta := fwd.state
 	fwd.mu.Unlock()
-	return fwd.route.AllowsResend() && sta.mayResend(SendLimits{
+	return sta.allowsResend(fwd.route) && sta.mayResend(SendLimits{
 		Route: fwd.route, Left: fwd.deadline.Sub(now), TakeRetry: func() bool { return fwd.RetryBudget.Take(fwd.pool.Name, now) },
 	})
 }
