Resume a stream without a frame whose endpoint has crashed

What callers saw: when an engine crashed, its streams without a frame ended between two events with a clean close, which callers can't tell from the end of the stream. Cause: the close alone was taken as all that can be known. Why it works: a process that has ended refuses connections at once. An endpoint that ends just after its last event costs a resumed send that has no more events.

--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -43,7 +43,11 @@
 	maxRepeatedEvents = 1024
 )
 
-var errRepeatedEvents = errors.New("stream repeats events that the caller already received")
+// Faults of streams that an endpoint sends.
+var (
+	errCrashed        = errors.New("stream without a frame was closed by an endpoint that refuses connections")
+	errRepeatedEvents = errors.New("stream repeats events that the caller already received")
+)
 
 // hopHeaders are the headers that concern a single connection only.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
@@ -236,6 +240,8 @@
 		case errors.Is(err, io.EOF) && first && !ans.Framed:
 			// Nothing marks the end of such a stream, so it may as well have been broken off.
 			return fwd.sendFailure(ctx, lea, io.ErrUnexpectedEOF)
+		case errors.Is(err, io.EOF) && !ans.Framed && fwd.Exchanger.Refuses(ctx, lea.Endpoint.Address, crashCheckTimeout):
+			return fwd.sendFailure(ctx, lea, errCrashed)
 		case errors.Is(err, io.EOF):
 			fwd.writeHead(ans)
 			return Whole{Framed: ans.Framed}
