Fail calls of plain services whose reply is too large

What callers saw: a reply of a plain service over 16 MB reached the caller cut at that size, as if it were whole. Cause: the limit of what is read into memory cut the reply without an error. Found while looking for the cause elsewhere.

--- a/connection/invoker/service.go
+++ b/connection/invoker/service.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+
+	"github.com/rotisserie/eris"
 )
 
 // KeyHeader carries the idempotency key to a plain service.
@@ -24,7 +26,7 @@
 	AtMostOnce bool
 }
 
-// ServiceReply is the answer of a plain service. Body is truncated at maxReplyBytes.
+// ServiceReply is the answer of a plain service.
 type ServiceReply struct {
 	Status int
 	Header http.Header
@@ -50,7 +52,10 @@
 		return ServiceReply{}, &Error{Step: "Invoker.Call: send", Address: address, Execution: executionAfter(err), Err: err}
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = eris.Errorf("the reply exceeds %d bytes", maxReplyBytes)
+	}
 	if err != nil {
 		return ServiceReply{}, &Error{Step: "Invoker.Call: read", Address: address, Execution: Ran, Err: err}
 	}
