Deliver replies of plain services without a frame as such, and don't keep them

What callers saw: in the product's own interface, the reply of a plain service that broke off without a length reached the caller with one, and was recorded as the outcome that repeats of the call get. Found while looking for the cause elsewhere. After: such a reply ends with the caller's connection. Its outcome is recorded without the body, so a repeat gets 409 outcome_not_kept instead of what may be half a reply.

--- a/connection/invoker/service.go
+++ b/connection/invoker/service.go
@@ -31,6 +31,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Unframed says that neither a length nor chunks mark the end of the reply: it ended with
+	// its connection and may have broken off.
+	Unframed bool
 }
 
 // Call sends a call to the service at address. It returns a reply with any status
@@ -59,5 +62,6 @@
 	if err != nil {
 		return ServiceReply{}, &Error{Step: "Invoker.Call: read", Address: address, Execution: Ran, Err: err}
 	}
-	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: body}, nil
+	unframed := res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
+	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: body, Unframed: unframed}, nil
 }
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -112,12 +112,16 @@
 	hea := cal.writer.Header()
 	hea.Set("Content-Type", rep.Header.Get("Content-Type"))
 	hea.Set(responder.RunHeader, string(invoker.Ran))
+	if rep.Unframed {
+		// net/http then sends no frame either, so that the end looks no surer than it is.
+		hea.Set("Transfer-Encoding", "identity")
+	}
 	cal.writer.WriteHeader(rep.Status)
 	_, _ = cal.writer.Write(rep.Body)
 }
 
-// replay answers with a recorded outcome. An answer whose body was too large to record
-// is reported as an error, since an empty body would be wrong.
+// replay answers with a recorded outcome. An answer whose body was too large or too uncertain
+// to record is reported as an error, since an empty body would be wrong.
 func (cal *call) replay(out *messenger.Outcome) {
 	cal.writer.Header().Set("Hemlockpin-Replayed", "true")
 	if out.GetTruncated() {
--- a/request/executor/once.go
+++ b/request/executor/once.go
@@ -200,7 +200,7 @@
 
 func (cla *claimedCall) finishCommit(rep invoker.ServiceReply) *messenger.ClaimCommit {
 	out := &messenger.Outcome{Status: int32(rep.Status), ContentType: rep.Header.Get("Content-Type"), Body: rep.Body}
-	if len(out.GetBody()) > maxOutcomeBytes {
+	if rep.Unframed || len(out.GetBody()) > maxOutcomeBytes {
 		out.Body = nil
 		out.Truncated = true
 	}
