Don't quarantine a part alone that only occurs with other crashing parts

What callers saw: all prompts that share a first part were refused for ten minutes, sound ones too, where two parts crashed engines at the same time (TestCrashingPartsOutlastRestarts: 0 of the sound prompts served after the restarts). Cause: a part that occurs in the prompts of two crashing parts gets the evidence of both, so it reached the threshold first and was quarantined alone. Nothing can lift that: no prompt with the part is sent any more. After: a part that has reached the threshold is quarantined together with the parts of the same prompt that have half of it. If the prompt has another part with less that was never answered, it takes one more crash. Why it works: the quarantine then holds a part of the crashing prompts that sound ones lack.

--- a/process/quarantiner/ledger.go
+++ b/process/quarantiner/ledger.go
@@ -103,25 +103,44 @@
 		}
 	}
 	var cha Change
-	var guilty []string
+	suspects := make([]Suspect, 0, len(tri.parts))
 	for i, part := range tri.parts {
 		old := led.suspect(tri.pool, part)
 		sus := old.WithCrash(tri.seen[i], evi)
 		if sus.newer(old) && led.put(sus, now) {
 			cha.Suspects = append(cha.Suspects, sus)
 		}
-		if sus.Score >= evi.threshold() {
-			guilty = append(guilty, part)
-		}
+		suspects = append(suspects, sus)
 		led.Log.Warn().Str("Pool", tri.pool).Str("Part", part).Int("Score", sus.Score).Int("Evidence", int(evi)).Uint64("Epoch", sus.Epoch).
 			Msg("engine crashed on a prompt; the part is suspected")
 	}
-	if len(guilty) > 0 {
+	if guilty := guiltyParts(suspects, evi); len(guilty) > 0 {
 		cha.Quarantines = led.quarantine(tri.pool, guilty, now)
 	}
 	return cha
 }
 
+// guiltyParts returns which of a prompt's parts to quarantine together after a crash; nil for
+// none. A part that has the most evidence because it occurs in the prompts of several crashing
+// parts is not quarantined without them: that would refuse all sound prompts that share it. If
+// the prompt has another part that was never answered, it takes one more crash.
+func guiltyParts(suspects []Suspect, evi Evidence) []string {
+	var guilty []string
+	highest, doubtful := 0, false
+	for _, sus := range suspects {
+		highest = max(highest, sus.Score)
+		if sus.Score >= evi.threshold()/companionDivisor {
+			guilty = append(guilty, sus.Part)
+		} else if sus.Epoch == 0 {
+			doubtful = true
+		}
+	}
+	if highest < evi.threshold() || doubtful && highest < evi.threshold()+int(evi) {
+		return nil
+	}
+	return guilty
+}
+
 // quarantine adds a quarantine, or renews one that was lifted or has ended.
 func (led *Ledger) quarantine(pool string, parts []string, now time.Time) []Quarantine {
 	slices.Sort(parts)
