Read quarantines again that a starting host could not read

What callers saw: after a restart of all hosts beside a store that loses answers, prompts with a part that is quarantined in the store reached engines again and ended them, up to three more. Cause: a host that had waited 1 s for the quarantines served and counted as knowing them. So it read them no more, told peers that it had all, and pulled from no peer with the same digest. Now "may serve" and "has them" are two states.

--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -118,7 +118,10 @@
 	fwd.multiplexer = &multiplexer.Multiplexer{Handler: fwd.handlePeer, OnPanic: fwd.logPanic}
 	fwd.initGossiper()
 	fwd.quarantine.learned = make(chan struct{}, 1)
-	fwd.quarantine.known.Store(pla.Quarantines == nil)
+	fwd.quarantine.stateSince = fwd.started
+	if pla.Quarantines == nil {
+		fwd.quarantine.Advance(quarantinesComplete, fwd.started)
+	}
 	fwd.quarantine.ledger.OnChange, fwd.quarantine.ledger.Log = fwd.shareQuarantines, log
 	fwd.follower = &follower.Follower{
 		Source: pla.Source, Wait: fwd.watchWait(), ShouldRead: fwd.shouldReadStore, OnTables: fwd.applyTables, OnEndpoints: fwd.applyEndpoints, OnUnavailable: fwd.setStoreUnavailable, OnAvailable: fwd.setStoreAvailable, Log: log,
--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -83,7 +83,7 @@
 		return "the host has no tables yet"
 	case !known:
 		return "the host does not know the endpoints yet"
-	case !fwd.quarantine.known.Load():
+	case fwd.quarantine.State() == quarantinesAwaited:
 		return "the host does not know the quarantines of prompts yet"
 	default:
 		return ""
@@ -115,9 +115,12 @@
 		Peers             []gossiper.Peer
 		Endpoints         []registrar.Endpoint
 		Quarantines       []quarantiner.Quarantine
+		// QuarantinesMissing says that neither the store nor a peer has sent the quarantines yet.
+		QuarantinesMissing bool
 	}{
 		fwd.Settings.HostID, fwd.Incarnation, fwd.notReadyReason(), fwd.inFlight.Load(), !fwd.storeUnavailable.Load(), tablesRev, age.Milliseconds(),
 		endpointsRev, fwd.gossiper.Peers(), ends, fwd.quarantine.ledger.Everything(now).Quarantines,
+		fwd.quarantine.State() != quarantinesComplete,
 	}
 	wri.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(wri).Encode(out); err != nil {
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -79,9 +79,9 @@
 }
 
 // releaseWaitingCalls releases the calls that wait for a starting host, if the host has
-// tables, endpoints and the quarantines of prompts.
+// tables and endpoints, and either has the quarantines of prompts or no longer waits for them.
 func (fwd *Forwarder) releaseWaitingCalls() {
-	if fwd.hasTablesAndEndpoints() && fwd.quarantine.known.Load() {
+	if fwd.hasTablesAndEndpoints() && fwd.quarantine.State() != quarantinesAwaited {
 		fwd.readyOnce.Do(func() { close(fwd.ready) })
 	}
 }
@@ -208,7 +208,7 @@
 // at that time. Otherwise a host's records would never count as confirmed while they
 // change continuously, since each revision that peers announce is newer than the host's.
 func (fwd *Forwarder) pullEndpoints(ctx context.Context, address string, at time.Time) {
-	if !fwd.quarantine.known.Load() {
+	if fwd.quarantine.State() == quarantinesAwaited {
 		fwd.pullQuarantines(ctx, address)
 	}
 	have, _ := fwd.registry.Revision()
