Refuse or answer each call of a forwarding host that stops

Cause: a draining host accepted calls and sent them to endpoints to the last moment: calls on connections that were accepted before the listener closed and not used yet, calls whose bodies ended late, calls that had waited for an endpoint, resends. At the drain timeout it closed all connections without answers. Why it works: drainer.State.Permits decides from phase, settings, deadline and time. In the notice every call may be sent, as the balancer still chooses the host. After it only calls whose time limit ends before the drain: all others get 503 host_stopping at once, whether they arrive, wait for an endpoint, are read or would be sent again, so their callers go to another host. A stalled endpoint is then kept rather than replaced. A new phase in the last 300 ms of the timeout (a quarter of a short one) ends the contexts of calls in progress: unsent ones get 503, sent ones 504, a stream that has begun is aborted; the process ends when the connections have closed, at most 300 ms later. drainer.Gate carries the state to the calls. Connection: close is now decided when the answer is written, so calls from before the signal carry it too. A second signal ends the drain at once as before.

--- a/process/drainer/drainer.go
+++ b/process/drainer/drainer.go
@@ -2,11 +2,20 @@
 //
 // A draining host reports itself as not ready at once, but accepts new requests for a
 // notice period, in which the load balancer takes it out of rotation. Then it closes its
-// listener, and stops once its requests and background writes have ended.
+// listener, dispatches only requests that end before the drain does, and stops once its
+// requests and background writes have ended. Requests that last longer are answered shortly
+// before the process ends.
 package drainer
 
 import "time"
 
+// maxAnswerTime is the longest time at the end of a drain for the answers to requests that
+// are still in progress, and answerDivisor divides the timeout of a short drain for it.
+const (
+	maxAnswerTime = 300 * time.Millisecond
+	answerDivisor = 4
+)
+
 // Settings holds the time limits of a drain.
 type Settings struct {
 	// Notice is how long a host that reports not ready still accepts requests.
@@ -15,6 +24,12 @@
 	Timeout time.Duration
 }
 
+// answerTime returns the part of the timeout in which requests still in progress are
+// answered.
+func (set Settings) answerTime() time.Duration {
+	return min(maxAnswerTime, set.Timeout/answerDivisor)
+}
+
 // Phase is the phase of a drain.
 type Phase string
 
@@ -26,6 +41,8 @@
 	InNotice Phase = "Noticing"
 	// Closing accepts no connections and waits for the work in progress.
 	Closing Phase = "Closing"
+	// Answering ends the requests in progress with an answer of the host.
+	Answering Phase = "Answering"
 	// Ended is the phase after a drain, whether or not work was aborted.
 	Ended Phase = "Ended"
 )
@@ -36,8 +53,9 @@
 	Settings  Settings
 	Phase     Phase
 	StartedAt time.Time
-	// ClosingAt is when the phase Closing began.
-	ClosingAt time.Time
+	// ClosingAt and AnsweringAt are when the phases Closing and Answering began.
+	ClosingAt   time.Time
+	AnsweringAt time.Time
 }
 
 // Event is an input to a drain: Signal or Work.
@@ -57,7 +75,7 @@
 func (Signal) event() {}
 func (Work) event()   {}
 
-// Action is the next step of a drain: Announce, Close, End or Abort.
+// Action is the next step of a drain: Announce, Close, Answer, End or Abort.
 type Action interface{ action() }
 
 // Announce makes the readiness check fail and notifies peers that the host is leaving.
@@ -66,6 +84,9 @@
 // Close stops accepting connections.
 type Close struct{}
 
+// Answer ends the requests in progress with an answer of the host.
+type Answer struct{}
+
 // End ends the drain with no work left.
 type End struct{}
 
@@ -74,6 +95,7 @@
 
 func (Announce) action() {}
 func (Close) action()    {}
+func (Answer) action()   {}
 func (End) action()      {}
 func (Abort) action()    {}
 
@@ -95,7 +117,7 @@
 		sta.Phase = InNotice
 		sta.StartedAt = now
 		return sta, Announce{}
-	case InNotice, Closing:
+	case InNotice, Closing, Answering:
 		sta.Phase = Ended
 		return sta, Abort{Reason: "second signal"}
 	default:
@@ -114,6 +136,8 @@
 		return sta, Close{}
 	case Closing:
 		return sta.closing(eve, now)
+	case Answering:
+		return sta.answering(eve, now)
 	default:
 		return sta, nil
 	}
@@ -124,10 +148,47 @@
 	case eve.Requests == 0 && eve.Writes == 0:
 		sta.Phase = Ended
 		return sta, End{}
-	case now.Sub(sta.ClosingAt) >= sta.Settings.Timeout:
+	case !now.Before(sta.answersAt()):
+		sta.Phase = Answering
+		sta.AnsweringAt = now
+		return sta, Answer{}
+	default:
+		return sta, nil
+	}
+}
+
+// answering ends the drain once the requests are answered. The time for the answers counts
+// from their beginning, also if the host was late.
+func (sta State) answering(eve Work, now time.Time) (State, Action) {
+	if eve.Requests == 0 && eve.Writes == 0 || now.Sub(sta.AnsweringAt) >= sta.Settings.answerTime() {
 		sta.Phase = Ended
 		return sta, Abort{Reason: "drain timeout"}
+	}
+	return sta, nil
+}
+
+// answersAt returns when requests that are still in progress are answered by the host.
+func (sta State) answersAt() time.Time {
+	closingAt := sta.ClosingAt
+	if sta.Phase == InNotice {
+		closingAt = sta.StartedAt.Add(sta.Settings.Notice)
+	}
+	return closingAt.Add(sta.Settings.Timeout - sta.Settings.answerTime())
+}
+
+// Permits reports whether a request with this deadline may be sent to an endpoint. In the
+// notice period the balancer still chooses this host, so every request may. After it, a
+// request may be sent only if its deadline ends it before the drain does: another host
+// takes any other request at once, whereas this one would have to break it off.
+func (sta State) Permits(deadline, now time.Time) bool {
+	switch sta.Phase {
+	case Serving:
+		return true
+	case InNotice:
+		return now.Sub(sta.StartedAt) < sta.Settings.Notice || !deadline.After(sta.answersAt())
+	case Closing:
+		return now.Before(sta.answersAt()) && !deadline.After(sta.answersAt())
 	default:
-		return sta, nil
+		return false
 	}
 }
--- a/process/drainer/runner.go
+++ b/process/drainer/runner.go
@@ -21,6 +21,11 @@
 	Announce func()
 	// Close stops accepting connections. It must not block.
 	Close func()
+	// Answer is called when the requests that are still in progress are answered. It must
+	// not block.
+	Answer func()
+	// Gate tells the requests in progress what the drain permits; nil for none.
+	Gate *Gate
 	// Requests and Writes return the number of requests and of background writes in
 	// progress.
 	Requests func() int
@@ -34,11 +39,14 @@
 	tic := time.NewTicker(checkInterval)
 	defer tic.Stop()
 	for {
+		hos.Gate.Set(sta)
 		switch act := act.(type) {
 		case Announce:
 			hos.Announce()
 		case Close:
 			hos.Close()
+		case Answer:
+			hos.Answer()
 		case End:
 			return nil
 		case Abort:
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"hemlockpin/process/assigner"
 	"hemlockpin/process/configurer"
 	"hemlockpin/process/detector"
+	"hemlockpin/process/drainer"
 	"hemlockpin/process/follower"
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/incarnator"
@@ -79,6 +80,7 @@
 	bodyMemory       receiver.MemoryBudget
 	endpointTraffic  counter.Traffic
 	draining         atomic.Bool
+	drainGate        drainer.Gate
 	inFlight         atomic.Int64
 	pullingEndpoints atomic.Bool
 	storeUnavailable atomic.Bool
@@ -147,7 +149,7 @@
 			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.EngineClient, DataCenter: set.DataCenter, Permits: fwd.permits, Holds: &fwd.holds, OnLeaving: fwd.markLeaving, Clock: time.Now, Log: log,
 		},
 		Quarantine: &fwd.quarantine.ledger,
-		Bodies:     &fwd.bodyMemory, Ready: fwd.ready, Stale: fwd.staleSinceResume, SuspendedFor: fwd.suspendedTime, Draining: fwd.draining.Load, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
+		Bodies:     &fwd.bodyMemory, Ready: fwd.ready, Stale: fwd.staleSinceResume, SuspendedFor: fwd.suspendedTime, Drain: &fwd.drainGate, MaxBodyBytes: set.MaxBodyBytes, Clock: time.Now, Log: log, Scope: fwd.scope,
 		Tracer: otel.Tracer("hemlockpin"),
 	}
 	return fwd
--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -129,7 +129,8 @@
 }
 
 // drain reports the host as not ready, waits for the calls in progress and stops
-// serving. A second signal or the drain timeout aborts the remaining calls.
+// serving. At the drain timeout the remaining calls are answered; a second signal aborts
+// them.
 func (fwd *Forwarder) drain(callerSrv *http.Server, lis *acceptor.Listener) error {
 	furtherSignals := make(chan os.Signal, 1)
 	signal.Notify(furtherSignals, syscall.SIGTERM, syscall.SIGINT)
@@ -137,12 +138,17 @@
 	var closed atomic.Bool
 	err := drainer.Run(drainer.Host{
 		Announce: fwd.announceDrain,
+		Gate:     &fwd.drainGate,
 		Close: func() {
+			fwd.Log.Info().Int64("Calls", fwd.inFlight.Load()).Int64("Connections", lis.Open()).Msg("notice ended; host closes its listener and sends only calls that end before the drain")
 			go func() {
 				lis.Drain(callerSrv)
 				closed.Store(true)
 			}()
 		},
+		Answer: func() {
+			fwd.Log.Warn().Int64("Calls", fwd.inFlight.Load()).Int64("Connections", lis.Open()).Msg("drain time is over; host answers the calls that are still in progress")
+		},
 		Requests: func() int {
 			// Until the listener is drained, a connection may hold a call that has not
 			// reached its handler, so at least one call counts as in progress.
--- a/process/server/drain.go
+++ b/process/server/drain.go
@@ -46,6 +46,9 @@
 				closed.Store(true)
 			}()
 		},
+		Answer: func() {
+			ser.Log.Warn().Int64("Requests", ser.inFlight.Load()).Msg("drain time is over; requests in progress are aborted")
+		},
 		Requests: func() int {
 			// Until the listener is drained, a connection may hold a request that has not
 			// reached its handler, so at least one request counts as in progress.
--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -18,10 +18,12 @@
 	// codeQuarantined is the code of calls that are refused because engines crash on parts
 	// of their prompts.
 	codeQuarantined = "prompt_quarantined"
+	// codeStopping is the code of calls that the host ends because it stops.
+	codeStopping = "host_stopping"
 )
 
 // Outcome is the result of a send: Whole, Answered, NotRun, Unreached, Quarantined, Broken,
-// TimedOut or CallerDisconnected.
+// TimedOut, Stopping or CallerDisconnected.
 type Outcome interface{ outcome() }
 
 // Whole is a complete answer that reports no failure, or a complete stream. Framed says that
@@ -48,6 +50,10 @@
 // had been sent to an endpoint by then.
 type TimedOut struct{ Sent bool }
 
+// Stopping says that the host stops before the call has ended. Sent says whether the call
+// had been sent to an endpoint by then.
+type Stopping struct{ Sent bool }
+
 // CallerDisconnected says that the caller has closed its connection.
 type CallerDisconnected struct{}
 
@@ -58,6 +64,7 @@
 func (Quarantined) outcome()        {}
 func (Broken) outcome()             {}
 func (TimedOut) outcome()           {}
+func (Stopping) outcome()           {}
 func (CallerDisconnected) outcome() {}
 
 // State is the history of a call. It is an immutable value.
@@ -135,6 +142,9 @@
 	case TimedOut:
 		sta.Ran = sta.Ran || out.Sent
 		return sta, sta.endIncomplete(http.StatusGatewayTimeout, "time_limit")
+	case Stopping:
+		sta.Ran = sta.Ran || out.Sent
+		return sta, sta.endIncomplete(http.StatusGatewayTimeout, codeStopping)
 	case Answered:
 		sta.Ran = true
 		if lim.Route.Repeatable && out.Status >= http.StatusInternalServerError && sta.mayResend(lim) {
--- a/request/relayer/decide_test.go
+++ b/request/relayer/decide_test.go
@@ -63,6 +63,10 @@
 		return TimedOut{Sent: true}
 	case "time-unsent":
 		return TimedOut{}
+	case "stopping-sent":
+		return Stopping{Sent: true}
+	case "stopping-unsent":
+		return Stopping{}
 	case "gone":
 		return CallerDisconnected{}
 	}
--- a/request/relayer/finish.go
+++ b/request/relayer/finish.go
@@ -70,6 +70,7 @@
 	for name, vals := range hea {
 		fwd.wri.Header()[name] = vals
 	}
+	fwd.closeIfDraining()
 }
 
 // writeError answers the call with an error of the host itself.
@@ -78,6 +79,7 @@
 		Dur("AfterMs", fwd.Clock().Sub(fwd.arrived)).Msg("call answered by the host")
 	fwd.Scope.Tagged(map[string]string{"code": ans.code}).Counter("forward_rejections").Inc(1)
 	fwd.Codec.HostAnswer(fwd.wri.Header(), fwd.call.ID, ans.retryAfter)
+	fwd.closeIfDraining()
 	body, _ := json.Marshal(struct{ Code, Message string }{ans.code, ans.message})
 	fwd.wri.Header().Set("Content-Type", "application/json")
 	fwd.wri.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/request/relayer/log_test.go
+++ b/request/relayer/log_test.go
@@ -21,6 +21,7 @@
 		{Unreached{}, Resend{}, `{"Outcome":"unreached","Decision":"resend"}`},
 		{Broken{Cause: "reading the answer"}, Fail{Status: 502, Code: "endpoint_failed"}, `{"Outcome":"broken","Step":"reading the answer","Decision":"fail","Code":"endpoint_failed"}`},
 		{TimedOut{Sent: true}, Cut{Code: "time_limit"}, `{"Outcome":"time_limit","Sent":true,"Decision":"cut","Code":"time_limit"}`},
+		{Stopping{}, Refuse{Code: "host_stopping"}, `{"Outcome":"host_stopping","Sent":false,"Decision":"refuse","Code":"host_stopping"}`},
 		{CallerDisconnected{}, Cut{Code: "caller_gone"}, `{"Outcome":"caller_gone","Decision":"cut","Code":"caller_gone"}`},
 	}
 	for _, tt := range tests {
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hemlockpin/connection/exchanger"
+	"hemlockpin/process/drainer"
 	"hemlockpin/process/quarantiner"
 	"hemlockpin/request/receiver"
 	"hemlockpin/version/matcher"
@@ -77,8 +78,9 @@
 	// never is.
 	Stale        func(now time.Time) bool
 	SuspendedFor func(now time.Time) time.Duration
-	// Draining reports whether callers are asked to close their connections.
-	Draining func() bool
+	// Drain tells what the host's drain permits, and whether callers are asked to close
+	// their connections; nil for a host that never drains.
+	Drain *drainer.Gate
 	// MaxBodyBytes bounds the body of a call if the tables set no limit.
 	MaxBodyBytes int64
 	Clock        func() time.Time
@@ -140,9 +142,8 @@
 	fwd.suspendedBefore = fwd.suspendedSince(fwd.arrived)
 	ctx, spa := rel.Tracer.Start(htr.Context(), "forward", trace.WithSpanKind(trace.SpanKindServer))
 	defer spa.End()
-	if rel.Draining() {
-		wri.Header().Set("Connection", "close")
-	}
+	ctx, stop := rel.Drain.UntilAnswering(ctx)
+	defer stop()
 	if ans := fwd.accept(); ans != nil {
 		fwd.writeError(ans)
 		return
@@ -185,14 +186,14 @@
 	if !ok {
 		return &errorAnswer{status: http.StatusServiceUnavailable, code: "no_pool", message: "the route's pool is not known", retryAfter: startRetryAfter}
 	}
-	if ans := fwd.readBody(mat.Tables().Caller); ans != nil {
-		return ans
-	}
 	timeout := defaultTimeLimit
 	if fwd.call.TimeLeft > 0 {
 		timeout = fwd.call.TimeLeft
 	}
 	fwd.deadline = fwd.arrived.Add(min(timeout, time.Duration(rou.TimeLimit)))
+	if ans := fwd.readBodyUnlessStopping(mat.Tables().Caller); ans != nil {
+		return ans
+	}
 	fwd.lastEvent = fwd.call.LastEvent
 	fwd.log.Info().Str("Route", rou.Name).Str("Pool", fwd.pool.Name).Str("Team", fwd.team.Name).Uint64("TablesRevision", mat.Revision()).
 		Int64("PromptTokens", fwd.call.PromptTokens).Strs("SharedParts", fwd.call.SharedParts).Dur("LeftMs", fwd.deadline.Sub(fwd.arrived)).Msg("call accepted")
@@ -289,6 +290,10 @@
 			fwd.finish(fwd.state.endIncomplete(http.StatusBadGateway, codeQuarantined), left)
 			return
 		}
+		if fwd.replacement == nil && !fwd.maySend(fwd.Clock()) {
+			fwd.finishStopping()
+			return
+		}
 		lea, err := fwd.nextLease(ctx)
 		if err != nil {
 			fwd.finishUnplaced(ctx, err)
@@ -301,7 +306,7 @@
 		var dec Decision
 		// The retry for a replacement was taken before its placement.
 		fwd.state, dec = Next(fwd.state, out, SendLimits{
-			Route: fwd.route, Left: fwd.deadline.Sub(now), TakeRetry: func() bool { return fwd.replacement != nil || fwd.RetryBudget.Take(fwd.pool.Name, now) },
+			Route: fwd.route, Left: fwd.deadline.Sub(now), TakeRetry: func() bool { return fwd.replacement != nil || fwd.takeFromBudget(now) },
 		})
 		fwd.logSend(lea, out, dec, now)
 		if _, again := dec.(Resend); !again {
@@ -334,6 +339,8 @@
 func (fwd *forwarding) place(ctx context.Context, excluded []string) (Lease, error) {
 	ctx, spa := fwd.Tracer.Start(ctx, "placement")
 	defer spa.End()
+	ctx, stop := fwd.untilRefusal(ctx)
+	defer stop()
 	priority := fwd.route.Priority
 	if fwd.team.Priority != nil {
 		priority = *fwd.team.Priority
@@ -362,6 +369,10 @@
 // finishUnplaced ends a call for which no endpoint was available, or whose time limit
 // passed or caller disconnected during placement.
 func (fwd *forwarding) finishUnplaced(ctx context.Context, err error) {
+	if ctx.Err() == nil && !fwd.maySend(fwd.Clock()) {
+		fwd.finishStopping()
+		return
+	}
 	if ctx.Err() != nil {
 		_, dec := Next(fwd.state, fwd.endOutcome(ctx, false), SendLimits{Route: fwd.route})
 		fwd.finish(dec, 0)
@@ -383,10 +394,14 @@
 
 // endOutcome returns the outcome of a call whose context has ended.
 func (fwd *forwarding) endOutcome(ctx context.Context, sent bool) Outcome {
-	if errors.Is(context.Cause(ctx), errTimeLimit) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errTimeLimit):
 		return TimedOut{Sent: sent}
+	case errors.Is(cause, drainer.ErrStopping):
+		return Stopping{Sent: sent}
+	default:
+		return CallerDisconnected{}
 	}
-	return CallerDisconnected{}
 }
 
 func (fwd *forwarding) logSend(lea Lease, out Outcome, dec Decision, now time.Time) {
@@ -416,6 +431,8 @@
 		entry.Str("Step", out.Cause)
 	case TimedOut:
 		entry.Bool("Sent", out.Sent)
+	case Stopping:
+		entry.Bool("Sent", out.Sent)
 	}
 	entry.Str("Decision", decisionLabel(dec))
 	switch dec := dec.(type) {
@@ -446,6 +463,8 @@
 		return "broken"
 	case TimedOut:
 		return "time_limit"
+	case Stopping:
+		return "host_stopping"
 	default:
 		return "caller_gone"
 	}
--- a/request/relayer/stall.go
+++ b/request/relayer/stall.go
@@ -66,7 +66,7 @@
 	}
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	if watch.stopped || watch.events != events {
+	if watch.stopped || watch.events != events || !fwd.maySend(fwd.Clock()) {
 		lea.Release()
 		return
 	}
@@ -98,6 +98,6 @@
 	sta := fwd.state
 	fwd.mu.Unlock()
 	return sta.allowsResend(fwd.route) && sta.mayResend(SendLimits{
-		Route: fwd.route, Left: fwd.deadline.Sub(now), TakeRetry: func() bool { return fwd.RetryBudget.Take(fwd.pool.Name, now) },
+		Route: fwd.route, Left: fwd.deadline.Sub(now), TakeRetry: func() bool { return fwd.takeFromBudget(now) },
 	})
 }
