Don't send a call whose endpoint is found when the notice has ended

A call whose endpoint was found at the moment at which the notice of a drain ended was sent, although it might outlast the host. Cause: the wait for an endpoint ends when the call may no longer be sent, but an endpoint that was found first was used without a look at the time. Evidence: TestStopRefusesPlacedCall ends the notice during the placement. Before: 200, the call was sent. After: 503 host_stopping, and the endpoint got nothing. Why it works: place, through which first sends, resends and replacements of stalled endpoints go, gives the endpoint back if the drain no longer permits the send.

--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -353,7 +353,12 @@
 		Deadline: fwd.deadline, Excluded: excluded, Sends: fwd.state.Sends,
 	}
 	fwd.mu.Unlock()
-	return fwd.Placer.Place(ctx, req)
+	lea, err := fwd.Placer.Place(ctx, req)
+	if err == nil && !fwd.maySend(fwd.Clock()) {
+		lea.Release()
+		return Lease{}, drainer.ErrStopping
+	}
+	return lea, err
 }
 
 // waitingSince returns the time from which the caller waits for the next event. For a
--- a/request/relayer/stall.go
+++ b/request/relayer/stall.go
@@ -66,7 +66,7 @@
 	}
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	if watch.stopped || watch.events != events || !fwd.maySend(fwd.Clock()) {
+	if watch.stopped || watch.events != events {
 		lea.Release()
 		return
 	}
