Refuse or answer each request of a scheduling host that stops

Why it works: the executor asks the drain's gate where it resolves the route, before and after each placement, and ends a wait for an endpoint or the read of a body with the refusal. In the phase Answering the end of the drain takes the path of a time limit that has passed, which tells already what may have run, under the code host_stopping.

--- a/process/server/drain.go
+++ b/process/server/drain.go
@@ -32,7 +32,8 @@
 }
 
 // drain reports the host as not ready, waits for the requests in progress and stops
-// serving. A second signal or the drain timeout aborts the remaining requests.
+// serving. At the drain timeout the remaining requests are answered; a second signal aborts
+// them.
 func (ser *Server) drain(callerSrv *http.Server, lis *acceptor.Listener) error {
 	furtherSignals := make(chan os.Signal, 1)
 	signal.Notify(furtherSignals, syscall.SIGTERM, syscall.SIGINT)
@@ -40,6 +41,7 @@
 	var closed atomic.Bool
 	err := drainer.Run(drainer.Host{
 		Announce: ser.announceDrain,
+		Gate:     &ser.drainGate,
 		Close: func() {
 			go func() {
 				lis.Drain(callerSrv)
@@ -47,7 +49,7 @@
 			}()
 		},
 		Answer: func() {
-			ser.Log.Warn().Int64("Requests", ser.inFlight.Load()).Msg("drain time is over; requests in progress are aborted")
+			ser.Log.Warn().Int64("Requests", ser.inFlight.Load()).Msg("drain time is over; host answers the requests that are still in progress")
 		},
 		Requests: func() int {
 			// Until the listener is drained, a connection may hold a request that has not
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -18,6 +18,7 @@
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/allocator"
 	"hemlockpin/process/configurer"
+	"hemlockpin/process/drainer"
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/incarnator"
 	"hemlockpin/process/journaler"
@@ -70,6 +71,7 @@
 	limitExchanger   *limiter.Exchanger
 	peerRetryBudgets budgeter.Peers
 	draining         atomic.Bool
+	drainGate        drainer.Gate
 	inFlight         atomic.Int64
 	started          time.Time
 
@@ -108,7 +110,7 @@
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: tracedClaims{ser.journal}, Clock: time.Now, Scope: ser.scope,
 		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
-		Allocator: tracedAllocator{ser.allocator},
+		Allocator: tracedAllocator{ser.allocator}, Drain: &ser.drainGate,
 	}
 	ser.reclaimer = ser.newReclaimer(own)
 	return ser
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -41,11 +41,17 @@
 		responder.WriteProblem(wri, unclaimedRefusal(problemOf(err), htr.Header))
 		return
 	}
-	body, err := receiver.ReadBody(htr.Body, exe.MaxBodyBytes)
+	var body []byte
+	err = exe.readWhole(wri, func() (err error) {
+		body, err = receiver.ReadBody(htr.Body, exe.MaxBodyBytes)
+		return err
+	})
 	if err != nil {
 		responder.WriteProblem(wri, unclaimedRefusal(problemOf(err), htr.Header))
 		return
 	}
+	ctx, stop := exe.Drain.UntilAnswering(ctx)
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	cal := &call{request: req, service: invoker.ServiceCall{
@@ -122,15 +128,16 @@
 
 // replay answers with a recorded outcome. An answer whose body was too large or too uncertain
 // to record is reported as an error, since an empty body would be wrong.
-func (cal *call) replay(out *messenger.Outcome) {
+func (exe *Executor) replay(cal *call, out *messenger.Outcome) {
 	cal.writer.Header().Set("Hemlockpin-Replayed", "true")
 	if out.GetTruncated() {
-		cal.fail(claimer.Fail{Status: http.StatusConflict, Code: "outcome_not_kept", Message: "the call ran; its answer was not kept", Ran: invoker.Ran})
+		exe.fail(cal, claimer.Fail{Status: http.StatusConflict, Code: "outcome_not_kept", Message: "the call ran; its answer was not kept", Ran: invoker.Ran})
 		return
 	}
 	cal.write(invoker.ServiceReply{Status: int(out.GetStatus()), Header: http.Header{"Content-Type": {out.GetContentType()}}, Body: out.GetBody()})
 }
 
-func (cal *call) fail(fai claimer.Fail) {
-	responder.WriteProblem(cal.writer, responder.Problem{Status: fai.Status, Code: fai.Code, Message: fai.Message, Execution: fai.Ran, RetryAfter: fai.RetryAfter})
+func (exe *Executor) fail(cal *call, fai claimer.Fail) {
+	pro := responder.Problem{Status: fai.Status, Code: fai.Code, Message: fai.Message, Execution: fai.Ran, RetryAfter: fai.RetryAfter}
+	responder.WriteProblem(cal.writer, exe.withStop(pro, cal.deadline))
 }
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -11,6 +11,7 @@
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
+	"hemlockpin/process/drainer"
 	"hemlockpin/request/budgeter"
 	"hemlockpin/request/hedger"
 	"hemlockpin/request/placer"
@@ -25,6 +26,9 @@
 	"go.opentelemetry.io/otel/trace"
 )
 
+// codeTimeLimit is the code of requests that end at their time limit.
+const codeTimeLimit = "time_limit"
+
 // Lease is the right to use an endpoint, or a group of engines, for a request.
 type Lease struct {
 	Endpoint string
@@ -104,6 +108,8 @@
 	Tracer    trace.Tracer
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// Drain tells what the host's drain permits; nil for a host that never drains.
+	Drain *drainer.Gate
 	// RetryBudget limits the dispatches after the first dispatch of each request.
 	RetryBudget budgeter.Budget
 
@@ -196,6 +202,9 @@
 	req.route = rou
 	req.pool = poo
 	req.deadline = deadline
+	if !exe.mayDispatch(deadline) {
+		return stopRefusal()
+	}
 	return nil
 }
 
@@ -224,7 +233,7 @@
 		return http.StatusTooManyRequests
 	case "prompt_too_large":
 		return http.StatusRequestEntityTooLarge
-	case "time_limit":
+	case codeTimeLimit:
 		return http.StatusGatewayTimeout
 	case "endpoint_refused", "endpoint_failed":
 		return http.StatusBadGateway
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -50,7 +50,11 @@
 		responder.WriteProblem(wri, problemOf(err))
 		return
 	}
-	pro, err := receiver.ParsePrompt(htr.Body, exe.MaxBodyBytes, chat)
+	var pro receiver.Prompt
+	err = exe.readWhole(wri, func() (err error) {
+		pro, err = receiver.ParsePrompt(htr.Body, exe.MaxBodyBytes, chat)
+		return err
+	})
 	if len(pro.Ignored) > 0 {
 		wri.Header().Set(responder.IgnoredHeader, strings.Join(pro.Ignored, ", "))
 	}
@@ -61,6 +65,8 @@
 		responder.WriteProblem(wri, problemOf(err))
 		return
 	}
+	ctx, stop := exe.Drain.UntilAnswering(ctx)
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	gen := &generation{
@@ -137,7 +143,8 @@
 		pause(ctx, act.After)
 		return false
 	case attempter.Fail:
-		gen.answer.Fail(responder.Problem{Status: StatusOf(act.Code), Code: act.Code, Message: act.Message, Execution: act.Ran, RetryAfter: act.RetryAfter}, exe.Clock())
+		pro := responder.Problem{Status: StatusOf(act.Code), Code: act.Code, Message: act.Message, Execution: act.Ran, RetryAfter: act.RetryAfter}
+		gen.answer.Fail(exe.withStop(pro, gen.deadline), exe.Clock())
 	}
 	exe.endDispatch(ctx, gen)
 	return true
@@ -165,7 +172,7 @@
 // It returns nil when the answer is complete, or else the event to decide on.
 func (exe *Executor) step(ctx context.Context, gen *generation) attempter.Event {
 	if gen.lease == nil {
-		lea, err := exe.Allocator.Acquire(ctx, gen.placement(), gen.pool)
+		lea, err := exe.acquire(ctx, gen.placement(), gen.pool)
 		if err != nil {
 			return refusedEvent(ctx, err)
 		}
--- a/request/executor/once.go
+++ b/request/executor/once.go
@@ -54,7 +54,7 @@
 		supplied, fai := claimer.ParseKey(cal.service.Key, keyTimeText, cal.arrived, keySkew)
 		if fai != nil {
 			release()
-			cal.fail(*fai)
+			exe.fail(cal, *fai)
 			return
 		}
 		key = supplied
@@ -71,12 +71,14 @@
 		defer release()
 		cla.run(context.WithoutCancel(ctx))
 	}()
-	cal.answer(cla.await())
+	exe.answer(cal, cla.await(ctx))
 }
 
-// await returns the final action of the call, or at the time limit the answer for its
-// current phase.
-func (cla *claimedCall) await() claimer.Action {
+// await returns the final action of the call, or the answer for its current phase at the
+// time limit or when the host answers what is left at the end of its drain.
+func (cla *claimedCall) await(ctx context.Context) claimer.Action {
+	stopping, stop := cla.executor.Drain.UntilAnswering(context.WithoutCancel(ctx))
+	defer stop()
 	now := cla.executor.Clock()
 	left := cla.deadline.Sub(now)
 	timer := time.NewTimer(left - min(left/answerMarginDivisor, maxAnswerMargin))
@@ -85,6 +87,7 @@
 	case act := <-cla.end:
 		return act
 	case <-timer.C:
+	case <-stopping.Done():
 	}
 	act := cla.next(claimer.Expired{})
 	switch act := act.(type) {
@@ -153,7 +156,7 @@
 	defer stop()
 	req := cla.placement()
 	req.Excluded = cla.excluded()
-	lea, err := cla.executor.Allocator.Acquire(ctx, req, cla.pool)
+	lea, err := cla.executor.acquire(ctx, req, cla.pool)
 	if err != nil {
 		return lea, claimer.Refused{Message: err.Error()}
 	}
@@ -217,13 +220,13 @@
 }
 
 // answer writes the final answer of a claimed call.
-func (cal *call) answer(act claimer.Action) {
+func (exe *Executor) answer(cal *call, act claimer.Action) {
 	switch act := act.(type) {
 	case claimer.Record:
 		cal.write(act.Reply)
 	case claimer.Replay:
-		cal.replay(act.Outcome)
+		exe.replay(cal, act.Outcome)
 	case claimer.Fail:
-		cal.fail(act)
+		exe.fail(cal, act)
 	}
 }
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockpin/connection/invoker"
+	"hemlockpin/process/drainer"
 	"hemlockpin/request/assembler"
 	"hemlockpin/request/attempter"
 	"hemlockpin/request/responder"
@@ -191,9 +192,10 @@
 	return attempter.Refused{Code: "internal", Message: err.Error()}
 }
 
-// contextEvent distinguishes a caller that disconnected from a time limit that passed.
+// contextEvent distinguishes a caller that disconnected from a time limit that passed or a
+// host that stops.
 func contextEvent(ctx context.Context) attempter.Event {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), drainer.ErrStopping) {
 		return attempter.Gone{}
 	}
 	return attempter.Expired{}
--- a/request/executor/repeat.go
+++ b/request/executor/repeat.go
@@ -57,7 +57,7 @@
 			rep.write(rep.reply)
 			return
 		case hedger.Fail:
-			rep.writeFailure(act)
+			exe.writeFailure(rep, act)
 			return
 		}
 	}
@@ -100,7 +100,7 @@
 func (exe *Executor) dispatchRepeatable(ctx context.Context, rep *repeatableCall, hedge bool) hedger.Event {
 	req := rep.placement()
 	req.Excluded = rep.state.Excluded
-	lea, err := exe.Allocator.Acquire(ctx, req, rep.pool)
+	lea, err := exe.acquire(ctx, req, rep.pool)
 	if err != nil {
 		if hedge {
 			exe.RetryBudget.Return()
@@ -146,13 +146,13 @@
 	return hedger.Failed{Ran: fai.Ran}
 }
 
-func (rep *repeatableCall) writeFailure(fai hedger.Fail) {
+func (exe *Executor) writeFailure(rep *repeatableCall, fai hedger.Fail) {
 	pro := responder.Problem{Status: StatusOf(fai.Code), Code: fai.Code, Message: fai.Message, Execution: fai.Ran}
 	if rep.problem.Code == fai.Code {
 		pro = rep.problem
 		pro.Execution = fai.Ran
 	}
-	responder.WriteProblem(rep.writer, pro)
+	responder.WriteProblem(rep.writer, exe.withStop(pro, rep.deadline))
 }
 
 // latenciesOf returns the recent latencies of the calls of a pool.
