Keep the other entries when one entry of the store can't be read

Cause: the reply was decoded as a whole. encoding/json rejects all of it if one item nests over 10,000 levels deep or is no JSON. Of the same class: a page that said hasMore without a name to continue from was read again and again into an ever longer list, and a reply without storeRevision made the follower list again at once, both without a pause; changes that together exceed the limit of a reply were asked for again and again; an entry whose revision can't be read counted as revision 0, so that the server that it names stayed in use, and one whose revision is ahead of the store's hid all later ones; a configuration that can't be decoded hid a later one in the same reply until the store dropped its history; and a name of a megabyte or of no text became an endpoint, which is sent to all peers.

Now the reply is split into its items, and each is decoded by itself. Where that fails, name and revision are read separately, the entry counts as removed, and it is returned as odd; the host logs it once for each change (warn, name, revision, problem) and counts it in odd_entries. A reply of which it can't be known how to go on is an error, after which the follower pauses. Too many changes lead to a list, which has pages.

Not covered: an item whose brackets or strings don't end makes the reply unreadable as before.

--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -41,11 +41,22 @@
 // that everything has to be read again.
 var ErrCompacted = eris.New("follower: store has compacted the history after this revision")
 
+// OddEntry is an entry of the store that can't be used, such as one of another writer.
+type OddEntry struct {
+	// Name is empty if it can't be read.
+	Name string
+	// Revision is the store's revision of the entry's last change, or 0 if it can't be read.
+	Revision uint64
+	Problem  string
+}
+
 // Tables is the result of one read of the tables.
 type Tables struct {
 	// Found is false if the store holds no tables, or no newer ones.
 	Found  bool
 	Tables parser.Tables
+	// Odd are the entries that have been left out.
+	Odd []OddEntry
 	// Revision is the store's revision at the read.
 	Revision uint64
 }
@@ -56,6 +67,9 @@
 	// those that have changed.
 	Complete  bool
 	Endpoints []registrar.Endpoint
+	// Odd are the entries that name no endpoint to use. Those that have names that endpoints
+	// can have are among Endpoints, too, marked as Gone.
+	Odd []OddEntry
 	// Revision is the store's revision at the read.
 	Revision uint64
 }
@@ -144,7 +158,7 @@
 			bac.Reset()
 			continue
 		case eris.Is(err, ErrCompacted):
-			fol.Log.Info().Str("What", kind).Uint64("Revision", rev).Msg("store compacted its history; reading everything again")
+			fol.Log.Info().Str("What", kind).Uint64("Revision", rev).Err(err).Msg("store can't send the changes after this revision; reading everything again")
 			rev = 0
 			continue
 		case ctx.Err() != nil:
--- /dev/null
+++ b/process/forwarder/odd.go
@@ -0,0 +1,48 @@
+package forwarder
+
+import (
+	"sync"
+
+	"hemlockpin/process/follower"
+)
+
+// maxOddKeys bounds the odd entries that are remembered, so that each is logged once. When
+// it is reached, all are forgotten.
+const maxOddKeys = 4096
+
+// oddKey identifies what is wrong with an entry. What is the kind of entry; the name may be
+// unknown.
+type oddKey struct{ what, name, problem string }
+
+// oddLog remembers the odd entries that have been logged, by their revisions. Its zero value
+// is ready to use.
+type oddLog struct {
+	mu        sync.Mutex
+	revisions map[oddKey]uint64
+}
+
+// add remembers an odd entry. It returns false if that is known.
+func (log *oddLog) add(key oddKey, revision uint64) bool {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if old, ok := log.revisions[key]; ok && old == revision {
+		return false
+	}
+	if log.revisions == nil || len(log.revisions) >= maxOddKeys {
+		log.revisions = map[oddKey]uint64{}
+	}
+	log.revisions[key] = revision
+	return true
+}
+
+// reportOdd logs and counts the odd entries that are new or have changed.
+func (fwd *Forwarder) reportOdd(what string, odd []follower.OddEntry) {
+	for _, ent := range odd {
+		if !fwd.odd.add(oddKey{what, ent.Name, ent.Problem}, ent.Revision) {
+			continue
+		}
+		fwd.scope.Tagged(map[string]string{"what": what}).Counter("odd_entries").Inc(1)
+		fwd.Log.Warn().Str("What", what).Str("Name", ent.Name).Uint64("Revision", ent.Revision).Str("Problem", ent.Problem).
+			Msg("odd entry in the store; leaving it out, the others hold")
+	}
+}
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -89,6 +89,7 @@
 // applyTables applies tables read from the store, which held nothing newer at the
 // given time.
 func (fwd *Forwarder) applyTables(result follower.Tables, at time.Time) {
+	fwd.reportOdd("tables", result.Odd)
 	if !result.Found {
 		fwd.publisher.ConfirmRevision(fwd.publisher.Current().Revision(), at)
 		return
@@ -106,6 +107,7 @@
 // applyEndpoints applies endpoints read from the store, which held nothing newer at
 // the given time.
 func (fwd *Forwarder) applyEndpoints(result follower.Endpoints, at time.Time) {
+	fwd.reportOdd("endpoints", result.Odd)
 	var changed []registrar.Endpoint
 	if result.Complete {
 		changed = fwd.registry.MergeComplete(result.Endpoints, result.Revision, time.Now())
