Keep odd rates of peers out of the limits of endpoints

A record of a peer with an infinite rate stopped all calls to its endpoint: the bucket of a limit multiplies the rate by the time since it was last filled, and at a time of 0 the product is no number, after which the bucket never allows a call again. A record with the greatest sequence was never superseded by later limits of the endpoint.

Such records are left out now, the others are kept, and a bucket bounds the rate.

Tests: go test ./process/throttler -run TestOdd; TestOddRates and two kinds of TestOddRecords failed on, pass now.

--- a/process/throttler/bucket.go
+++ b/process/throttler/bucket.go
@@ -1,6 +1,9 @@
 package throttler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxTokens is the number of calls that may follow each other at once.
@@ -8,6 +11,8 @@
 	// minRate is the rate in calls per second at which an endpoint with a lower limit still
 	// gets calls, since only an answer shows that its limit has been lifted.
 	minRate = 0.2
+	// maxRate bounds rates in calls per second, so that a time of 0 adds no calls.
+	maxRate = 1e9
 )
 
 // Bucket counts the calls that a limit allows. It is an immutable value; the zero value
@@ -23,7 +28,7 @@
 		return Bucket{at: now}
 	}
 	elapsed := max(0, now.Sub(buc.at).Seconds())
-	return Bucket{tokens: min(maxTokens, buc.tokens+elapsed*max(minRate, rate)), at: now}
+	return Bucket{tokens: min(maxTokens, buc.tokens+elapsed*boundRate(rate)), at: now}
 }
 
 // Allows reports whether the bucket allows a call.
@@ -37,5 +42,13 @@
 
 // Wait returns the time until the bucket allows a call.
 func (buc Bucket) Wait(rate float64) time.Duration {
-	return time.Duration(max(0, 1-buc.tokens) / max(minRate, rate) * float64(time.Second))
+	return time.Duration(max(0, 1-buc.tokens) / boundRate(rate) * float64(time.Second))
+}
+
+// boundRate keeps a rate within minRate and maxRate. No number counts as minRate.
+func boundRate(rate float64) float64 {
+	if math.IsNaN(rate) {
+		return minRate
+	}
+	return min(maxRate, max(minRate, rate))
 }
--- a/process/throttler/message.go
+++ b/process/throttler/message.go
@@ -6,6 +6,9 @@
 	"hemlockpin/connection/messenger"
 )
 
+// maxSequence bounds the sequences of peers' records, since later limits need greater ones.
+const maxSequence = 1 << 62
+
 // Message converts a limit to the record for a peer.
 func Message(lim Limit) *messenger.LimitRecord {
 	return &messenger.LimitRecord{Endpoint: lim.Endpoint, Sequence: lim.Sequence, Rate: lim.Rate, Lifted: lim.Lifted}
@@ -25,7 +28,7 @@
 	var out []Limit
 	for _, rec := range recs {
 		rate := rec.GetRate()
-		if rec.GetEndpoint() == "" || math.IsNaN(rate) || rate < 0 {
+		if rec.GetEndpoint() == "" || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 || rec.GetSequence() > maxSequence {
 			continue
 		}
 		out = append(out, Limit{Endpoint: rec.GetEndpoint(), Sequence: rec.GetSequence(), Rate: rate, Lifted: rec.GetLifted()})
