Bound the values of engines, peers and tables that a plan uses

One odd value could stop a plan: the model of an engine works off passes until it has caught up with the time. A pass whose length exceeds time.Duration has, by the processor, a length of 292 years, so that the engine counts as busy until then (arm64), or a negative one, which Go leaves open as well; the model then never catches up, and as Next holds the plan's lock, the planner of the pool hangs and so do its hosts' calls. A pass that is no number did that on arm64, too. Such values can come from an engine's report (pace, running), from a peer's message (tokens, age, memory), from a caller's headers and from the tables.

Now lengths, times and parameters are bounded where they enter, and an odd report counts as missed; it is logged once (warn) and counted in odd_reports.

Tests: go test ./process/planner -run TestOdd. The negative length on other processors follows from the language and was not run.

--- a/process/planner/cost.go
+++ b/process/planner/cost.go
@@ -10,7 +10,7 @@
 type ms float64
 
 func (dur ms) duration() time.Duration {
-	return time.Duration(float64(dur) * float64(time.Millisecond))
+	return time.Duration(float64(boundMs(dur)) * float64(time.Millisecond))
 }
 
 func msOf(dur time.Duration) ms { return ms(dur.Seconds() * 1000) }
@@ -30,7 +30,8 @@
 )
 
 func newCostModel(bat parser.Batching) costModel {
-	if bat.ReadRate <= 0 {
+	bat = boundParameters(bat)
+	if bat.ReadRate < 1 {
 		bat.ReadRate = defaultPrefillRate
 	}
 	if bat.Stride <= 0 {
@@ -56,7 +57,7 @@
 // for a million pairs of tokens, of which a prompt of n tokens has n²/2.
 func (cos costModel) prefill(tokens int64) ms {
 	n := float64(tokens)
-	return ms(n/cos.ReadRate*1000 + cos.PairsMs*n*n/2/1e6)
+	return boundMs(ms(n/cos.ReadRate*1000 + cos.PairsMs*n*n/2/1e6))
 }
 
 // decodePass is the time of a pass that generates a number of answers, without prefill.
--- a/process/planner/engine.go
+++ b/process/planner/engine.go
@@ -134,7 +134,7 @@
 		eng.passEnd = time.Time{}
 		return
 	}
-	eng.passTime = max(minPass, passTime)
+	eng.passTime = min(maxPass, max(minPass, passTime))
 	eng.passEnd = at.Add(eng.passTime.duration())
 }
 
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -135,7 +135,7 @@
 }
 
 func (pla *Plan) newPending(req Request, now time.Time) *pending {
-	pro := req.Prompt
+	pro := req.Prompt.withinBounds(now)
 	pen := &pending{Request: req, prompt: pro, prefill: pla.costs.prefill(pro.Tokens), arrived: now, lastSeen: now}
 	pen.memory = pro.Tokens + pla.answerTokens(pro)
 	pen.callerDeadline = callerDeadline(pro)
@@ -146,6 +146,7 @@
 // done since the grant counts as done.
 func (pla *Plan) adopt(eve Announced, now time.Time) {
 	pla.waiting = slices.DeleteFunc(pla.waiting, func(pen *pending) bool { return pen.ID == eve.Request.ID })
+	eve.Age = max(0, boundTime(eve.Age))
 	if pla.grants[eve.Request.ID] != nil || len(eve.Parts) == 0 || pla.engines[eve.Parts[0].Endpoint] == nil {
 		return
 	}
@@ -158,7 +159,7 @@
 			continue
 		}
 		n := ms(len(eve.Parts))
-		par := &part{gra: gra, eng: eng, prefill: pen.prefill / n * eng.pace, tokens: float64(pen.prompt.Tokens) / float64(n), memory: assigned.Reserve}
+		par := &part{gra: gra, eng: eng, prefill: pen.prefill / n * eng.pace, tokens: float64(pen.prompt.Tokens) / float64(n), memory: boundTokens(assigned.Reserve)}
 		if i == 0 && leadHoldsAll {
 			par.memory = pen.memory
 		}
@@ -305,6 +306,10 @@
 		eng.missedReports++
 		return
 	}
+	if eve.Load.problem() != "" {
+		eng.missedReports++
+		return
+	}
 	eng.applyLoad(eve.Load)
 	lag := time.Duration(pla.costs.ReportLagMs * float64(time.Millisecond))
 	// The report may be older than the newest grants, so that it may or may not include
--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -64,6 +64,8 @@
 	plan    Plan
 	engines []Engine
 	waiters map[string]chan Action
+	// problems are those of the engines whose last reports can't be used.
+	problems map[string]string
 	// lastRequest is the time of the last request, initially that of the plan's start: a
 	// plan that an announced grant has started must not be dropped as idle before its first
 	// request.
@@ -258,11 +260,32 @@
 				pp.apply(Unreachable{eng.ID}, run.Clock())
 				return
 			}
+			if problem := loa.problem(); pp.isNewProblem(eng.ID, problem) {
+				run.Scope.Counter("odd_reports").Inc(1)
+				run.Log.Warn().Str("Endpoint", eng.ID).Str("Problem", problem).Msg("odd engine report; counting it as missed")
+			}
 			pp.apply(Report{eng.ID, loa}, run.Clock())
 		})
 	}
 }
 
+// isNewProblem records the problem of an engine's last report, empty for none, and reports
+// whether there is one that the report before did not have.
+func (pp *poolPlan) isNewProblem(engine, problem string) bool {
+	pp.mu.Lock()
+	defer pp.mu.Unlock()
+	old := pp.problems[engine]
+	if problem == "" {
+		delete(pp.problems, engine)
+		return false
+	}
+	if pp.problems == nil {
+		pp.problems = map[string]string{}
+	}
+	pp.problems[engine] = problem
+	return old == ""
+}
+
 func (pp *poolPlan) idle(now time.Time) time.Duration {
 	pp.mu.Lock()
 	defer pp.mu.Unlock()
--- a/process/planner/runner_test.go
+++ b/process/planner/runner_test.go
@@ -1,8 +1,10 @@
 package planner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -90,3 +92,44 @@
 		})
 	}
 }
+
+// oddEngines report an odd pace, but for one.
+type oddEngines struct{}
+
+func (oddEngines) Load(_ context.Context, address string) (Load, error) {
+	if address == "sound" {
+		return Load{Pace: 1}, nil
+	}
+	return Load{Pace: 1e300}, nil
+}
+
+// TestOddReportIsLoggedOnce guards against an odd report that stops the plan, that keeps its
+// engine in use, or that fills the log with a line for each report.
+func TestOddReportIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		run := &Runner{
+			Loader: oddEngines{},
+			Engines: func(parser.Pool, time.Time) []Engine {
+				return []Engine{{ID: "odd", Address: "odd"}, {ID: "sound", Address: "sound"}}
+			},
+			Pool:     func(string) (parser.Pool, bool) { return parser.Pool{Name: "llm", Batching: &batching}, true },
+			Interval: 200 * time.Millisecond, Clock: time.Now, Log: zerolog.New(&out), Scope: tally.NoopScope,
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go run.Run(ctx)
+		for i := range 10 {
+			now := time.Now()
+			act := run.Submit(ctx, "llm", Request{ID: fmt.Sprint(i), Host: "h", Prompt: Prompt{Tokens: 1000, Target: now.Add(time.Second), Deadline: now.Add(10 * time.Second), Objective: time.Second}}, time.Second)
+			if i > 2 {
+				require.IsType(t, Assign{}, act)
+				require.Equal(t, "sound", act.(Assign).Parts[0].Endpoint)
+			}
+			run.Notify("llm", Ended{ID: fmt.Sprint(i)})
+			time.Sleep(time.Second)
+		}
+		stop()
+		synctest.Wait()
+		require.Equal(t, 1, strings.Count(out.String(), "odd engine report"))
+	})
+}
