Bound the times in messages between hosts

A message from a peer with a negative age, or with one that overflows in nanoseconds, put the confirmation of tables and of endpoints into the future. A host takes its state as the store's newest while the last confirmation is recent, so it would not have read the store for as long, and would not have noticed an outage.

Times of messages are now converted at one place, kept within a year, and ages are never negative; a planner holds a request no longer than hosts ask for.

The other users of the conversion have the tests that they had.

--- a/connection/messenger/messenger.go
+++ b/connection/messenger/messenger.go
@@ -7,6 +7,8 @@
 import (
 	"encoding/binary"
 	"io"
+	"math"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -20,6 +22,14 @@
 	// tables of one megabyte.
 	MaxFrameBytes = 4 << 20
 
+	// MaxIncarnation bounds the incarnations of hosts, which begin at the time in
+	// nanoseconds, and their refutations. A host must be able to exceed those that others
+	// report of it.
+	MaxIncarnation = math.MaxInt64
+
+	// maxTime bounds the times of messages, so that sums of a few of them don't overflow.
+	maxTime = 365 * 24 * time.Hour
+
 	// lengthBytes is the size of the length field of a frame.
 	lengthBytes = 4
 )
@@ -79,3 +89,13 @@
 func NewFailure(code, message string) *Envelope {
 	return &Envelope{Body: &Envelope_Failure{Failure: &Failure{Code: code, Message: message}}}
 }
+
+// Millis returns a time of a message in milliseconds, kept within a year.
+func Millis(ms int64) time.Duration {
+	const limit = int64(maxTime / time.Millisecond)
+	return time.Duration(min(limit, max(-limit, ms))) * time.Millisecond
+}
+
+// Age returns an age of a message in milliseconds. A negative one counts as 0, since nothing
+// is known of the future.
+func Age(ms int64) time.Duration { return max(0, Millis(ms)) }
--- a/process/allocator/remote.go
+++ b/process/allocator/remote.go
@@ -38,7 +38,7 @@
 			return nil, err
 		}
 		act := decodeAction(req.ID, gra)
-		cel.recordDigest(cell, time.Duration(gra.GetWaitMs())*time.Millisecond, act, time.Now())
+		cel.recordDigest(cell, messenger.Millis(gra.GetWaitMs()), act, time.Now())
 		if act != nil {
 			return act, nil
 		}
@@ -107,9 +107,9 @@
 	cellReq := scheduler.Request{ID: req.GetAskId(), Host: req.GetHost(), Incarnation: req.GetIncarnation(), Request: placer.Request{
 		ID: req.GetRequestId(), Team: req.GetTeam(), Share: req.GetShare(), Model: req.GetModel(), Pool: req.GetPool(),
 		PromptTokens: req.GetPromptTokens(), MaxTokens: req.GetMaxTokens(), Priority: int(req.GetPriority()),
-		Deadline: now.Add(time.Duration(req.GetBudgetMs()) * time.Millisecond), Prefix: req.GetPrefixHashes(), Excluded: req.GetExcluded(),
+		Deadline: now.Add(messenger.Millis(req.GetBudgetMs())), Prefix: req.GetPrefixHashes(), Excluded: req.GetExcluded(),
 	}}
-	act, wait := cel.Scheduler.Submit(ctx, req.GetCell(), req.GetPool(), cellReq, time.Duration(req.GetHoldMs())*time.Millisecond)
+	act, wait := cel.Scheduler.Submit(ctx, req.GetCell(), req.GetPool(), cellReq, messenger.Millis(req.GetHoldMs()))
 	cel.recordDigest(req.GetCell(), wait, act, now)
 	gra := encodeAction(act)
 	gra.WaitMs = wait.Milliseconds()
@@ -172,7 +172,7 @@
 	}
 	if gra.GetRefusal() != "" {
 		return scheduler.Refuse{ID: id, Refuse: placer.Refuse{
-			Code: gra.GetRefusal(), Message: gra.GetMessage(), RetryAfter: time.Duration(gra.GetRetryAfterMs()) * time.Millisecond,
+			Code: gra.GetRefusal(), Message: gra.GetMessage(), RetryAfter: messenger.Millis(gra.GetRetryAfterMs()),
 		}}
 	}
 	if len(gra.GetGroup()) == 0 {
--- a/process/assigner/grant.go
+++ b/process/assigner/grant.go
@@ -121,5 +121,5 @@
 }
 
 func announcedOf(notice *messenger.PlanNotice, now time.Time) planner.Announced {
-	return planner.Announced{Request: requestOf(notice.GetAsk(), now), Parts: partsOf(notice.GetParts()), Age: fromMillis(notice.GetAgeMs()), Began: notice.GetBegun()}
+	return planner.Announced{Request: requestOf(notice.GetAsk(), now), Parts: partsOf(notice.GetParts()), Age: messenger.Age(notice.GetAgeMs()), Began: notice.GetBegun()}
 }
--- a/process/assigner/message.go
+++ b/process/assigner/message.go
@@ -19,13 +19,11 @@
 func requestOf(req *messenger.PlanRequest, now time.Time) planner.Request {
 	return planner.Request{ID: req.GetId(), Host: req.GetHost(), Incarnation: req.GetIncarnation(), Prompt: planner.Prompt{
 		Tokens: req.GetPromptTokens(), MaxTokens: req.GetMaxTokens(), AnswerTokens: req.GetAnswerTokens(), Priority: int(req.GetPriority()),
-		Target: now.Add(fromMillis(req.GetTargetMs())), Deadline: now.Add(fromMillis(req.GetBudgetMs())),
-		Objective: fromMillis(req.GetObjectiveMs()), Pause: fromMillis(req.GetPauseMs()), Excluded: req.GetExcluded(),
+		Target: now.Add(messenger.Millis(req.GetTargetMs())), Deadline: now.Add(messenger.Millis(req.GetBudgetMs())),
+		Objective: messenger.Millis(req.GetObjectiveMs()), Pause: messenger.Millis(req.GetPauseMs()), Excluded: req.GetExcluded(),
 	}}
 }
 
-func fromMillis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
-
 // replyMessage converts an action to a reply. The reply is empty for nil, the action for a
 // request that waits.
 func replyMessage(act planner.Action) *messenger.PlanReply {
@@ -45,12 +43,12 @@
 // the reply for a request that waits.
 func actionOf(id string, rep *messenger.PlanReply) planner.Action {
 	if rep.GetRefusal() != "" {
-		return planner.Refuse{ID: id, Code: rep.GetRefusal(), Message: rep.GetMessage(), RetryAfter: fromMillis(rep.GetRetryAfterMs())}
+		return planner.Refuse{ID: id, Code: rep.GetRefusal(), Message: rep.GetMessage(), RetryAfter: messenger.Millis(rep.GetRetryAfterMs())}
 	}
 	if len(rep.GetParts()) == 0 {
 		return nil
 	}
-	return planner.Assign{ID: id, First: fromMillis(rep.GetFirstMs()), Parts: partsOf(rep.GetParts())}
+	return planner.Assign{ID: id, First: messenger.Millis(rep.GetFirstMs()), Parts: partsOf(rep.GetParts())}
 }
 
 func partMessages(pars []planner.Part) []*messenger.PlanPart {
--- a/process/assigner/permit.go
+++ b/process/assigner/permit.go
@@ -55,7 +55,7 @@
 		per.Log.Warn().Str("Endpoint", endpoint).Str("Peer", hos.id).Err(err).Msg("no permit for a limited endpoint, as the host in charge does not answer; using another endpoint")
 		return false, retryAfter
 	}
-	return rep.GetPermitReply().GetGranted(), fromMillis(rep.GetPermitReply().GetWaitMs())
+	return rep.GetPermitReply().GetGranted(), messenger.Millis(rep.GetPermitReply().GetWaitMs())
 }
 
 // inCharge returns the host that permits the calls to an endpoint; its address is empty for
--- a/process/assigner/planners.go
+++ b/process/assigner/planners.go
@@ -242,7 +242,7 @@
 			return &messenger.Envelope{Body: &messenger.Envelope_PlanReply{PlanReply: rep}}
 		}
 	}
-	act := pla.Runner.Submit(ctx, req.GetPool(), requestOf(req, now), time.Duration(req.GetHoldMs())*time.Millisecond)
+	act := pla.Runner.Submit(ctx, req.GetPool(), requestOf(req, now), min(laterHold, messenger.Millis(req.GetHoldMs())))
 	rep := replyMessage(act)
 	rep.PlannerId, rep.PlannerAddress = pla.Self, pla.Address
 	return &messenger.Envelope{Body: &messenger.Envelope_PlanReply{PlanReply: rep}}
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -90,7 +90,7 @@
 
 func (gos *Gossiper) observeEndpoints(address string, revision uint64, ageMs int64, now time.Time) {
 	if gos.Payload.ObserveEndpoints != nil && address != "" && revision > 0 {
-		gos.Payload.ObserveEndpoints(address, revision, now.Add(-time.Duration(ageMs)*time.Millisecond))
+		gos.Payload.ObserveEndpoints(address, revision, now.Add(-messenger.Age(ageMs)))
 	}
 }
 
@@ -155,7 +155,7 @@
 	gos.observeEndpoints(gos.dialAddress(from), pin.GetEndpointsRevision(), pin.GetEndpointsAgeMs(), now)
 	gos.observeQuarantines(gos.dialAddress(from), pin.GetQuarantineDigest())
 	gos.mergeLimits(pin.GetLimits(), now)
-	at := now.Add(-time.Duration(pin.GetTablesAgeMs()) * time.Millisecond)
+	at := now.Add(-messenger.Age(pin.GetTablesAgeMs()))
 	gos.Publisher.ConfirmRevision(pin.GetTablesRevision(), at)
 	if gos.observeStamp(pin.GetList(), now) {
 		go gos.pullList(context.WithoutCancel(ctx), gos.dialAddress(from))
@@ -214,7 +214,7 @@
 	gos.observeEndpoints(address, pon.GetEndpointsRevision(), pon.GetEndpointsAgeMs(), now)
 	gos.observeQuarantines(address, pon.GetQuarantineDigest())
 	gos.mergeLimits(pon.GetLimits(), now)
-	at := now.Add(-time.Duration(pon.GetTablesAgeMs()) * time.Millisecond)
+	at := now.Add(-messenger.Age(pon.GetTablesAgeMs()))
 	gos.Publisher.ConfirmRevision(pon.GetTablesRevision(), at)
 	if address != "" && gos.observeStamp(pon.GetList(), now) {
 		gos.pullList(ctx, address)
--- a/process/journaler/journaler.go
+++ b/process/journaler/journaler.go
@@ -139,7 +139,7 @@
 // withBudget returns a context that ends when the budget in the message, or else
 // defaultBudget, has passed.
 func withBudget(ctx context.Context, com *messenger.ClaimCommit) (context.Context, context.CancelFunc) {
-	budget := time.Duration(com.GetBudgetMs()) * time.Millisecond
+	budget := messenger.Millis(com.GetBudgetMs())
 	if budget <= 0 {
 		budget = defaultBudget
 	}
--- a/process/lister/lister.go
+++ b/process/lister/lister.go
@@ -318,6 +318,6 @@
 func stampFromMessage(msg *messenger.ListStamp, now time.Time) Stamp {
 	return Stamp{
 		Source: msg.GetSource(), Incarnation: msg.GetIncarnation(), Sequence: msg.GetSequence(),
-		At: now.Add(-time.Duration(max(0, msg.GetAgeMs())) * time.Millisecond),
+		At: now.Add(-messenger.Age(msg.GetAgeMs())),
 	}
 }
--- a/process/overflower/digests.go
+++ b/process/overflower/digests.go
@@ -182,8 +182,8 @@
 	for _, msg := range msgs {
 		dig := Digest{
 			Region: msg.GetRegion(), Pool: msg.GetPool(), Number: int(msg.GetNumber()), Cells: int(msg.GetCells()),
-			Engines: int(msg.GetEngines()), Wait: time.Duration(msg.GetWaitMs()) * time.Millisecond, Full: msg.GetFull(),
-			At: now.Add(-time.Duration(max(0, msg.GetAgeMs())) * time.Millisecond),
+			Engines: int(msg.GetEngines()), Wait: messenger.Millis(msg.GetWaitMs()), Full: msg.GetFull(),
+			At: now.Add(-messenger.Age(msg.GetAgeMs())),
 		}
 		if now.Sub(dig.At) <= maxDigestAge && dig.Number < dig.Cells {
 			digs.Record(dig)
--- a/process/watcher/notices.go
+++ b/process/watcher/notices.go
@@ -106,7 +106,7 @@
 	for _, mes := range mess {
 		ntc := Notice{
 			Endpoint: mes.GetEndpoint(), Incarnation: mes.GetIncarnation(), Leaving: mes.GetLeaving(),
-			At: now.Add(-time.Duration(max(0, mes.GetAgeMs())) * time.Millisecond),
+			At: now.Add(-messenger.Age(mes.GetAgeMs())),
 		}
 		if nots.merge(ntc, now) {
 			changed = append(changed, ntc.message(now))
