Leave out reports on hosts with numbers that the host can't exceed

A report that declared a host dead with the greatest incarnation made the host raise its own above it, to 0, and peers then ignored the host for good; at its next start it took the incarnation of its clock, which is lower as well. A report with a huge processor capacity made all other hosts seem too small to watch the store or to plan, until its host was found dead.

Reports with an incarnation, a start or a refutation of 2^63 or above are left out and counted in odd_entries, the others of the message are kept; a capacity above 10,000 cores counts as unknown.

--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -148,7 +148,7 @@
 		return messenger.NewFailure("wrong_target", "the probe is not for this host")
 	}
 	from.TablesRevision = pin.GetTablesRevision()
-	gos.step(ctx, Received{From: from, Updates: peersOf(pin.GetUpdates())}, now)
+	gos.step(ctx, Received{From: from, Updates: gos.peersOf(pin.GetUpdates())}, now)
 	gos.receiveNotices(ctx, pin.GetNotices(), now)
 	gos.mergeCells(pin.GetCells(), now)
 	gos.mergeRetryBudget(pin.GetFrom().GetId(), pin.GetRetries(), now)
@@ -207,7 +207,7 @@
 		return
 	}
 	from.TablesRevision = pon.GetTablesRevision()
-	gos.step(ctx, Received{From: from, DialAddress: address, Updates: peersOf(pon.GetUpdates())}, now)
+	gos.step(ctx, Received{From: from, DialAddress: address, Updates: gos.peersOf(pon.GetUpdates())}, now)
 	gos.receiveNotices(ctx, pon.GetNotices(), now)
 	gos.mergeCells(pon.GetCells(), now)
 	gos.mergeRetryBudget(pon.GetFrom().GetId(), pon.GetRetries(), now)
--- a/process/gossiper/join.go
+++ b/process/gossiper/join.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return false
 	}
-	gos.step(ctx, Received{Updates: peersOf(rep.GetMembersPush().GetMembers())}, time.Now())
+	gos.step(ctx, Received{Updates: gos.peersOf(rep.GetMembersPush().GetMembers())}, time.Now())
 	return true
 }
 
--- a/process/gossiper/odd_test.go
+++ b/process/gossiper/odd_test.go
@@ -28,3 +28,38 @@
 		require.False(t, endpointsAt.After(time.Now()), age)
 	}
 }
+
+// TestOddIncarnations guards against a report with an incarnation or a refutation so great
+// that the host can't exceed it: peers would ignore the host from then on. Other reports of
+// the same message must be kept.
+func TestOddIncarnations(t *testing.T) {
+	for name, odd := range map[string]*messenger.Member{
+		"dead with the greatest incarnation":    {Id: "a", Incarnation: math.MaxUint64, State: messenger.Member_STATE_DEAD},
+		"suspect with the greatest refutation":  {Id: "a", Incarnation: 1, Refutation: math.MaxUint64, State: messenger.Member_STATE_SUSPECT},
+		"started with the greatest incarnation": {Id: "a", Incarnation: 2, Started: math.MaxUint64, State: messenger.Member_STATE_DEAD},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gos, _ := startPeer(t, "a", 7, nil)
+			sound := &messenger.Member{Id: "c", Address: "127.0.0.1:2", Incarnation: 1}
+			rep := gos.HandlePing(t.Context(), &messenger.Ping{From: &messenger.Member{Id: "b", Address: "127.0.0.1:1", Incarnation: 1}, Target: "a", Updates: []*messenger.Member{odd, sound}}, time.Now())
+			self := rep.GetPong().GetFrom()
+			require.Equal(t, messenger.Member_STATE_ALIVE, self.GetState())
+			require.Positive(t, self.GetIncarnation())
+			require.Less(t, self.GetIncarnation(), uint64(math.MaxInt64))
+			require.Less(t, self.GetRefutation(), uint64(math.MaxInt64))
+			var ids []string
+			for _, per := range gos.Peers() {
+				ids = append(ids, per.ID)
+			}
+			require.Equal(t, []string{"b", "c"}, ids)
+		})
+	}
+}
+
+// TestOddCapacity guards against a peer with an absurd capacity, beside which no other host
+// seems to have enough to watch the store or to plan.
+func TestOddCapacity(t *testing.T) {
+	odd, ok := PeerOf(&messenger.Member{Id: "odd", CapacityMilli: math.MaxUint32})
+	require.True(t, ok)
+	require.Len(t, WithEnoughCapacity([]Peer{odd, {ID: "a", CapacityMilli: 800}, {ID: "b", CapacityMilli: 800}}), 2)
+}
--- a/process/gossiper/peer.go
+++ b/process/gossiper/peer.go
@@ -114,17 +114,24 @@
 	return mem
 }
 
-// PeerOf converts a wire message. It returns false for a message without an ID or with a
-// state of a later protocol version.
+// maxCapacityMilli is the greatest processor capacity that counts as known.
+const maxCapacityMilli = 10_000_000
+
+// PeerOf converts a wire message. It returns false for a message without an ID, with a
+// state of a later protocol version, or with counts that the host could not exceed.
 func PeerOf(mem *messenger.Member) (Peer, bool) {
 	sta, ok := stateFromWire[mem.GetState()]
-	if !ok || mem.GetId() == "" {
+	if !ok || mem.GetId() == "" || max(mem.GetIncarnation(), mem.GetStarted(), mem.GetRefutation()) >= messenger.MaxIncarnation {
 		return Peer{}, false
 	}
+	capacity := mem.GetCapacityMilli()
+	if capacity > maxCapacityMilli {
+		capacity = 0
+	}
 	return Peer{
 		ID: mem.GetId(), Address: mem.GetAddress(), DataCenter: mem.GetDataCenter(), Region: mem.GetRegion(),
 		Incarnation: mem.GetIncarnation(), Started: cmp.Or(mem.GetStarted(), mem.GetIncarnation()), Refutation: mem.GetRefutation(), State: sta,
-		CapacityMilli: mem.GetCapacityMilli(),
+		CapacityMilli: capacity,
 	}, true
 }
 
@@ -138,6 +145,15 @@
 	return out
 }
 
+// peersOf converts the reports of a message, and counts those that are odd and left out.
+func (gos *Gossiper) peersOf(mems []*messenger.Member) []Peer {
+	out := peersOf(mems)
+	for range len(mems) - len(out) {
+		gos.count("odd_entries", map[string]string{"what": "members"})
+	}
+	return out
+}
+
 func membersOf(pers []Peer) []*messenger.Member {
 	out := make([]*messenger.Member, 0, len(pers))
 	for _, per := range pers {
--- a/process/incarnator/incarnator.go
+++ b/process/incarnator/incarnator.go
@@ -117,7 +117,7 @@
 func highestOf(pus *messenger.MembersPush, host string) uint64 {
 	var highest uint64
 	for _, mem := range pus.GetMembers() {
-		if mem.GetId() == host {
+		if mem.GetId() == host && mem.GetIncarnation() < messenger.MaxIncarnation {
 			highest = max(highest, mem.GetIncarnation())
 		}
 	}
