Keep odd quarantines of the store and of peers out

One object of the kind quarantines that nests too deeply made the list of all of them unreadable, so that each starting host waited for a second and then served without quarantines. An object of another writer was taken as a quarantine whatever its name, and one of a peer with a generation or an epoch that can't be exceeded could not be lifted or renewed.

Odd objects are logged once and counted, as odd entries of servers are.

Tests: go test ./platform -run TestQuarantineObjects and go test ./process/quarantiner -run TestOddRecords; both failed on (the latter for 4 of 5 kinds, for the ages and for the suspects), pass now. The assertions on the number of odd objects are new.

--- a/process/forwarder/quarantine.go
+++ b/process/forwarder/quarantine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlockpin/connection/messenger"
+	"hemlockpin/process/follower"
 	"hemlockpin/process/quarantiner"
 	"hemlockpin/process/scheduler"
 
@@ -51,8 +52,8 @@
 // QuarantineStore keeps quarantines beyond the life of all hosts.
 type QuarantineStore interface {
 	// Quarantines reads all quarantines. They count as begun at the time now, since clocks
-	// of hosts differ.
-	Quarantines(ctx context.Context, now time.Time) ([]quarantiner.Quarantine, error)
+	// of hosts differ. odd are the entries that are left out.
+	Quarantines(ctx context.Context, now time.Time) (quas []quarantiner.Quarantine, odd []follower.OddEntry, err error)
 	// AddQuarantine writes a quarantine and is idempotent. RemoveQuarantine removes the one
 	// with a name, if there is one.
 	AddQuarantine(ctx context.Context, qua quarantiner.Quarantine) error
@@ -289,7 +290,7 @@
 	readCtx, stop := context.WithTimeout(ctx, quarantineTimeout)
 	defer stop()
 	now := time.Now()
-	quas, err := fwd.Platform.Quarantines.Quarantines(readCtx, now)
+	quas, odd, err := fwd.Platform.Quarantines.Quarantines(readCtx, now)
 	rea := &fwd.quarantine.reads
 	if err != nil {
 		*rea = rea.WithFailure(time.Now(), rand.Float64())
@@ -297,6 +298,7 @@
 		return
 	}
 	*rea = quarantineReads{last: now}
+	fwd.reportOdd("quarantines", odd)
 	led := &fwd.quarantine.ledger
 	for _, qua := range quas {
 		led.MarkStored(qua.Name())
--- a/process/forwarder/quarantine_test.go
+++ b/process/forwarder/quarantine_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"hemlockpin/process/follower"
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/quarantiner"
 
@@ -39,14 +40,14 @@
 	return sto.reads
 }
 
-func (sto *quarantineStore) Quarantines(_ context.Context, now time.Time) ([]quarantiner.Quarantine, error) {
+func (sto *quarantineStore) Quarantines(_ context.Context, now time.Time) ([]quarantiner.Quarantine, []follower.OddEntry, error) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	sto.reads++
 	if !sto.answer {
-		return nil, errors.New("the store does not answer")
+		return nil, nil, errors.New("the store does not answer")
 	}
-	return []quarantiner.Quarantine{{Pool: "llm", Parts: []string{"bad"}, Generation: 1, Since: now}}, nil
+	return []quarantiner.Quarantine{{Pool: "llm", Parts: []string{"bad"}, Generation: 1, Since: now}}, nil, nil
 }
 
 func (*quarantineStore) AddQuarantine(context.Context, quarantiner.Quarantine) error { return nil }
--- a/process/quarantiner/message.go
+++ b/process/quarantiner/message.go
@@ -21,22 +21,23 @@
 	return pus
 }
 
-// FromMessage converts the message of a peer. It leaves out records that name nothing.
+// FromMessage converts the message of a peer. It leaves out records that can't be used.
 func FromMessage(pus *messenger.QuarantinePush, now time.Time) Change {
 	var cha Change
 	for _, rec := range pus.GetSuspects() {
-		if rec.GetPart() != "" {
-			cha.Suspects = append(cha.Suspects, Suspect{Pool: rec.GetPool(), Part: rec.GetPart(), Epoch: rec.GetEpoch(), Score: int(rec.GetScore())})
+		sus := Suspect{Pool: rec.GetPool(), Part: rec.GetPart(), Epoch: rec.GetEpoch(), Score: int(rec.GetScore())}
+		if sus.usable() {
+			cha.Suspects = append(cha.Suspects, sus)
 		}
 	}
 	for _, rec := range pus.GetQuarantines() {
-		if len(rec.GetParts()) == 0 {
-			continue
+		qua := Quarantine{
+			Pool: rec.GetPool(), Parts: slices.Sorted(slices.Values(rec.GetParts())), Generation: int(rec.GetGeneration()), Lifted: rec.GetLifted(),
+			Since: now.Add(-messenger.Age(rec.GetAgeMs())),
+		}
+		if qua.Problem() == "" {
+			cha.Quarantines = append(cha.Quarantines, qua)
 		}
-		age := time.Duration(max(0, rec.GetAgeMs())) * time.Millisecond
-		cha.Quarantines = append(cha.Quarantines, Quarantine{
-			Pool: rec.GetPool(), Parts: slices.Sorted(slices.Values(rec.GetParts())), Generation: int(rec.GetGeneration()), Lifted: rec.GetLifted(), Since: now.Add(-age),
-		})
 	}
 	return cha
 }
--- a/process/quarantiner/quarantine.go
+++ b/process/quarantiner/quarantine.go
@@ -69,3 +69,36 @@
 func (qua Quarantine) within(parts []string) bool {
 	return !slices.ContainsFunc(qua.Parts, func(part string) bool { return !slices.Contains(parts, part) })
 }
+
+const (
+	// maxGeneration, maxScore and maxEpoch bound the counts that others report, since later
+	// ones have to be greater.
+	maxGeneration = 1 << 30
+	maxScore      = 1 << 10
+	maxEpoch      = 1 << 62
+	// maxRecordBytes bounds the texts of a record, since each is sent to all peers.
+	maxRecordBytes = 64 << 10
+)
+
+// Problem returns why a quarantine of the store or of a peer can't be used, or an empty
+// string if it can. One without parts would apply to all prompts.
+func (qua Quarantine) Problem() string {
+	size := len(qua.Pool)
+	for _, part := range qua.Parts {
+		size += len(part)
+	}
+	switch {
+	case len(qua.Parts) == 0, slices.Contains(qua.Parts, ""):
+		return "it names no parts"
+	case size > maxRecordBytes:
+		return "it is too large"
+	case qua.Generation < 1, qua.Generation > maxGeneration:
+		return fmt.Sprintf("generation %d is out of range", qua.Generation)
+	}
+	return ""
+}
+
+// usable reports whether a suspect of a peer can be used.
+func (sus Suspect) usable() bool {
+	return sus.Part != "" && len(sus.Pool)+len(sus.Part) <= maxRecordBytes && sus.Epoch <= maxEpoch && sus.Score >= 0 && sus.Score <= maxScore
+}
