Check the records of endpoints that peers send

A host used and passed on whatever records a peer sent: a port of 0 or beyond 65535, an ID with a line break, texts of megabytes, which make the host's own records exceed the largest frame between hosts so that no peer can pull them, a start time that makes the status for operators unwritable, or a revision that no later one exceeds. A revision of the endpoints beyond all that the store gives was pulled from a peer, after which the host's records would not have counted as confirmed again.

--- a/process/forwarder/odd_test.go
+++ b/process/forwarder/odd_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"math"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"hemlockpin/connection/messenger"
 	"hemlockpin/process/follower"
 	"hemlockpin/process/registrar"
 
@@ -19,7 +23,7 @@
 	fwd := newHost(t, 0, 1, 2*time.Second)
 	var out bytes.Buffer
 	fwd.Log = zerolog.New(&out)
-	lines := func() int { return strings.Count(out.String(), "odd entry in the store") }
+	lines := func() int { return strings.Count(out.String(), "odd entry; leaving it out") }
 	apply := func(odd ...follower.OddEntry) {
 		fwd.applyEndpoints(follower.Endpoints{
 			Complete: true, Revision: 9, Odd: odd,
@@ -49,3 +53,62 @@
 		require.LessOrEqual(t, len(log.revisions), maxOddKeys)
 	}
 }
+
+// TestOddRecordsOfPeers guards against odd records of a peer that are used, that are passed on
+// to other peers, or that make the records or the status of the host unsendable. The other
+// records of the message must be kept.
+func TestOddRecordsOfPeers(t *testing.T) {
+	valid := func(change func(rec *messenger.EndpointRecord)) *messenger.EndpointRecord {
+		rec := &messenger.EndpointRecord{Id: "odd", Service: "llm", Address: "10.0.0.9:80", DataCenter: "z", Revision: 5, StartedMs: 1_700_000_000_000, Slots: 4}
+		change(rec)
+		return rec
+	}
+	large := strings.Repeat("x", 2<<20)
+	for name, rec := range map[string]*messenger.EndpointRecord{
+		"no address":            valid(func(rec *messenger.EndpointRecord) { rec.Address = "" }),
+		"port out of range":     valid(func(rec *messenger.EndpointRecord) { rec.Address = "10.0.0.9:70000" }),
+		"port zero":             valid(func(rec *messenger.EndpointRecord) { rec.Address = "10.0.0.9:0" }),
+		"line break in the ID":  valid(func(rec *messenger.EndpointRecord) { rec.Id = "x\r\nHost: y" }),
+		"no service":            valid(func(rec *messenger.EndpointRecord) { rec.Service = "" }),
+		"large ID":              valid(func(rec *messenger.EndpointRecord) { rec.Id = large }),
+		"large service":         valid(func(rec *messenger.EndpointRecord) { rec.Service = large }),
+		"large data centre":     valid(func(rec *messenger.EndpointRecord) { rec.DataCenter = large }),
+		"large ID, gone":        valid(func(rec *messenger.EndpointRecord) { rec.Id, rec.Gone = large, true }),
+		"start far ahead":       valid(func(rec *messenger.EndpointRecord) { rec.StartedMs = math.MaxInt64 }),
+		"start before any time": valid(func(rec *messenger.EndpointRecord) { rec.StartedMs = math.MinInt64 }),
+		"greatest revision":     valid(func(rec *messenger.EndpointRecord) { rec.Revision = math.MaxUint64 }),
+		"slots out of range":    valid(func(rec *messenger.EndpointRecord) { rec.Slots = math.MaxUint32 }),
+		"empty":                 {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fwd := newPlannerHost(t)
+			var out bytes.Buffer
+			fwd.Log = zerolog.New(&out)
+			sound := &messenger.EndpointRecord{Id: "e3", Service: "llm", Address: "10.0.0.3:80", Revision: 6}
+			for range 2 {
+				fwd.handleEndpointsPush(&messenger.EndpointsPush{Records: []*messenger.EndpointRecord{rec, sound}}, time.Now())
+			}
+			require.Len(t, fwd.registry.Usable("llm", time.Now()), 3)
+			require.Less(t, out.Len(), 10_000)
+			if rec.GetId() != "" {
+				require.Equal(t, 1, strings.Count(out.String(), "odd entry"))
+			}
+			var buf bytes.Buffer
+			require.NoError(t, messenger.Write(&buf, fwd.handleEndpointsPull(&messenger.EndpointsPull{})))
+			require.Less(t, buf.Len(), 10_000, "the odd record is not passed on")
+			res := httptest.NewRecorder()
+			fwd.status(res, nil)
+			require.True(t, json.Valid(res.Body.Bytes()), "operators can read the status")
+		})
+	}
+}
+
+// TestOddRevisionsOfPeers guards against a peer's revision that no host can exceed: the host's
+// records would never count as confirmed again.
+func TestOddRevisionsOfPeers(t *testing.T) {
+	fwd := newPlannerHost(t)
+	fwd.comparePeerRevision("127.0.0.1:1", math.MaxUint64, time.Now())
+	require.False(t, fwd.pullingEndpoints.Load())
+	rev, _ := fwd.registry.Revision()
+	require.EqualValues(t, 1, rev)
+}
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -179,7 +179,7 @@
 
 // handleEndpointsPush merges the records that a peer broadcasts.
 func (fwd *Forwarder) handleEndpointsPush(pus *messenger.EndpointsPush, now time.Time) *messenger.Envelope {
-	fwd.handleChanges(fwd.registry.Merge(registrar.FromMessage(pus), 0, now), "peer")
+	fwd.handleChanges(fwd.registry.Merge(fwd.recordsOf(pus), 0, now), "peer")
 	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
 }
 
@@ -196,7 +196,7 @@
 	if peerRev == ownRev {
 		fwd.registry.Confirm(peerRev, at)
 	}
-	if peerRev <= ownRev || !fwd.pullingEndpoints.CompareAndSwap(false, true) {
+	if peerRev <= ownRev || peerRev > registrar.MaxRevision || !fwd.pullingEndpoints.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -220,10 +220,10 @@
 		return
 	}
 	pus := rep.GetEndpointsPush()
-	if pus.GetRevision() == 0 {
+	if pus.GetRevision() == 0 || pus.GetRevision() > registrar.MaxRevision {
 		return
 	}
-	changed := fwd.registry.MergeFromPeer(registrar.FromMessage(pus), pus.GetRevision(), time.Now())
+	changed := fwd.registry.MergeFromPeer(fwd.recordsOf(pus), pus.GetRevision(), time.Now())
 	if !at.IsZero() {
 		fwd.registry.Confirm(pus.GetRevision(), at)
 	}
