Let the newest of several records of an endpoint in one message count

Where a message held two records of one endpoint, the last counted, also if it was the older one: both were compared only with what was known before. An endpoint that leaves could get calls again until its entry changed the next time.

Test: go test ./process/registrar -run TestRepeatedInMessage failed on, passes now.

--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -159,6 +159,10 @@
 	}
 	unusableFrom := reg.removalTime(updates, now)
 	for _, end := range updates {
+		if old := reg.records[end.ID]; old != nil && !end.newer(old.Endpoint) {
+			// A newer record of the same endpoint came before it in ends.
+			continue
+		}
 		rec := &record{Endpoint: end}
 		if end.Gone {
 			rec.unusableFrom = unusableFrom
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -80,6 +80,16 @@
 	require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch)))
 }
 
+// TestRepeatedInMessage guards against an older record of an endpoint that counts because it
+// comes after a newer one in the same message.
+func TestRepeatedInMessage(t *testing.T) {
+	var reg Registry
+	reg.MergeComplete([]Endpoint{ready("a", 1)}, 1, epoch)
+	reg.confirmed = epoch
+	reg.Merge([]Endpoint{ready("a", 3).asLeaving(), ready("a", 2), ready("b", 2).asGone(), ready("b", 2)}, 0, epoch)
+	require.Empty(t, reg.Usable("s", epoch))
+}
+
 // TestGoneBeforeStart starts a host that receives the record of a removed endpoint from a
 // peer: the host must never use the endpoint. Its records have not been confirmed yet,
 // which delays other removals.
