--- a/process/publisher/exchange_test.go
+++ b/process/publisher/exchange_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"sync"
@@ -309,3 +310,13 @@
 		require.LessOrEqual(t, len(sto.objects), HistoryLength+2)
 	})
 }
+
+// TestGreatestRevision guards against tables with a revision that no later ones exceed.
+func TestGreatestRevision(t *testing.T) {
+	var pub Publisher
+	for _, revision := range []uint64{math.MaxUint64, math.MaxInt64 + 1, 7} {
+		_, err := pub.Adopt(parser.Tables{}.WithRevision(revision, "n"))
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 7, pub.Current().Revision())
+}
--- a/process/publisher/publisher.go
+++ b/process/publisher/publisher.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,8 +117,11 @@
 	}
 }
 
+// maxRevision bounds the revisions that are adopted. One above it could not be exceeded.
+const maxRevision = math.MaxInt64
+
 // Adopts reports whether a host that has one revision in force adopts the offered one.
-func Adopts(have, offered uint64) bool { return offered > have }
+func Adopts(have, offered uint64) bool { return offered > have && offered <= maxRevision }
 
 // Adopt puts tables in force if their revision is higher than the one in force, and reports
 // whether it did.
@@ -136,7 +140,7 @@
 	enc := &encodedTables{matcher: matcher.New(tab), document: doc, checksum: differ.Checksum(doc)}
 	for {
 		old := pub.current.Load()
-		if old != nil && !Adopts(old.matcher.Revision(), tab.Revision) {
+		if tab.Revision > maxRevision || old != nil && !Adopts(old.matcher.Revision(), tab.Revision) {
 			return false
 		}
 		if old != nil && del.Revision == tab.Revision && del.BaseRevision == old.matcher.Revision() {
