Split the merge of one endpoint's record out of the merge of all

What callers saw: nothing; the function was over the linter's limit of cognitive complexity once two changes of it were joined. No behaviour changes; the package's tests passed.

--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -159,31 +159,7 @@
 	}
 	unusableFrom := reg.removalTime(updates, now)
 	for _, end := range updates {
-		if old := reg.records[end.ID]; old != nil && !end.newer(old.Endpoint) {
-			// A newer record of the same endpoint came before it in ends.
-			continue
-		}
-		rec := &record{Endpoint: end}
-		if end.Gone {
-			rec.unusableFrom = unusableFrom
-			if reg.records[end.ID] == nil {
-				// This host never used the endpoint, so the removal does not point to an outage
-				// that this host has not detected.
-				rec.unusableFrom = now
-			}
-			// The record of an unreadable entry holds only the ID and the revision.
-			if old := reg.records[end.ID]; old != nil && end.Service == "" {
-				rec.Endpoint = old.Endpoint
-				rec.Gone = true
-				rec.Revision = end.Revision
-			}
-		}
-		if old := reg.records[end.ID]; old != nil && old.SaysLeaving && old.Started.Equal(rec.Started) {
-			// Only the endpoint's answers tell; another entry of the same process does not
-			// revoke it.
-			rec.SaysLeaving = true
-		}
-		reg.records[end.ID] = rec
+		reg.mergeRecord(end, unusableFrom, now)
 	}
 	reg.revision = max(reg.revision, revision)
 	if len(updates) > 0 {
@@ -192,6 +168,36 @@
 	return updates
 }
 
+// mergeRecord merges one record, whose endpoint is unusable from a time if it is removed.
+func (reg *Registry) mergeRecord(end Endpoint, unusableFrom, now time.Time) {
+	old := reg.records[end.ID]
+	if old != nil && !end.newer(old.Endpoint) {
+		// A newer record of the same endpoint came before it.
+		return
+	}
+	rec := &record{Endpoint: end}
+	if end.Gone {
+		rec.unusableFrom = unusableFrom
+		if old == nil {
+			// This host never used the endpoint, so the removal does not point to an outage
+			// that this host has not detected.
+			rec.unusableFrom = now
+		}
+		// The record of an unreadable entry holds only the ID and the revision.
+		if old != nil && end.Service == "" {
+			rec.Endpoint = old.Endpoint
+			rec.Gone = true
+			rec.Revision = end.Revision
+		}
+	}
+	if old != nil && old.SaysLeaving && old.Started.Equal(rec.Started) {
+		// Only the endpoint's answers tell; another entry of the same process does not
+		// revoke it.
+		rec.SaysLeaving = true
+	}
+	reg.records[end.ID] = rec
+}
+
 // removalTime returns the time from which removals received now take effect.
 func (reg *Registry) removalTime(updates []Endpoint, now time.Time) time.Time {
 	switch {
