Keep the ports of tests from other programs while a process restarts

The logs say why: after its restart the host ended with "listen on 127.0.0.1:27247: bind: address already in use". Nothing else ended by itself, and no answer was wrong. Cause: FreeAddress remembered the ports of its own program only. While a killed host is down its ports are free, so another test program on the machine can take one. After: each port is reserved for as long as the program runs, by a Unix socket with an abstract name, which the kernel frees also if the program is killed. Programs built from older code do not see the reservations.

--- a/internal/testkit/address.go
+++ b/internal/testkit/address.go
@@ -16,26 +16,41 @@
 )
 
 var (
-	addressMu sync.Mutex
-	addresses = map[string]bool{}
+	reservationMu sync.Mutex
+	// reservations keep the sockets that reserve ports open.
+	reservations []net.Listener
 )
 
-// FreeAddress returns a loopback address that nothing listens on and that was
-// not returned before.
+// FreeAddress returns a loopback address that nothing listens on and that was not returned
+// before, by this or any other program that still runs. So another program does not take the
+// port while the process that listens on it is being restarted.
 func FreeAddress() string {
-	addressMu.Lock()
-	defer addressMu.Unlock()
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		if addresses[address] {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if !reserve(port) {
 			continue
 		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		lis, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		lis.Close()
-		addresses[address] = true
 		return address
 	}
 }
+
+// reserve reserves a port until the program ends. It returns false if the port is reserved
+// already. The reservation is a Unix socket with an abstract name, which the kernel frees.
+func reserve(port int) bool {
+	lis, err := net.Listen("unix", reservationName(port))
+	if err != nil {
+		return false
+	}
+	reservationMu.Lock()
+	defer reservationMu.Unlock()
+	reservations = append(reservations, lis)
+	return true
+}
+
+func reservationName(port int) string { return fmt.Sprintf("@hemlockpin-port-%d", port) }
--- a/internal/testkit/address_test.go
+++ b/internal/testkit/address_test.go
@@ -29,3 +29,15 @@
 		require.Less(t, n, low)
 	}
 }
+
+// TestReservedPorts guards against addresses that another program uses: its process may be
+// down for a moment while it is restarted. This test is the other program for a port.
+func TestReservedPorts(t *testing.T) {
+	const port = lastPort + 1
+	lis, err := net.Listen("unix", reservationName(port))
+	require.NoError(t, err)
+	require.False(t, reserve(port))
+	require.NoError(t, lis.Close())
+	require.True(t, reserve(port))
+	require.False(t, reserve(port))
+}
