Ask seeds again that did not answer when a host joined

Cause: hosts 2 and 3 were up first and found each other, then 0 and 1. The seeds that did not answer hosts 2 and 3 at the join were not asked again before syncInterval (1 to 3 min), as one answer of any peer ends the join. Now a host asks such seeds for the members until each has answered or is a live peer, at the interval of probes or, among many hosts, at a random share of a pause that grows with their number, so that 920 hosts make some five to ten pulls a second (calculated, not run).

Before: TestSeedStartsLate failed (a seed that starts 0.3 s after the join is unknown 5 s later). After: it passes (10 runs; the package with -race), and 30 copies of TestQuarantinesReadLate, 6 at a time with -race, pass. A host without any other seed still waits until a peer calls it.

--- a/process/gossiper/join.go
+++ b/process/gossiper/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"hemlockpin/connection/messenger"
@@ -34,6 +35,9 @@
 	for ctx.Err() == nil && !gos.joinStep(ctx, answered, time.Now().After(deadline)) {
 		sleep(ctx, interval/4)
 	}
+	var gro sync.WaitGroup
+	defer gro.Wait()
+	gro.Go(func() { gos.pullLateSeeds(ctx, interval, answered) })
 	for ctx.Err() == nil {
 		wait := syncInterval/2 + rand.N(syncInterval)
 		if !gos.syncAny(ctx) {
--- a/process/gossiper/join_test.go
+++ b/process/gossiper/join_test.go
@@ -20,7 +20,13 @@
 // seeds, and returns it with its address.
 func startPeer(t *testing.T, id string, revision uint64, seeds []string) (*Gossiper, string) {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	return startPeerAt(t, "127.0.0.1:0", id, revision, seeds)
+}
+
+// startPeerAt is like startPeer, at a given address.
+func startPeerAt(t *testing.T, address, id string, revision uint64, seeds []string) (*Gossiper, string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	pub := &publisher.Publisher{}
 	if revision > 0 {
