Let a malformed envelope end its own call only

Hosts share one stream for the calls of a session. An envelope that could not be encoded, such as a plan request with the Request-Id of a caller that is no UTF-8, ended the writer of the stream, and with it all calls in progress between the two hosts; one that could not be decoded ended the stream at its reader.

Now an envelope is encoded before it is queued, so that its own call fails, at once, and the session is kept; a reply that can't be sent becomes a failure; a frame that can't be decoded is skipped, since its length is known.

--- a/connection/messenger/messenger.go
+++ b/connection/messenger/messenger.go
@@ -34,8 +34,10 @@
 	lengthBytes = 4
 )
 
-// Errors of Read and Write.
+// Errors of Read and Write. After ErrMalformed nothing has been sent, or the frame has been
+// read, so that the stream can be used further.
 var (
+	ErrMalformed       = eris.New("messenger: envelope can't be encoded or decoded")
 	ErrFrameTooLarge   = eris.New("messenger: frame exceeds the maximum size")
 	ErrProtocolVersion = eris.New("messenger: peer speaks another protocol version")
 )
@@ -51,7 +53,7 @@
 	binary.BigEndian.PutUint32(buf, uint32(size))
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, env)
 	if err != nil {
-		return eris.Wrap(err, "messenger.Write: encode")
+		return eris.Wrapf(ErrMalformed, "messenger.Write: encode: %s", err)
 	}
 	_, err = writer.Write(buf)
 	return eris.Wrap(err, "messenger.Write: send")
@@ -77,7 +79,7 @@
 	}
 	env := &Envelope{}
 	if err := proto.Unmarshal(buf, env); err != nil {
-		return nil, eris.Wrap(err, "messenger.Read: decode")
+		return nil, eris.Wrapf(ErrMalformed, "messenger.Read: decode: %s", err)
 	}
 	if env.GetProtocol() != ProtocolVersion {
 		return nil, ErrProtocolVersion
--- a/connection/multiplexer/multiplexer.go
+++ b/connection/multiplexer/multiplexer.go
@@ -80,7 +80,7 @@
 	defer ses.monitor.endCall()
 	rep, err := ses.call(ctx, env)
 	if err != nil {
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if !isUnsendable(err) && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
 			mul.retireSession(address, ses)
 		}
 		return nil, eris.Wrapf(err, "Multiplexer.Call: peer %s", address)
@@ -320,7 +320,9 @@
 		cancel()
 	}()
 	if rep := mon.countCalls(mul.Handle)(ctx, env); rep != nil {
-		_ = messenger.Write(str, rep)
+		if err := messenger.Write(str, rep); isUnsendable(err) {
+			_ = messenger.Write(str, messenger.NewFailure("unsendable_reply", err.Error()))
+		}
 	}
 }
 
--- a/connection/multiplexer/pipeline.go
+++ b/connection/multiplexer/pipeline.go
@@ -17,8 +17,8 @@
 	// maxPipelinedBytes bounds the size of an envelope on the shared stream; a
 	// larger envelope would delay the other envelopes and is sent on a separate stream.
 	maxPipelinedBytes = 16 << 10
-	// maxQueuedEnvelopes bounds the envelopes that wait to be written to a stream.
-	maxQueuedEnvelopes = 256
+	// maxQueuedFrames bounds the frames that wait to be written to a stream.
+	maxQueuedFrames = 256
 	// fullBatchBytes is the size from which a batch of frames is written without
 	// adding further frames.
 	fullBatchBytes = 64 << 10
@@ -29,17 +29,17 @@
 
 var errPipelineClosed = eris.New("multiplexer: the session of the call was closed")
 
-// frameWriter writes envelopes to a stream. Envelopes that wait in the queue are
-// combined into one write.
+// frameWriter writes envelopes to a stream. Frames that wait in the queue are combined
+// into one write.
 type frameWriter struct {
 	stream io.WriteCloser
-	queue  chan *messenger.Envelope
+	queue  chan []byte
 	closed chan struct{}
 	once   sync.Once
 }
 
 func newFrameWriter(str io.WriteCloser) *frameWriter {
-	fra := &frameWriter{stream: str, queue: make(chan *messenger.Envelope, maxQueuedEnvelopes), closed: make(chan struct{})}
+	fra := &frameWriter{stream: str, queue: make(chan []byte, maxQueuedFrames), closed: make(chan struct{})}
 	go fra.run()
 	return fra
 }
@@ -51,10 +51,14 @@
 	})
 }
 
-// send queues an envelope. It waits for room in the queue until ctx ends.
+// send encodes an envelope and queues it. It waits for room in the queue until ctx ends.
 func (fra *frameWriter) send(ctx context.Context, env *messenger.Envelope) error {
+	var buf bytes.Buffer
+	if err := messenger.Write(&buf, env); err != nil {
+		return err
+	}
 	select {
-	case fra.queue <- env:
+	case fra.queue <- buf.Bytes():
 		return nil
 	case <-fra.closed:
 		return errPipelineClosed
@@ -68,11 +72,9 @@
 	var buf bytes.Buffer
 	for {
 		select {
-		case env := <-fra.queue:
+		case frame := <-fra.queue:
 			buf.Reset()
-			if fra.batch(&buf, env) != nil {
-				return
-			}
+			fra.batch(&buf, frame)
 			if _, err := fra.stream.Write(buf.Bytes()); err != nil {
 				return
 			}
@@ -82,20 +84,18 @@
 	}
 }
 
-// batch encodes an envelope and the queued envelopes after it into one buffer, until
-// the buffer has fullBatchBytes.
-func (fra *frameWriter) batch(buf *bytes.Buffer, env *messenger.Envelope) error {
+// batch writes a frame and the queued frames after it to a buffer, until the buffer has
+// fullBatchBytes.
+func (fra *frameWriter) batch(buf *bytes.Buffer, frame []byte) {
 	for {
-		if err := messenger.Write(buf, env); err != nil {
-			return err
-		}
+		buf.Write(frame)
 		if buf.Len() >= fullBatchBytes {
-			return nil
+			return
 		}
 		select {
-		case env = <-fra.queue:
+		case frame = <-fra.queue:
 		default:
-			return nil
+			return
 		}
 	}
 }
@@ -178,8 +178,12 @@
 // notification is sent, and the call continues at the peer until the handler's own
 // timeout ends it.
 func (pip *pipeline) cancel(number uint64) {
+	var buf bytes.Buffer
+	if messenger.Write(&buf, &messenger.Envelope{Call: number, Body: &messenger.Envelope_CallEnd{CallEnd: &messenger.CallEnd{}}}) != nil {
+		return
+	}
 	select {
-	case pip.writer.queue <- &messenger.Envelope{Call: number, Body: &messenger.Envelope_CallEnd{CallEnd: &messenger.CallEnd{}}}:
+	case pip.writer.queue <- buf.Bytes():
 	default:
 	}
 }
@@ -188,7 +192,8 @@
 func (pip *pipeline) read(str io.Reader) {
 	defer pip.close()
 	for {
-		env, err := messenger.Read(str)
+		// The call of a malformed reply, whose number is unknown, ends with its timeout.
+		env, err := readWellFormed(str)
 		if err != nil {
 			return
 		}
@@ -247,12 +252,27 @@
 			ser.serveCall(ctx, env)
 		}
 		var err error
-		if env, err = messenger.Read(str); err != nil {
+		if env, err = readWellFormed(str); err != nil {
 			return
 		}
 	}
 }
 
+// isUnsendable reports whether an envelope could not be sent because of what it holds.
+func isUnsendable(err error) bool {
+	return eris.Is(err, messenger.ErrMalformed) || eris.Is(err, messenger.ErrFrameTooLarge)
+}
+
+// readWellFormed reads the next envelope and skips those that can't be decoded.
+func readWellFormed(reader io.Reader) (*messenger.Envelope, error) {
+	for {
+		env, err := messenger.Read(reader)
+		if !eris.Is(err, messenger.ErrMalformed) {
+			return env, err
+		}
+	}
+}
+
 // serveCall waits for a free slot and then runs the handler in a goroutine. While it
 // waits, no further envelope is read from the stream.
 func (ser *pipelineServer) serveCall(ctx context.Context, env *messenger.Envelope) {
@@ -264,8 +284,12 @@
 	go func() {
 		defer func() { <-ser.slots }()
 		defer ser.cancelCall(env.GetCall())
-		if rep := ser.handler(ctx, env); rep != nil {
-			_ = ser.writer.send(ctx, withCall(rep, env.GetCall()))
+		rep := ser.handler(ctx, env)
+		if rep == nil {
+			return
+		}
+		if err := ser.writer.send(ctx, withCall(rep, env.GetCall())); isUnsendable(err) {
+			_ = ser.writer.send(ctx, withCall(messenger.NewFailure("unsendable_reply", err.Error()), env.GetCall()))
 		}
 	}()
 }
