Guard the state of a call against the search for a replacement

What callers saw: nothing reported. The search for a replacement of a stalled endpoint may go on after its send has ended; it read the state of the call and the list of excluded endpoints while the call changed them without the lock.

--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -106,8 +106,6 @@
 	// suspendedBefore is the time for which the host was suspended before the call
 	// arrived.
 	suspendedBefore time.Duration
-	// excluded lists the endpoints that have failed the call.
-	excluded []string
 	// trial is the last send as a trial of the prompt's parts.
 	trial quarantiner.Trial
 	log   zerolog.Logger
@@ -121,6 +119,8 @@
 	// concurrently.
 	mu    sync.Mutex
 	state State
+	// excluded lists the endpoints that have failed the call.
+	excluded []string
 	// lastEvent is the ID of the last event forwarded, and lastEventAt the time at
 	// which an event was last forwarded; zero before the first one.
 	lastEvent   string
@@ -299,25 +299,33 @@
 			fwd.finishUnplaced(ctx, err)
 			return
 		}
-		fwd.state = fwd.state.WithSend()
+		fwd.update(func() { fwd.state = fwd.state.WithSend() })
 		out := fwd.send(ctx, lea)
 		lea.Release()
 		now := fwd.Clock()
-		var dec Decision
 		// The retry for a replacement was taken before its placement.
-		fwd.state, dec = Next(fwd.state, out, SendLimits{
+		sta, dec := Next(fwd.state, out, SendLimits{
 			Route: fwd.route, Left: fwd.deadline.Sub(now), TakeRetry: func() bool { return fwd.replacement != nil || fwd.takeFromBudget(now) },
 		})
+		fwd.update(func() { fwd.state = sta })
 		fwd.logSend(lea, out, dec, now)
 		if _, again := dec.(Resend); !again {
 			fwd.dropReplacement()
 			fwd.finish(dec, fwd.quarantineLeft(now))
 			return
 		}
-		fwd.excluded = append(fwd.excluded, lea.Endpoint.ID)
+		fwd.update(func() { fwd.excluded = append(fwd.excluded, lea.Endpoint.ID) })
 	}
 }
 
+// update changes what the search for a replacement reads: it may go on after its send has
+// ended.
+func (fwd *forwarding) update(change func()) {
+	fwd.mu.Lock()
+	defer fwd.mu.Unlock()
+	change()
+}
+
 // nextLease returns the replacement found while the last endpoint was stalled, or else
 // requests an endpoint.
 func (fwd *forwarding) nextLease(ctx context.Context) (Lease, error) {
--- a/request/relayer/stall.go
+++ b/request/relayer/stall.go
@@ -58,7 +58,10 @@
 		watch.retryLater(events)
 		return
 	}
-	lea, err := fwd.place(ctx, append(slices.Clone(fwd.excluded), id))
+	fwd.mu.Lock()
+	excluded := append(slices.Clone(fwd.excluded), id)
+	fwd.mu.Unlock()
+	lea, err := fwd.place(ctx, excluded)
 	if err != nil {
 		fwd.log.Info().Str("Endpoint", id).Err(err).Dur("LookMs", fwd.Clock().Sub(now)).Msg("endpoint stalled and no other endpoint is available; waiting for it and searching again later")
 		watch.retryLater(events)
