Take no restarted or shorter run for the rest of a stream

A second way to a stream in chunks that ends as complete before its last event, on too: an endpoint that should resume a stream sends a run from the first event on that ends, marked, before the last event that the caller has; the host dropped all of it and ended the stream. Besides, events without an ID between such repeated events came twice; a caller's Last-Event-Id made the host drop events also on routes whose streams can't be resumed; and a comment after the last event, or before the first one, kept a stream from being resumed. Not decided: events without an ID that begin the answer of a resuming endpoint may be new or repeated; they are forwarded as before. Why it works: an answer whose last event comes before the caller's last one is behind; what comes without an ID meanwhile is repeated, and its end is no end of the stream.

--- a/request/relayer/event.go
+++ b/request/relayer/event.go
@@ -18,6 +18,8 @@
 type event struct {
 	raw []byte
 	id  string
+	// hasData is false for a block that only has comments or settings.
+	hasData bool
 }
 
 // readEvent reads one event, up to its final blank line, into buf. At the end of the
@@ -42,6 +44,7 @@
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			eve.id = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		eve.hasData = eve.hasData || bytes.HasPrefix(line, []byte("data"))
 	}
 }
 
@@ -78,3 +81,26 @@
 	}
 	return newID > lastID
 }
+
+// position follows the events of one answer, which may begin before the last event that the
+// caller received.
+type position struct {
+	// behind says that the answer has not reached that event yet.
+	behind bool
+	// repeated counts the events that the caller had already.
+	repeated int
+}
+
+// repeats reports whether the caller already has the next event of the answer. An event
+// without an ID is taken to follow the event before it.
+func (pos *position) repeats(id, last string) bool {
+	isNew := follows(id, last)
+	if id != "" {
+		pos.behind = !isNew && id != last
+	}
+	if !pos.behind && isNew {
+		return false
+	}
+	pos.repeated++
+	return true
+}
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -194,7 +194,9 @@
 	if ans := fwd.readBodyUnlessStopping(mat.Tables().Caller); ans != nil {
 		return ans
 	}
-	fwd.lastEvent = fwd.call.LastEvent
+	if rou.Resumable {
+		fwd.lastEvent = fwd.call.LastEvent
+	}
 	fwd.log.Info().Str("Route", rou.Name).Str("Pool", fwd.pool.Name).Str("Team", fwd.team.Name).Uint64("TablesRevision", mat.Revision()).
 		Int64("PromptTokens", fwd.call.PromptTokens).Strs("SharedParts", fwd.call.SharedParts).Dur("LeftMs", fwd.deadline.Sub(fwd.arrived)).Msg("call accepted")
 	return nil
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -47,6 +47,7 @@
 var (
 	errCrashed        = errors.New("stream without a frame was closed by an endpoint that refuses connections")
 	errRepeatedEvents = errors.New("stream repeats events that the caller already received")
+	errShortRun       = errors.New("stream ends before the last event that the caller received, so it is no continuation")
 )
 
 // hopHeaders are the headers that concern a single connection only.
@@ -233,19 +234,14 @@
 func (fwd *forwarding) stream(ctx context.Context, lea Lease, ans *exchanger.Answer, watch *stallWatch) Outcome {
 	var buf []byte
 	ctl := http.NewResponseController(fwd.wri)
-	first, repeated, forwarded := true, 0, 0
+	var pos position
+	first, forwarded := true, 0
 	for {
 		eve, err := readEvent(ans.Body, buf)
-		switch {
-		case errors.Is(err, io.EOF) && first && !ans.Framed:
-			// Nothing marks the end of such a stream, so it may as well have been broken off.
-			return fwd.sendFailure(ctx, lea, io.ErrUnexpectedEOF)
-		case errors.Is(err, io.EOF) && !ans.Framed && fwd.Exchanger.Refuses(ctx, lea.Endpoint.Address, crashCheckTimeout):
-			return fwd.sendFailure(ctx, lea, errCrashed)
-		case errors.Is(err, io.EOF):
-			fwd.writeHead(ans)
-			return Whole{Framed: ans.Framed}
-		case err != nil:
+		if errors.Is(err, io.EOF) {
+			return fwd.endStream(ctx, lea, ans, first, pos)
+		}
+		if err != nil {
 			return fwd.sendFailure(ctx, lea, err)
 		}
 		buf = eve.raw
@@ -254,10 +250,10 @@
 			lea.ReportFirstEvent()
 			fwd.log.Info().Str("Endpoint", lea.Endpoint.ID).Dur("AfterMs", fwd.Clock().Sub(fwd.arrived)).Dur("ExpectedMs", lea.ExpectedFirstEvent).Msg("stream began")
 		}
-		if !follows(eve.id, fwd.lastEvent) {
+		if pos.repeats(eve.id, fwd.lastEvent) {
 			// Repeated events do not count as progress: a faulty endpoint may repeat
 			// them without end.
-			if repeated++; repeated > maxRepeatedEvents {
+			if pos.repeated > maxRepeatedEvents {
 				return fwd.sendFailure(ctx, lea, errRepeatedEvents)
 			}
 			continue
@@ -277,12 +273,30 @@
 	}
 }
 
+// endStream returns the outcome of an answer that has ended between two events. empty says
+// that it had no event.
+func (fwd *forwarding) endStream(ctx context.Context, lea Lease, ans *exchanger.Answer, empty bool, pos position) Outcome {
+	switch {
+	case empty && !ans.Framed:
+		// Nothing marks the end of such a stream, so it may as well have been broken off.
+		return fwd.sendFailure(ctx, lea, io.ErrUnexpectedEOF)
+	case pos.behind:
+		return fwd.sendFailure(ctx, lea, errShortRun)
+	case !ans.Framed && fwd.Exchanger.Refuses(ctx, lea.Endpoint.Address, crashCheckTimeout):
+		return fwd.sendFailure(ctx, lea, errCrashed)
+	default:
+		fwd.writeHead(ans)
+		return Whole{Framed: ans.Framed}
+	}
+}
+
 // recordForwarded records an event that was sent to the caller.
 func (fwd *forwarding) recordForwarded(eve event) {
 	fwd.mu.Lock()
 	defer fwd.mu.Unlock()
+	// A block without data, such as a comment, is no event to resume after.
+	fwd.state.Numbered = eve.id != "" || !eve.hasData && (fwd.state.Numbered || fwd.state.Events == 0)
 	fwd.state.Events++
-	fwd.state.Numbered = eve.id != ""
 	fwd.lastEventAt = fwd.Clock()
 	if eve.id != "" {
 		fwd.lastEvent = eve.id
