Take no object of the store without a frame for a whole one

A reply with an object that had neither a length nor chunks and broke off was taken for the whole object. The records of claims are in protobuf, which can be decoded if it is cut between two fields; a claim that is missing lets a call run twice. After: such a reply is an error of the read. Lists and watches are JSON or gzip, whose ends show.

--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return Object{}, eris.Wrapf(err, "Persister.Get: %s from platform %s", path, per.BaseURL)
 	}
+	if !res.framed {
+		return Object{}, eris.Errorf("Persister.Get: %s from platform %s: the value has neither a length nor chunks and may have broken off", path, per.BaseURL)
+	}
 	return Object{Path: path, Version: parseVersion(res.etag), Value: res.body}, nil
 }
 
@@ -160,6 +163,8 @@
 	// unchanged is set if the platform answered with status 304: the list still has
 	// the ETag of the request.
 	unchanged bool
+	// framed says that a length or chunks mark the end of the body.
+	framed bool
 }
 
 func (per *Persister) do(ctx context.Context, method, path string, header http.Header, body []byte) (response, error) {
@@ -183,6 +188,7 @@
 		return response{}, eris.Wrap(err, "read answer")
 	}
 	out := response{etag: res.Header.Get("ETag"), body: buf, receivedBytes: len(buf), unchanged: res.StatusCode == http.StatusNotModified}
+	out.framed = res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Uncompressed
 	if out.unchanged {
 		return out, nil
 	}
