Keep the reports of odd records short

The problem of a record with an address of megabytes quoted the address, in the log and in the keys of the odd entries that are remembered, up to 4096. Evidence: go test ./process/registrar -run TestProblemIsShort failed before, passes now.

--- a/process/registrar/problem.go
+++ b/process/registrar/problem.go
@@ -45,6 +45,9 @@
 }
 
 func addressProblem(address string) string {
+	if len(address) > maxTextBytes {
+		return "the address is too long"
+	}
 	add, err := netip.ParseAddrPort(address)
 	switch {
 	case err != nil:
