Send texts of callers and endpoints to planners as UTF-8

The ID of a plan request begins with the caller's Request-Id, and a notice of a failed endpoint holds an address from an answer; both may be any bytes, while protobuf sends only UTF-8. A prompt with such an ID got no plan, and a notice lost all that were collected with it.

Test: go test ./process/assigner -run TestOddTexts failed on, passes now.

--- a/process/assigner/message.go
+++ b/process/assigner/message.go
@@ -1,12 +1,16 @@
 package assigner
 
 import (
+	"strings"
 	"time"
 
 	"hemlockpin/connection/messenger"
 	"hemlockpin/process/planner"
 )
 
+// validText returns a text of a caller or of an endpoint as UTF-8, which messages require.
+func validText(text string) string { return strings.ToValidUTF8(text, "?") }
+
 func requestMessage(pool string, req planner.Request, hold time.Duration, now time.Time) *messenger.PlanRequest {
 	pro := req.Prompt
 	return &messenger.PlanRequest{
@@ -74,7 +78,7 @@
 	case planner.Began:
 		return &messenger.PlanNotice{Id: eve.ID, Kind: messenger.PlanNotice_KIND_BEGAN}
 	case planner.Failed:
-		return &messenger.PlanNotice{Id: eve.ID, Kind: messenger.PlanNotice_KIND_FAILED, Endpoint: eve.Endpoint}
+		return &messenger.PlanNotice{Id: eve.ID, Kind: messenger.PlanNotice_KIND_FAILED, Endpoint: validText(eve.Endpoint)}
 	case planner.Ended:
 		return &messenger.PlanNotice{Id: eve.ID, Kind: messenger.PlanNotice_KIND_ENDED}
 	default:
--- a/process/assigner/planners.go
+++ b/process/assigner/planners.go
@@ -162,9 +162,10 @@
 }
 
 // requestID returns a new ID for a plan request. Every send of a call and every further
-// attempt to place the call is a separate request to the planner.
+// attempt to place the call is a separate request to the planner. Its ID begins with that of
+// the call, which may be any bytes.
 func (pla *Planners) requestID(req relayer.PlacementRequest) string {
-	return strings.Join([]string{req.ID, strconv.Itoa(req.Sends), pla.Self, strconv.FormatUint(pla.requestSequence.Add(1), 36)}, "/")
+	return strings.Join([]string{validText(req.ID), strconv.Itoa(req.Sends), pla.Self, strconv.FormatUint(pla.requestSequence.Add(1), 36)}, "/")
 }
 
 func promptOf(req relayer.PlacementRequest) planner.Prompt {
