Fail calls whose answer without a frame ends with a crash of its endpoint

The check of, whether an endpoint that has closed an answer without a frame refuses connections, held for streams only: a plain answer that broke off so was passed on with a clean close. The soak could not find it, since falseEnd excuses every disturbance of the server, crashes too. The cost is the same as for streams: one connection attempt for each answer without a frame, and a call that fails if the endpoint ends just after a whole answer.

--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -45,7 +45,7 @@
 
 // Faults of streams that an endpoint sends.
 var (
-	errCrashed        = errors.New("stream without a frame was closed by an endpoint that refuses connections")
+	errCrashed        = errors.New("answer without a frame was closed by an endpoint that refuses connections")
 	errRepeatedEvents = errors.New("stream repeats events that the caller already received")
 	errShortRun       = errors.New("stream ends before the last event that the caller received, so it is no continuation")
 )
@@ -189,6 +189,10 @@
 	if err := fwd.bufferAnswer(ans); err != nil {
 		return fwd.sendFailure(ctx, lea, err)
 	}
+	if fwd.crashed(ctx, lea, ans) {
+		fwd.releaseAnswer()
+		return fwd.sendFailure(ctx, lea, errCrashed)
+	}
 	if ans.Status >= http.StatusInternalServerError {
 		return Answered{Status: ans.Status}
 	}
@@ -282,7 +286,7 @@
 		return fwd.sendFailure(ctx, lea, io.ErrUnexpectedEOF)
 	case pos.behind:
 		return fwd.sendFailure(ctx, lea, errShortRun)
-	case !ans.Framed && fwd.Exchanger.Refuses(ctx, lea.Endpoint.Address, crashCheckTimeout):
+	case fwd.crashed(ctx, lea, ans):
 		return fwd.sendFailure(ctx, lea, errCrashed)
 	default:
 		fwd.writeHead(ans)
@@ -290,6 +294,12 @@
 	}
 }
 
+// crashed reports whether an answer that nothing marks the end of has ended because its
+// endpoint has.
+func (fwd *forwarding) crashed(ctx context.Context, lea Lease, ans *exchanger.Answer) bool {
+	return !ans.Framed && fwd.Exchanger.Refuses(ctx, lea.Endpoint.Address, crashCheckTimeout)
+}
+
 // recordForwarded records an event that was sent to the caller.
 func (fwd *forwarding) recordForwarded(eve event) {
 	fwd.mu.Lock()
