Reset the caller's connection if a reply without a frame can't be sent whole

What callers saw: in the product's own interface, a reply without a frame that the caller read too slowly, or whose host ended meanwhile, was closed after a part and looked complete. Cause: only the relayer set the connection to be reset until the answer is whole; the executor did not know the connection. Evidence: TestShortWriteOfReplyWithoutFrame failed before (4,011,804 of 12,582,912 bytes with a clean close) and passes now; the test's server now has the ConnContext that process/server sets. After: the connection of a request and its reset belong to connection/acceptor, which both interfaces use. A failed flush leaves the reset set.

--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -17,7 +17,6 @@
 	"hemlockpin/process/gossiper"
 	"hemlockpin/process/quarantiner"
 	"hemlockpin/process/registrar"
-	"hemlockpin/request/relayer"
 
 	"github.com/gorilla/mux"
 )
@@ -30,7 +29,7 @@
 	set := fwd.Settings
 	return &http.Server{
 		Handler: fwd.countCalls(fwd.relayer), ReadHeaderTimeout: min(headerTimeout, set.ReadTimeout), ReadTimeout: set.ReadTimeout,
-		ConnContext: relayer.ConnContext, IdleTimeout: set.IdleTimeout, MaxHeaderBytes: set.MaxHeader, ErrorLog: log.New(serverLog{fwd}, "", 0),
+		ConnContext: acceptor.ConnContext, IdleTimeout: set.IdleTimeout, MaxHeaderBytes: set.MaxHeader, ErrorLog: log.New(serverLog{fwd}, "", 0),
 	}
 }
 
--- a/process/server/caller.go
+++ b/process/server/caller.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"hemlockpin/connection/acceptor"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/request/receiver"
 	"hemlockpin/request/responder"
@@ -19,11 +20,13 @@
 // that does not read it.
 const callerBufferBytes = 64 << 10
 
-func limitWriteBuffer(ctx context.Context, con net.Conn) context.Context {
+// callerContext limits the write buffer of a caller's connection, and keeps the connection in
+// the contexts of its requests.
+func callerContext(ctx context.Context, con net.Conn) context.Context {
 	if tcp, ok := con.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(callerBufferBytes)
 	}
-	return ctx
+	return acceptor.ConnContext(ctx, con)
 }
 
 func (ser *Server) callerRoutes() http.Handler {
--- a/process/server/edge.go
+++ b/process/server/edge.go
@@ -70,7 +70,7 @@
 	return &http.Server{
 		Handler: han, ReadHeaderTimeout: min(headerTimeout, ser.Settings.ReadTimeout), ReadTimeout: ser.Settings.ReadTimeout,
 		IdleTimeout: ser.Settings.IdleTimeout, MaxHeaderBytes: ser.Settings.MaxHeader, ErrorLog: log.New(serverLog{ser}, "", 0),
-		ConnContext: limitWriteBuffer,
+		ConnContext: callerContext,
 	}
 }
 
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hemlockpin/connection/acceptor"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
 	"hemlockpin/request/claimer"
@@ -114,27 +115,33 @@
 	return fai, err
 }
 
-func (cal *call) write(rep invoker.ServiceReply) {
+// write answers with a reply. One that nothing marks the end of is sent without a frame, so
+// that its end looks no surer than it is; until all is sent, the connection is reset if it
+// closes.
+func (cal *call) write(ctx context.Context, rep invoker.ServiceReply) {
 	hea := cal.writer.Header()
 	hea.Set("Content-Type", rep.Header.Get("Content-Type"))
 	hea.Set(responder.RunHeader, string(invoker.Ran))
 	if rep.Unframed {
-		// net/http then sends no frame either, so that the end looks no surer than it is.
 		hea.Set("Transfer-Encoding", "identity")
+		acceptor.SetReset(ctx, true)
 	}
 	cal.writer.WriteHeader(rep.Status)
 	_, _ = cal.writer.Write(rep.Body)
+	if rep.Unframed && http.NewResponseController(cal.writer).Flush() == nil {
+		acceptor.SetReset(ctx, false)
+	}
 }
 
 // replay answers with a recorded outcome. An answer whose body was too large or too uncertain
 // to record is reported as an error, since an empty body would be wrong.
-func (exe *Executor) replay(cal *call, out *messenger.Outcome) {
+func (exe *Executor) replay(ctx context.Context, cal *call, out *messenger.Outcome) {
 	cal.writer.Header().Set("Hemlockpin-Replayed", "true")
 	if out.GetTruncated() {
 		exe.fail(cal, claimer.Fail{Status: http.StatusConflict, Code: "outcome_not_kept", Message: "the call ran; its answer was not kept", Ran: invoker.Ran})
 		return
 	}
-	cal.write(invoker.ServiceReply{Status: int(out.GetStatus()), Header: http.Header{"Content-Type": {out.GetContentType()}}, Body: out.GetBody()})
+	cal.write(ctx, invoker.ServiceReply{Status: int(out.GetStatus()), Header: http.Header{"Content-Type": {out.GetContentType()}}, Body: out.GetBody()})
 }
 
 func (exe *Executor) fail(cal *call, fai claimer.Fail) {
--- a/request/executor/once.go
+++ b/request/executor/once.go
@@ -71,7 +71,7 @@
 		defer release()
 		cla.run(context.WithoutCancel(ctx))
 	}()
-	exe.answer(cal, cla.await(ctx))
+	exe.answer(ctx, cal, cla.await(ctx))
 }
 
 // await returns the final action of the call, or the answer for its current phase at the
@@ -220,12 +220,12 @@
 }
 
 // answer writes the final answer of a claimed call.
-func (exe *Executor) answer(cal *call, act claimer.Action) {
+func (exe *Executor) answer(ctx context.Context, cal *call, act claimer.Action) {
 	switch act := act.(type) {
 	case claimer.Record:
-		cal.write(act.Reply)
+		cal.write(ctx, act.Reply)
 	case claimer.Replay:
-		exe.replay(cal, act.Outcome)
+		exe.replay(ctx, cal, act.Outcome)
 	case claimer.Fail:
 		exe.fail(cal, act)
 	}
--- a/request/executor/repeat.go
+++ b/request/executor/repeat.go
@@ -54,7 +54,7 @@
 		case hedger.Wait:
 			eve = exe.awaitRepeatable(ctx, rep, hedgeTimer)
 		case hedger.Deliver:
-			rep.write(rep.reply)
+			rep.write(ctx, rep.reply)
 			return
 		case hedger.Fail:
 			exe.writeFailure(rep, act)
--- a/request/executor/unframed_review_test.go
+++ b/request/executor/short_write_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"hemlockpin/connection/acceptor"
 	"hemlockpin/request/receiver"
 
 	"github.com/stretchr/testify/require"
@@ -25,6 +26,7 @@
 		exe.Call(htr.Context(), wri, htr, serviceTables())
 	}))
 	ser.Config.WriteTimeout = 600 * time.Millisecond
+	ser.Config.ConnContext = acceptor.ConnContext
 	ser.Start()
 	defer ser.Close()
 	con, err := net.Dial("tcp", ser.Listener.Addr().String())
