--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -80,8 +80,9 @@
 	// Numbered says that the last event forwarded had an ID, after which a stream can be
 	// resumed.
 	Numbered bool
-	// Framed says that a stream to the caller has begun and that chunks will mark its end.
-	Framed bool
+	// CallerFramed says that a stream to the caller has begun and that chunks will mark its
+	// end.
+	CallerFramed bool
 }
 
 // WithSend returns the state after the call was sent.
@@ -131,7 +132,7 @@
 func Next(sta State, out Outcome, lim SendLimits) (State, Decision) {
 	switch out := out.(type) {
 	case Whole:
-		if sta.Framed && !out.Framed {
+		if sta.CallerFramed && !out.Framed {
 			// The end of the caller's answer would say more than the endpoint's.
 			return sta.resendBroken(lim)
 		}
--- a/request/relayer/decide_test.go
+++ b/request/relayer/decide_test.go
@@ -23,7 +23,7 @@
 		rou.Resumable = dat.Cmd == "resumable"
 		var sta State
 		dat.MaybeScanArgs(t, "events", &sta.Events)
-		dat.MaybeScanArgs(t, "framed", &sta.Framed)
+		dat.MaybeScanArgs(t, "framed", &sta.CallerFramed)
 		sta.Numbered = sta.Events > 0
 		dat.MaybeScanArgs(t, "numbered", &sta.Numbered)
 		budget := true
--- a/request/relayer/finish.go
+++ b/request/relayer/finish.go
@@ -50,7 +50,7 @@
 // deliver writes a complete answer. A stream was already written as its events arrived.
 func (fwd *forwarding) deliver() {
 	if fwd.answer.status == 0 {
-		if !fwd.state.Framed {
+		if !fwd.state.CallerFramed {
 			fwd.endFrame()
 		}
 		return
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -324,7 +324,7 @@
 	fwd.copyHeader(ans.Header)
 	framed := fwd.startFrame(ans.Framed, -1)
 	fwd.mu.Lock()
-	fwd.state.Framed = framed
+	fwd.state.CallerFramed = framed
 	fwd.mu.Unlock()
 	fwd.wri.WriteHeader(ans.Status)
 }
--- a/request/relayer/trial.go
+++ b/request/relayer/trial.go
@@ -15,8 +15,9 @@
 	// prompt.
 	soundEvents = 2
 	// crashCheckTimeout bounds the connection attempt that shows whether an endpoint has
-	// crashed. The call waits at most crashCheckWait for its result: an endpoint that has
-	// crashed refuses at once, and one that can't be reached must not delay the call.
+	// crashed. A call that has failed waits at most crashCheckWait for its result: an endpoint
+	// that has crashed refuses at once, and one that can't be reached must not delay the
+	// resend.
 	crashCheckTimeout = 150 * time.Millisecond
 	crashCheckWait    = 10 * time.Millisecond
 )
