--- a/connection/multiplexer/malformed_test.go
+++ b/connection/multiplexer/malformed_test.go
@@ -26,7 +26,7 @@
 		if key == "slow" {
 			<-release
 		}
-		if key == "odd reply" {
+		if key == "invalid reply" {
 			key = "\xff"
 		}
 		return &messenger.Envelope{Body: &messenger.Envelope_ClaimResult{ClaimResult: &messenger.ClaimResult{Message: key}}}
@@ -45,12 +45,12 @@
 	}()
 	_, err = mul.Call(ctx, lis.Addr().String(), claimCommit("sound"))
 	require.NoError(t, err)
-	for _, key := range []string{"\xff", "odd reply"} {
-		oddCtx, stopOdd := context.WithTimeout(ctx, time.Second)
-		_, err = mul.Call(oddCtx, lis.Addr().String(), claimCommit(key))
+	for _, key := range []string{"\xff", "invalid reply"} {
+		invalidCtx, stopInvalid := context.WithTimeout(ctx, time.Second)
+		_, err = mul.Call(invalidCtx, lis.Addr().String(), claimCommit(key))
 		require.Error(t, err)
-		require.NoError(t, oddCtx.Err(), "the call fails at once")
-		stopOdd()
+		require.NoError(t, invalidCtx.Err(), "the call fails at once")
+		stopInvalid()
 	}
 	close(release)
 	require.NoError(t, <-slow, "the other calls of the session go on")
@@ -73,9 +73,9 @@
 		env := claimCommit("2")
 		env.Call = number
 		require.NoError(t, messenger.Write(str, env))
-		odd := []byte{0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff}
-		binary.BigEndian.PutUint32(odd, 4)
-		_, err := str.Write(odd)
+		invalid := []byte{0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff}
+		binary.BigEndian.PutUint32(invalid, 4)
+		_, err := str.Write(invalid)
 		require.NoError(t, err)
 		rep, err := messenger.Read(str)
 		require.NoError(t, err)
--- a/connection/splitter/splitter_test.go
+++ b/connection/splitter/splitter_test.go
@@ -20,7 +20,7 @@
 		{"[1]", []string{"1"}},
 		{` [ {"a":[1,2]} , "x,]\"\\" ,null, 1e400 ] `, []string{`{"a":[1,2]}`, `"x,]\"\\"`, "null", "1e400"}},
 		{"[" + deep + ",2]", []string{deep, "2"}},
-		{"[\"\xff\x01\",nonsense text,{odd},3]", []string{"\"\xff\x01\"", "nonsense text", "{odd}", "3"}},
+		{"[\"\xff\x01\",nonsense text,{invalid},3]", []string{"\"\xff\x01\"", "nonsense text", "{invalid}", "3"}},
 		{"[1,,2]", []string{"1", "", "2"}},
 	} {
 		items, err := Items([]byte(tt.doc))
--- a/process/assigner/odd_test.go
+++ b/process/assigner/invalid_test.go
@@ -12,10 +12,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// TestOddTexts guards against messages to planners that can't be encoded since the ID of a
+// TestInvalidTexts guards against messages to planners that can't be encoded since the ID of a
 // call, or the address of the faulty endpoint in an answer, is no UTF-8. Notices are sent
 // together, so one such would lose the others.
-func TestOddTexts(t *testing.T) {
+func TestInvalidTexts(t *testing.T) {
 	var pla Planners
 	now := time.Unix(1000, 0)
 	first, second := pla.requestID(relayer.PlacementRequest{ID: "\xff"}), pla.requestID(relayer.PlacementRequest{ID: "\xff"})
--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -41,8 +41,8 @@
 // that everything has to be read again.
 var ErrCompacted = eris.New("follower: store has compacted the history after this revision")
 
-// OddEntry is an entry of the store that can't be used, such as one of another writer.
-type OddEntry struct {
+// InvalidEntry is an entry of the store that can't be used, such as one of another writer.
+type InvalidEntry struct {
 	// Name is empty if it can't be read.
 	Name string
 	// Revision is the store's revision of the entry's last change, or 0 if it can't be read.
@@ -55,8 +55,8 @@
 	// Found is false if the store holds no tables, or no newer ones.
 	Found  bool
 	Tables parser.Tables
-	// Odd are the entries that have been left out.
-	Odd []OddEntry
+	// Invalid are the entries that have been left out.
+	Invalid []InvalidEntry
 	// Revision is the store's revision at the read.
 	Revision uint64
 }
@@ -67,9 +67,9 @@
 	// those that have changed.
 	Complete  bool
 	Endpoints []registrar.Endpoint
-	// Odd are the entries that name no endpoint to use. Those that have names that endpoints
+	// Invalid are the entries that name no endpoint to use. Those that have names that endpoints
 	// can have are among Endpoints, too, marked as Gone.
-	Odd []OddEntry
+	Invalid []InvalidEntry
 	// Revision is the store's revision at the read.
 	Revision uint64
 }
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -98,7 +98,7 @@
 	// peers.
 	updatesMu sync.Mutex
 	updates   []registrar.Endpoint
-	odd       oddLog
+	invalid   invalidLog
 	// requestDrain ends the context of Run, which sets requestDrain.
 	requestDrain context.CancelFunc
 }
--- a/process/forwarder/odd_test.go
+++ b/process/forwarder/invalid_test.go
@@ -17,49 +17,49 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestOddEntryIsLoggedOnce guards against odd entries that go unnoticed, or that fill the log
+// TestInvalidEntryIsLoggedOnce guards against invalid entries that go unnoticed, or that fill the log
 // with a line for each read. The other entries must hold.
-func TestOddEntryIsLoggedOnce(t *testing.T) {
+func TestInvalidEntryIsLoggedOnce(t *testing.T) {
 	fwd := newHost(t, 0, 1, 2*time.Second)
 	var out bytes.Buffer
 	fwd.Log = zerolog.New(&out)
-	lines := func() int { return strings.Count(out.String(), "odd entry; leaving it out") }
-	apply := func(odd ...follower.OddEntry) {
+	lines := func() int { return strings.Count(out.String(), "invalid entry; leaving it out") }
+	apply := func(invalid ...follower.InvalidEntry) {
 		fwd.applyEndpoints(follower.Endpoints{
-			Complete: true, Revision: 9, Odd: odd,
-			Endpoints: []registrar.Endpoint{{ID: "e", Service: "llm", Address: "10.0.0.1:1", Revision: 1}, {ID: "odd", Revision: 3, Gone: true}},
+			Complete: true, Revision: 9, Invalid: invalid,
+			Endpoints: []registrar.Endpoint{{ID: "e", Service: "llm", Address: "10.0.0.1:1", Revision: 1}, {ID: "invalid", Revision: 3, Gone: true}},
 		}, time.Now())
 	}
-	first := follower.OddEntry{Name: "odd", Revision: 3, Problem: "the port is out of range"}
-	nameless := follower.OddEntry{Problem: "no name"}
+	first := follower.InvalidEntry{Name: "invalid", Revision: 3, Problem: "the port is out of range"}
+	nameless := follower.InvalidEntry{Problem: "no name"}
 	apply(first, nameless)
 	apply(first, nameless)
 	require.Equal(t, 2, lines())
-	require.Contains(t, out.String(), `"level":"warn","What":"endpoints","Name":"odd","Revision":3,"Problem":"the port is out of range"`)
+	require.Contains(t, out.String(), `"level":"warn","What":"endpoints","Name":"invalid","Revision":3,"Problem":"the port is out of range"`)
 	changed := first
 	changed.Revision = 4
 	apply(changed, nameless)
 	require.Equal(t, 3, lines())
-	fwd.applyTables(follower.Tables{Revision: 9, Odd: []follower.OddEntry{first}}, time.Now())
+	fwd.applyTables(follower.Tables{Revision: 9, Invalid: []follower.InvalidEntry{first}}, time.Now())
 	require.Equal(t, 4, lines())
 	require.Len(t, fwd.registry.Usable("llm", time.Now()), 1)
 }
 
-// TestOddLogIsBounded lets odd entries change without end.
-func TestOddLogIsBounded(t *testing.T) {
-	var log oddLog
-	for i := range 3 * maxOddKeys {
-		require.True(t, log.add(oddKey{name: strings.Repeat("x", i%7), problem: time.Unix(int64(i), 0).String()}, uint64(i)))
-		require.LessOrEqual(t, len(log.revisions), maxOddKeys)
+// TestInvalidLogIsBounded lets invalid entries change without end.
+func TestInvalidLogIsBounded(t *testing.T) {
+	var log invalidLog
+	for i := range 3 * maxInvalidKeys {
+		require.True(t, log.add(invalidKey{name: strings.Repeat("x", i%7), problem: time.Unix(int64(i), 0).String()}, uint64(i)))
+		require.LessOrEqual(t, len(log.revisions), maxInvalidKeys)
 	}
 }
 
-// TestOddRecordsOfPeers guards against odd records of a peer that are used, that are passed on
+// TestInvalidRecordsOfPeers guards against invalid records of a peer that are used, that are passed on
 // to other peers, or that make the records or the status of the host unsendable. The other
 // records of the message must be kept.
-func TestOddRecordsOfPeers(t *testing.T) {
+func TestInvalidRecordsOfPeers(t *testing.T) {
 	valid := func(change func(rec *messenger.EndpointRecord)) *messenger.EndpointRecord {
-		rec := &messenger.EndpointRecord{Id: "odd", Service: "llm", Address: "10.0.0.9:80", DataCenter: "z", Revision: 5, StartedMs: 1_700_000_000_000, Slots: 4}
+		rec := &messenger.EndpointRecord{Id: "invalid", Service: "llm", Address: "10.0.0.9:80", DataCenter: "z", Revision: 5, StartedMs: 1_700_000_000_000, Slots: 4}
 		change(rec)
 		return rec
 	}
@@ -91,11 +91,11 @@
 			require.Len(t, fwd.registry.Usable("llm", time.Now()), 3)
 			require.Less(t, out.Len(), 10_000)
 			if rec.GetId() != "" {
-				require.Equal(t, 1, strings.Count(out.String(), "odd entry"))
+				require.Equal(t, 1, strings.Count(out.String(), "invalid entry"))
 			}
 			var buf bytes.Buffer
 			require.NoError(t, messenger.Write(&buf, fwd.handleEndpointsPull(&messenger.EndpointsPull{})))
-			require.Less(t, buf.Len(), 10_000, "the odd record is not passed on")
+			require.Less(t, buf.Len(), 10_000, "the invalid record is not passed on")
 			res := httptest.NewRecorder()
 			fwd.status(res, nil)
 			require.True(t, json.Valid(res.Body.Bytes()), "operators can read the status")
@@ -103,9 +103,9 @@
 	}
 }
 
-// TestOddRevisionsOfPeers guards against a peer's revision that no host can exceed: the host's
+// TestInvalidRevisionsOfPeers guards against a peer's revision that no host can exceed: the host's
 // records would never count as confirmed again.
-func TestOddRevisionsOfPeers(t *testing.T) {
+func TestInvalidRevisionsOfPeers(t *testing.T) {
 	fwd := newPlannerHost(t)
 	fwd.comparePeerRevision("127.0.0.1:1", math.MaxUint64, time.Now())
 	require.False(t, fwd.pullingEndpoints.Load())
--- a/process/forwarder/quarantine.go
+++ b/process/forwarder/quarantine.go
@@ -52,8 +52,8 @@
 // QuarantineStore keeps quarantines beyond the life of all hosts.
 type QuarantineStore interface {
 	// Quarantines reads all quarantines. They count as begun at the time now, since clocks
-	// of hosts differ. odd are the entries that are left out.
-	Quarantines(ctx context.Context, now time.Time) (quas []quarantiner.Quarantine, odd []follower.OddEntry, err error)
+	// of hosts differ. invalid are the entries that are left out.
+	Quarantines(ctx context.Context, now time.Time) (quas []quarantiner.Quarantine, invalid []follower.InvalidEntry, err error)
 	// AddQuarantine writes a quarantine and is idempotent. RemoveQuarantine removes the one
 	// with a name, if there is one.
 	AddQuarantine(ctx context.Context, qua quarantiner.Quarantine) error
@@ -290,7 +290,7 @@
 	readCtx, stop := context.WithTimeout(ctx, quarantineTimeout)
 	defer stop()
 	now := time.Now()
-	quas, odd, err := fwd.Platform.Quarantines.Quarantines(readCtx, now)
+	quas, invalid, err := fwd.Platform.Quarantines.Quarantines(readCtx, now)
 	rea := &fwd.quarantine.reads
 	if err != nil {
 		*rea = rea.WithFailure(time.Now(), rand.Float64())
@@ -298,7 +298,7 @@
 		return
 	}
 	*rea = quarantineReads{last: now}
-	fwd.reportOdd("quarantines", odd)
+	fwd.reportInvalid("quarantines", invalid)
 	led := &fwd.quarantine.ledger
 	for _, qua := range quas {
 		led.MarkStored(qua.Name())
--- a/process/forwarder/quarantine_test.go
+++ b/process/forwarder/quarantine_test.go
@@ -40,7 +40,7 @@
 	return sto.reads
 }
 
-func (sto *quarantineStore) Quarantines(_ context.Context, now time.Time) ([]quarantiner.Quarantine, []follower.OddEntry, error) {
+func (sto *quarantineStore) Quarantines(_ context.Context, now time.Time) ([]quarantiner.Quarantine, []follower.InvalidEntry, error) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	sto.reads++
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -89,7 +89,7 @@
 // applyTables applies tables read from the store, which held nothing newer at the
 // given time.
 func (fwd *Forwarder) applyTables(result follower.Tables, at time.Time) {
-	fwd.reportOdd("tables", result.Odd)
+	fwd.reportInvalid("tables", result.Invalid)
 	if !result.Found {
 		fwd.publisher.ConfirmRevision(fwd.publisher.Current().Revision(), at)
 		return
@@ -107,7 +107,7 @@
 // applyEndpoints applies endpoints read from the store, which held nothing newer at
 // the given time.
 func (fwd *Forwarder) applyEndpoints(result follower.Endpoints, at time.Time) {
-	fwd.reportOdd("endpoints", result.Odd)
+	fwd.reportInvalid("endpoints", result.Invalid)
 	var changed []registrar.Endpoint
 	if result.Complete {
 		changed = fwd.registry.MergeComplete(result.Endpoints, result.Revision, time.Now())
--- a/process/gossiper/peer.go
+++ b/process/gossiper/peer.go
@@ -145,11 +145,11 @@
 	return out
 }
 
-// peersOf converts the reports of a message, and counts those that are odd and left out.
+// peersOf converts the reports of a message, and counts those that are invalid and left out.
 func (gos *Gossiper) peersOf(mems []*messenger.Member) []Peer {
 	out := peersOf(mems)
 	for range len(mems) - len(out) {
-		gos.count("odd_entries", map[string]string{"what": "members"})
+		gos.count("invalid_entries", map[string]string{"what": "members"})
 	}
 	return out
 }
--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -261,8 +261,8 @@
 				return
 			}
 			if problem := loa.problem(); pp.isNewProblem(eng.ID, problem) {
-				run.Scope.Counter("odd_reports").Inc(1)
-				run.Log.Warn().Str("Endpoint", eng.ID).Str("Problem", problem).Msg("odd engine report; counting it as missed")
+				run.Scope.Counter("invalid_reports").Inc(1)
+				run.Log.Warn().Str("Endpoint", eng.ID).Str("Problem", problem).Msg("invalid engine report; counting it as missed")
 			}
 			pp.apply(Report{eng.ID, loa}, run.Clock())
 		})
--- a/process/planner/runner_test.go
+++ b/process/planner/runner_test.go
@@ -93,25 +93,25 @@
 	}
 }
 
-// oddEngines report an odd pace, but for one.
-type oddEngines struct{}
+// invalidEngines report an invalid pace, but for one.
+type invalidEngines struct{}
 
-func (oddEngines) Load(_ context.Context, address string) (Load, error) {
+func (invalidEngines) Load(_ context.Context, address string) (Load, error) {
 	if address == "sound" {
 		return Load{Pace: 1}, nil
 	}
 	return Load{Pace: 1e300}, nil
 }
 
-// TestOddReportIsLoggedOnce guards against an odd report that stops the plan, that keeps its
+// TestInvalidReportIsLoggedOnce guards against an invalid report that stops the plan, that keeps its
 // engine in use, or that fills the log with a line for each report.
-func TestOddReportIsLoggedOnce(t *testing.T) {
+func TestInvalidReportIsLoggedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
 		run := &Runner{
-			Loader: oddEngines{},
+			Loader: invalidEngines{},
 			Engines: func(parser.Pool, time.Time) []Engine {
-				return []Engine{{ID: "odd", Address: "odd"}, {ID: "sound", Address: "sound"}}
+				return []Engine{{ID: "invalid", Address: "invalid"}, {ID: "sound", Address: "sound"}}
 			},
 			Pool:     func(string) (parser.Pool, bool) { return parser.Pool{Name: "llm", Batching: &batching}, true },
 			Interval: 200 * time.Millisecond, Clock: time.Now, Log: zerolog.New(&out), Scope: tally.NoopScope,
@@ -130,6 +130,6 @@
 		}
 		stop()
 		synctest.Wait()
-		require.Equal(t, 1, strings.Count(out.String(), "odd engine report"))
+		require.Equal(t, 1, strings.Count(out.String(), "invalid engine report"))
 	})
 }
--- a/process/quarantiner/odd_test.go
+++ b/process/quarantiner/invalid_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestOddRecords guards against a peer's record that applies for ever or to all prompts, or
+// TestInvalidRecords guards against a peer's record that applies for ever or to all prompts, or
 // that no later one supersedes. The others must be kept.
-func TestOddRecords(t *testing.T) {
+func TestInvalidRecords(t *testing.T) {
 	now := time.Unix(1000, 0)
 	sound := &messenger.QuarantineRecord{Pool: "llm", Parts: []string{"a"}, Generation: 1}
 	for name, rec := range map[string]*messenger.QuarantineRecord{
--- a/process/registrar/problem_test.go
+++ b/process/registrar/problem_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestProblemIsShort guards against log lines of megabytes about an odd record.
+// TestProblemIsShort guards against log lines of megabytes about an invalid record.
 func TestProblemIsShort(t *testing.T) {
 	problem := Endpoint{ID: "e", Service: "s", Address: strings.Repeat("x", 1<<20) + ":80"}.Problem()
 	require.NotEmpty(t, problem)
--- a/process/throttler/odd_test.go
+++ b/process/throttler/invalid_test.go
@@ -10,15 +10,15 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestOddRecords guards against a peer's record with an odd value that stops all calls to an
+// TestInvalidPeerRecords guards against a peer's record with an invalid value that stops all calls to an
 // endpoint, or that no later limit of the endpoint supersedes. The others must be kept.
-func TestOddRecords(t *testing.T) {
+func TestInvalidPeerRecords(t *testing.T) {
 	sound := &messenger.LimitRecord{Endpoint: "sound", Sequence: 1, Rate: 2}
 	for name, rec := range map[string]*messenger.LimitRecord{
-		"rate no number":   {Endpoint: "odd", Sequence: 1, Rate: math.NaN()},
-		"rate infinite":    {Endpoint: "odd", Sequence: 1, Rate: math.Inf(1)},
-		"rate negative":    {Endpoint: "odd", Sequence: 1, Rate: -1},
-		"sequence at end":  {Endpoint: "odd", Sequence: math.MaxUint64, Rate: 1},
+		"rate no number":   {Endpoint: "invalid", Sequence: 1, Rate: math.NaN()},
+		"rate infinite":    {Endpoint: "invalid", Sequence: 1, Rate: math.Inf(1)},
+		"rate negative":    {Endpoint: "invalid", Sequence: 1, Rate: -1},
+		"sequence at end":  {Endpoint: "invalid", Sequence: math.MaxUint64, Rate: 1},
 		"without endpoint": {Sequence: 1, Rate: 1},
 		"empty":            nil,
 	} {
@@ -29,8 +29,8 @@
 	}
 }
 
-// TestOddRates guards against a bucket that allows nothing any more after an odd rate.
-func TestOddRates(t *testing.T) {
+// TestInvalidRates guards against a bucket that allows nothing any more after an invalid rate.
+func TestInvalidRates(t *testing.T) {
 	for _, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0, math.MaxFloat64} {
 		now := time.Unix(1000, 0)
 		buc := Bucket{}.WithFill(rate, now).WithFill(rate, now)
