--- a/process/quarantiner/ledger.go
+++ b/process/quarantiner/ledger.go
@@ -121,9 +121,10 @@
 }
 
 // guiltyParts returns which of a prompt's parts to quarantine together after a crash; nil for
-// none. A part that has the most evidence because it occurs in the prompts of several crashing
-// parts is not quarantined without them: that would refuse all sound prompts that share it. If
-// the prompt has another part that was never answered, it takes one more crash.
+// none. If engines crash on the parts b and c, and all prompts share a, then a has the evidence
+// of both. It is not quarantined without b or c, which would refuse all sound prompts: parts of
+// the same prompt with half of the threshold are included. A part with less that was never
+// answered is doubtful: it may be the one that crashes engines, so it takes one more crash.
 func guiltyParts(suspects []Suspect, evi Evidence) []string {
 	var guilty []string
 	highest, doubtful := 0, false
--- a/process/quarantiner/suspect.go
+++ b/process/quarantiner/suspect.go
@@ -19,8 +19,8 @@
 	// strong evidence, weakThreshold that after a crash with weak evidence.
 	strongThreshold = 6
 	weakThreshold   = 10
-	// companionDivisor divides the threshold to give the score from which a part of the same
-	// prompt is quarantined together with a part that has reached it.
+	// companionDivisor divides the threshold to give the score from which a part is
+	// quarantined together with another part of the same prompt that has reached it.
 	companionDivisor = 2
 	// suspectLifetime is the time without further evidence after which a suspect is
 	// forgotten.
--- a/request/relayer/decide.go
+++ b/request/relayer/decide.go
@@ -176,7 +176,7 @@
 	}
 }
 
-// resendBroken returns the decision after an answer without a certain end.
+// resendBroken returns the decision after an answer that broke off, or that may have.
 func (sta State) resendBroken(lim SendLimits) (State, Decision) {
 	sta.Ran = true
 	if sta.allowsResend(lim.Route) && sta.mayResend(lim) {
--- a/request/relayer/frame.go
+++ b/request/relayer/frame.go
@@ -8,9 +8,10 @@
 )
 
 // startFrame sets the header that tells the caller how the end of the answer is marked: by
-// its length, by chunks if length is negative, or not at all if the endpoint's answer was not
-// framed either. It returns whether the end is marked. If it is not, the caller's connection
-// is reset when it closes, also when the process is killed, until endFrame is called.
+// its length, by chunks for a stream, whose length is given as -1, or not at all if the
+// endpoint's answer was not framed either. It returns whether the end is marked. If it is not,
+// the caller's connection is reset when it closes, also when the process is killed, until
+// endFrame is called.
 func (fwd *forwarding) startFrame(framed bool, length int) bool {
 	stream, chunks := length < 0, fwd.htr.ProtoAtLeast(1, 1)
 	switch {
@@ -30,7 +31,7 @@
 }
 
 // endFrame flushes a complete answer whose end is not marked, so that its connection can be
-// closed without a reset.
+// closed without a reset. After a failed flush the answer is not complete.
 func (fwd *forwarding) endFrame() {
 	if http.NewResponseController(fwd.wri).Flush() == nil {
 		acceptor.SetReset(fwd.htr.Context(), false)
