Refuse answers whose heads HTTP/1.1 does not allow, wherever they are read

Seen by callers: an answer in whose head the name of a field held a blank reached callers of the product's own interface as an answer; with "Content-Length : 1" its body was one that the service had not framed. Such heads were taken for answers of engines, of the store, of the platform and of other hosts too. In the users' interface they were refused, but not if the name stood in a trailer, nor if a line of the head was folded.

Cause: net/http accepts these heads. Only the exchanger checked them, before net/http, and only the heads. All other readers took what net/http returned, after which the fault can't be seen any more (chunks of HTTP/1.0, a length that was dropped).

Change: connection/inspector follows the bytes of a connection, as net/http reads them, through heads, bodies and trailers, and fails before the end of one that is not allowed. The exchanger, and the transports for endpoints, the platform, the store and other hosts read through it. Answers of 101 that nobody asked for, and heads without end, now end there for all of them. The checks of the exchanger move there with their tests, unchanged in what they refuse. Replies to control calls of engines are read to their end: the decoder stopped before a trailer. A short body is sent with its head in one write, as before on connections that were not counted.

Evidence: the tests on: TestInvalidAnswers of platform fails in the first trailer; TestInvalidReplies of platform fails for 7 of 8 answers (with a control character net/http refused the name already), of request/executor for 7 of 8 (200 "done" in place of 502), TestInvalidAnswers of invoker for 7, of persister for 7, of requester for 6. All hold now. FuzzFraming, which now also reads each input in three ways and compares the ends that net/http and the inspector find, ran 41 s (3.1 million inputs) without a finding.

Why it works: the check sees the bytes that the reader sees, before it, in one place; a reader can't leave it out for one kind of answer.

Ruled out without a trial: checking http.Response afterwards, which no longer has what net/http dropped. Tried: the body in a write of its own; TestAnswerWithoutFrame then failed in 3 of 8 cases, since its endpoint closes without having read the body and so resets the connection.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +19,7 @@
 	"time"
 
 	"hemlockpin/connection/counter"
+	"hemlockpin/connection/inspector"
 )
 
 const (
@@ -29,11 +29,6 @@
 	// readBufferBytes is the size of a read buffer, enough for the head of an answer
 	// and several events of a stream.
 	readBufferBytes = 4 << 10
-	// maxAnswers bounds the answers that are read, interim (1xx) and final.
-	maxAnswers = 8
-	// maxHeadBytes bounds the total size of the heads of these answers, since a faulty
-	// endpoint may send bytes without end.
-	maxHeadBytes = 64 << 10
 	// concurrentBodyBytes is the size from which the body is sent while the answer
 	// is read, since an endpoint may answer before it has read the whole body.
 	concurrentBodyBytes = 16 << 10
@@ -126,7 +121,7 @@
 		_ = con.Close()
 		return nil, &NotSentError{Address: address, Err: err}
 	}
-	con = exc.Traffic.Wrap(con)
+	con = inspector.New(exc.Traffic.Wrap(con))
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() })
 	ans, noAnswer := exchange(con, address, req, hea)
 	if noAnswer != nil {
@@ -177,7 +172,8 @@
 	}, nil
 }
 
-// send writes the head and the body with one vectored write.
+// send writes the head and the body. A short body goes out with the head, so that an endpoint that
+// closes its connection after the answer has read it.
 func send(con net.Conn, req Request, hea http.Header) error {
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
@@ -188,48 +184,26 @@
 		return err
 	}
 	head.WriteString("\r\n")
-	bufs := net.Buffers{head.Bytes(), req.Body}
-	_, err := bufs.WriteTo(con)
+	if len(req.Body) < concurrentBodyBytes {
+		head.Write(req.Body)
+		_, err := con.Write(head.Bytes())
+		return err
+	}
+	if _, err := con.Write(head.Bytes()); err != nil {
+		return err
+	}
+	_, err := con.Write(req.Body)
 	return err
 }
 
-// receive skips interim answers and reads the head of the final answer.
+// receive skips interim answers and reads the head of the final answer. The connection bounds their
+// number and their size.
 func receive(con net.Conn, method string) (*http.Response, error) {
-	limited := &headReader{Reader: con, remaining: maxHeadBytes}
-	reader := &answerReader{bufio.NewReaderSize(limited, readBufferBytes), limited}
-	for range maxAnswers {
-		res, err := reader.readResponse(method)
-		if err != nil {
-			return nil, err
-		}
-		if res.StatusCode >= http.StatusOK {
-			limited.done = true
-			return res, nil
+	reader := bufio.NewReaderSize(con, readBufferBytes)
+	for {
+		res, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil || res.StatusCode >= http.StatusOK {
+			return res, err
 		}
 	}
-	return nil, errors.New("too many interim answers")
-}
-
-var errHeadTooLarge = fmt.Errorf("the head of the answer is over %d bytes", maxHeadBytes)
-
-// headReader limits the bytes that are read before the head of the final answer
-// is complete.
-type headReader struct {
-	io.Reader
-	remaining int
-	done      bool
-}
-
-// Read reads from the connection. Until done is set, it fails with errHeadTooLarge
-// once remaining is used up.
-func (hea *headReader) Read(buf []byte) (int, error) {
-	if hea.done {
-		return hea.Reader.Read(buf)
-	}
-	if hea.remaining <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := hea.Reader.Read(buf[:min(len(buf), hea.remaining)])
-	hea.remaining -= n
-	return n, err
 }
--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hemlockpin/connection/counter"
+	"hemlockpin/connection/inspector"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel"
@@ -126,6 +127,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
+	inspector.Attach(tra)
 	return &client{Client: http.Client{Transport: tra}, transport: tra}
 }
 
@@ -146,13 +148,19 @@
 
 // atMostOnceClient opens a connection for each call and follows no redirects, so that
 // it sends a call at most once.
-var atMostOnceClient = &http.Client{
-	Transport: &http.Transport{
+var atMostOnceClient = newAtMostOnceClient()
+
+func newAtMostOnceClient() *http.Client {
+	tra := &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
-	},
-	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	inspector.Attach(tra)
+	return &http.Client{
+		Transport:     tra,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // clientFor chooses the client of a service call. The transport of net/http
@@ -246,13 +254,25 @@
 			return &Error{Step: step + ": unpack", Address: address, Execution: Ran, Err: err}
 		}
 	}
+	// The reply counts only if it is whole, with its trailer.
+	buf, err := readReply(res.Body)
+	if err != nil {
+		return &Error{Step: step + ": read", Address: address, Execution: Ran, Err: err}
+	}
 	if out == nil {
-		_, _ = io.Copy(io.Discard, res.Body)
 		return nil
 	}
-	err = json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(out)
-	if err != nil {
+	if err := json.Unmarshal(buf, out); err != nil {
 		return &Error{Step: step + ": decode", Address: address, Execution: Ran, Err: err}
 	}
 	return nil
 }
+
+// readReply reads a whole reply into memory.
+func readReply(bod io.Reader) ([]byte, error) {
+	buf, err := io.ReadAll(io.LimitReader(bod, maxReplyBytes+1))
+	if err == nil && len(buf) > maxReplyBytes {
+		err = eris.Errorf("the reply exceeds %d bytes", maxReplyBytes)
+	}
+	return buf, err
+}
--- a/connection/invoker/service.go
+++ b/connection/invoker/service.go
@@ -3,10 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
-
-	"github.com/rotisserie/eris"
 )
 
 // KeyHeader carries the idempotency key to a plain service.
@@ -55,10 +52,7 @@
 		return ServiceReply{}, &Error{Step: "Invoker.Call: send", Address: address, Execution: executionAfter(err), Err: err}
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = eris.Errorf("the reply exceeds %d bytes", maxReplyBytes)
-	}
+	body, err := readReply(res.Body)
 	if err != nil {
 		return ServiceReply{}, &Error{Step: "Invoker.Call: read", Address: address, Execution: Ran, Err: err}
 	}
--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -21,6 +21,8 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockpin/connection/inspector"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -97,9 +99,11 @@
 			return
 		}
 		dialer := &net.Dialer{Timeout: dialTimeout}
-		per.Client.Transport = &http.Transport{
+		tra := &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 		}
+		inspector.Attach(tra)
+		per.Client.Transport = tra
 	})
 	return &per.Client
 }
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -12,8 +12,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"hemlockpin/connection/inspector"
 	"hemlockpin/process/publisher"
 	"hemlockpin/process/server"
 	"hemlockpin/request/responder"
@@ -94,8 +96,23 @@
 // host after the other until one answers. Writes go to the first host only: a write
 // whose outcome is unknown must not be sent to another host.
 type Requester struct {
-	Hosts  []string
+	Hosts []string
+	// Client sends the requests. If it has no transport, a transport is created at the first one.
 	Client http.Client
+
+	once sync.Once
+}
+
+func (req *Requester) client() *http.Client {
+	req.once.Do(func() {
+		if req.Client.Transport != nil {
+			return
+		}
+		tra := &http.Transport{Proxy: http.ProxyFromEnvironment}
+		inspector.Attach(tra)
+		req.Client.Transport = tra
+	})
+	return &req.Client
 }
 
 // Tables reads the tables in force.
@@ -241,7 +258,7 @@
 	for name, values := range header {
 		httpReq.Header[name] = values
 	}
-	res, err := req.Client.Do(httpReq)
+	res, err := req.client().Do(httpReq)
 	if err != nil {
 		return !isDialError(err), nil, eris.Wrapf(err, "Requester.exchange: host %s", host)
 	}
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockpin/connection/counter"
+	"hemlockpin/connection/inspector"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
 	"hemlockpin/connection/persister"
@@ -127,6 +128,7 @@
 		DialContext:         ser.platformTraffic.Dialer(platformDialTimeout),
 		MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: platformIdleTimeout, DisableCompression: true,
 	}
+	inspector.Attach(tra)
 	return &persister.Persister{BaseURL: ser.Settings.Platform, Client: http.Client{Transport: tra}, Region: ser.Settings.Region}
 }
 
