Refuse answers with a status outside of HTTP

Seen by callers: a server's answer with status 600 or 999 reached them in the users' interface as an answer. In the product's own interface one with 600 did too, and one with 000 or 099 ended the call with a closed connection; its outcome was recorded and failed again for each repeat. An answer of 000 or 099 without a body was skipped as if it were interim, and what followed was delivered. An order that an engine answered with 000 counted as accepted. A blank too many before the status, and control characters in the reason, were accepted everywhere.

Cause: net/http takes any three characters that parse as a number for a status, and the readers compare it with limits: below 200 is interim, below 300 is success.

Change: the inspector reads the first line as the protocol has it: a status of three digits from 100 to 599 after one blank, and a reason without control characters, which may be missing. Outcomes that an earlier version recorded with another status are answered as ones that were not kept.

Evidence: the tests on: TestInvalidAnswers/statuses of platform delivers 600 "done"; status_000 and status_-00 are accepted in platform (order), invoker and requester, and panic in request/executor ("invalid WriteHeader code 0"); status_600 in invoker, requester and request/executor; interim_answer_with_status_099 in all but the persister; a blank too many in all. TestInvalidOutcome delivers 600 and panics with 1200. All hold now.

Handled already, the tests stay: 000 with a body in the users' interface (502), statuses of another length or with letters, and all statuses in the persister, which knows those that it accepts.

--- a/connection/inspector/parser.go
+++ b/connection/inspector/parser.go
@@ -10,11 +10,19 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// The statuses of HTTP, which have statusDigits digits.
+const (
+	minStatus    = 100
+	maxStatus    = 599
+	statusDigits = 3
+)
+
 // Faults of the head of an answer. net/http accepts such answers in part, and what it reads as
 // their body then depends on the reader.
 var (
 	errVersion        = eris.New("answer is of no version of HTTP/1")
-	errStatus         = eris.New("answer has no status")
+	errStatus         = eris.New("answer has no status, or one outside of 100 to 599")
+	errReason         = eris.New("reason of the answer has a control character")
 	errFieldName      = eris.New("name of a header is no token")
 	errFieldValue     = eris.New("value of a header has a control character")
 	errLength         = eris.New("length of the answer is malformed, or there are several")
@@ -59,7 +67,8 @@
 	return hea, hea.checkFrame()
 }
 
-// parseStatusLine parses the first line of an answer.
+// parseStatusLine parses the first line of an answer. The reason may be missing together with the
+// blank before it.
 func parseStatusLine(line []byte) (head, error) {
 	hea := head{length: -1}
 	proto, rest, _ := strings.Cut(string(line), " ")
@@ -67,12 +76,15 @@
 	if !ok || major != 1 {
 		return hea, errVersion
 	}
-	status, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	number, err := strconv.Atoi(status)
-	if err != nil {
+	status, reason, _ := strings.Cut(rest, " ")
+	number, err := strconv.ParseUint(status, 10, 16)
+	if err != nil || number < minStatus || number > maxStatus || len(status) != statusDigits {
 		return hea, errStatus
 	}
-	hea.minor, hea.status = minor, number
+	if !httpguts.ValidHeaderFieldValue(reason) {
+		return hea, errReason
+	}
+	hea.minor, hea.status = minor, int(number)
 	return hea, nil
 }
 
--- a/connection/persister/invalid_answer_test.go
+++ b/connection/persister/invalid_answer_test.go
@@ -13,7 +13,7 @@
 // TestInvalidAnswers guards against bytes that HTTP/1.1 does not allow in an answer being taken
 // for an answer of the store.
 func TestInvalidAnswers(t *testing.T) {
-	for _, ans := range append(answerer.InvalidHeads(), answerer.Sound) {
+	for _, ans := range append(answerer.Invalid(), answerer.Sound) {
 		t.Run(ans.Name, func(t *testing.T) {
 			check := require.Error
 			if ans == answerer.Sound {
--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -35,6 +35,21 @@
 	}
 }
 
+// InvalidStatuses returns answers with a first line that is not allowed.
+func InvalidStatuses() []Answer {
+	out := []Answer{
+		{"interim answer with status 099", "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 X\r\n$HEADERSContent-Length: $LENGTH\r\n\r\n$BODY"},
+		{"control character in the reason", "HTTP/1.1 200 a\x01b\r\n$HEADERSContent-Length: $LENGTH\r\n\r\n$BODY"},
+	}
+	for _, status := range []string{"000", "-00", "099", "+20", "600", "999", " 200"} {
+		out = append(out, Answer{"status " + status, "HTTP/1.1 " + status + " X\r\n$HEADERSContent-Length: $LENGTH\r\n\r\n$BODY"})
+	}
+	return out
+}
+
+// Invalid returns all answers that are not allowed.
+func Invalid() []Answer { return append(InvalidHeads(), InvalidStatuses()...) }
+
 // Text returns the answer with headers, each with its line end, and a body.
 func (ans Answer) Text(headers, body string) string {
 	length, size := strconv.Itoa(len(body)), strconv.FormatInt(int64(len(body)), 16)
--- a/operator/requester/invalid_answer_test.go
+++ b/operator/requester/invalid_answer_test.go
@@ -13,7 +13,7 @@
 // TestInvalidAnswers guards against bytes that HTTP/1.1 does not allow in an answer being taken
 // for the answer of a host: the outcome of a write is then unknown.
 func TestInvalidAnswers(t *testing.T) {
-	for _, ans := range answerer.InvalidHeads() {
+	for _, ans := range answerer.Invalid() {
 		t.Run(ans.Name, func(t *testing.T) {
 			req := &requester.Requester{Hosts: []string{"http://" + answerer.Serve(t, ans.Text("", `{"Revision":7}`))}}
 			_, err := req.Tables(t.Context())
--- a/request/executor/call.go
+++ b/request/executor/call.go
@@ -25,6 +25,8 @@
 	claimDivisor    = 2
 	// maxOutcomeBytes bounds the body that is recorded with an outcome.
 	maxOutcomeBytes = 4 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 )
 
 // call is the state of one call to a plain service.
@@ -146,10 +148,11 @@
 }
 
 // replay answers with a recorded outcome. An answer whose body was too large or too uncertain
-// to record is reported as an error, since an empty body would be wrong.
+// to record is reported as an error, since an empty body would be wrong. So is one whose status,
+// recorded by an earlier version or another host, no final answer can have.
 func (exe *Executor) replay(ctx context.Context, cal *call, out *messenger.Outcome) {
 	cal.writer.Header().Set("Hemlockpin-Replayed", "true")
-	if out.GetTruncated() {
+	if status := out.GetStatus(); out.GetTruncated() || status < http.StatusOK || status > maxStatus {
 		exe.fail(cal, claimer.Fail{Status: http.StatusConflict, Code: "outcome_not_kept", Message: "the call ran; its answer was not kept", Ran: invoker.Ran})
 		return
 	}
