Report an answer as broken if its connection failed during the upload

Seen by callers: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The caller got that part as a complete answer; a stream ended after it.

Cause: the kernel reports a reset once, to the next call on the socket. While the body is written that is often the write. The reader then finds a plain end of the connection, which is the end of such an answer. Nobody compared the two: the exchanger looked at the result of the write only if the answer could not be read, and net/http closes the connection after a failed write, which comes too late if the reader has found the end already.

Change: the inspector follows the requests that are written on a connection. At the end of an answer that nothing else marks it waits until the request is written, 150 ms at most, and reports an error if a write has failed. After that time it ends a write in progress, so that one which has failed is noticed, and takes the end as it is: an endpoint may end its answer and read no further. Answers with a length or chunks don't depend on the upload.

Failed tries: the test first expected 502 also where the reset comes before the connection is established; such a call was not sent and runs at the next endpoint. Not seen in a run, but possible with a wait alone: the writer has the error and is not scheduled within 150 ms; hence the end of the write.

Not detected: a reset after a half close once the whole request was written. The endpoint has then said that its answer ends.

--- a/connection/inspector/inspector.go
+++ b/connection/inspector/inspector.go
@@ -6,13 +6,25 @@
 package inspector
 
 import (
+	"errors"
+	"io"
 	"net"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// errUnasked reports bytes after an answer while no request was sent.
-var errUnasked = eris.New("bytes after the answer belong to no request")
+// uploadWait is how long the end of an unframed answer waits for the rest of its request. A reset
+// that follows the end arrives within the round trip of the next bytes.
+const uploadWait = 150 * time.Millisecond
+
+var (
+	// errUnasked reports bytes after an answer while no request was sent.
+	errUnasked = eris.New("bytes after the answer belong to no request")
+	// errUploadFailed reports an answer that ends with its connection, which failed while the
+	// request was written.
+	errUploadFailed = eris.New("the connection failed while the request was sent, so the end of the answer is no certain one")
+)
 
 // Conn is a connection on which requests are written and their answers read, one request at a
 // time. One goroutine at a time may read, and another one write.
@@ -25,7 +37,11 @@
 }
 
 // New returns a connection that reads answers from con, on which no request has been written.
-func New(con net.Conn) *Conn { return &Conn{Conn: con} }
+func New(con net.Conn) *Conn {
+	out := &Conn{Conn: con}
+	out.requests.changed.L = &out.requests.mu
+	return out
+}
 
 // Read reads the bytes of answers. After the last byte that may belong to a sound answer it
 // returns an error.
@@ -36,14 +52,40 @@
 	n, err := con.Conn.Read(buf)
 	var sound int
 	sound, con.fault = con.answers.check(buf[:n], &con.requests)
+	if con.fault == nil && errors.Is(err, io.EOF) {
+		con.fault = con.checkEnd()
+	}
 	if con.fault != nil && sound == 0 {
 		return 0, con.fault
 	}
 	return sound, err
 }
 
+// checkEnd returns an error if the end of the connection is not the end of an unframed answer. The
+// kernel reports a reset once, to the reader or to the writer; if it was to the writer, the reader
+// finds the same end as after a close. An endpoint that closes its connection without having read
+// the request resets it at once or after the end of the answer, depending on what it has received
+// by then; both count.
+func (con *Conn) checkEnd() error {
+	if con.answers.place != inUnframed {
+		return nil
+	}
+	timer := time.AfterFunc(uploadWait, func() {
+		con.requests.giveUp()
+		// Ends a write in progress, unless it has failed already.
+		_ = con.SetWriteDeadline(time.Unix(1, 0))
+	})
+	defer timer.Stop()
+	if err := con.requests.await(); err != nil {
+		return eris.Wrap(errUploadFailed, err.Error())
+	}
+	return nil
+}
+
 // Write writes bytes of a request.
 func (con *Conn) Write(buf []byte) (int, error) {
 	con.requests.begin(buf)
-	return con.Conn.Write(buf)
+	n, err := con.Conn.Write(buf)
+	con.requests.end(err)
+	return n, err
 }
--- a/connection/inspector/requests.go
+++ b/connection/inspector/requests.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 )
@@ -19,12 +21,19 @@
 	// method is that of the last request, bodyLeft the bytes of its body that are not written yet.
 	method   string
 	bodyLeft int64
+	// writing says that a write is in progress, err is the error of one that failed.
+	writing bool
+	err     error
+	// givenUp says that the rest of the last request doesn't matter any more.
+	givenUp bool
+	changed sync.Cond
 }
 
 // begin records bytes that are about to be written.
 func (req *requests) begin(buf []byte) {
 	req.mu.Lock()
 	defer req.mu.Unlock()
+	req.writing = true
 	for len(buf) > 0 {
 		if req.head == nil && req.bodyLeft > 0 {
 			n := min(int64(len(buf)), req.bodyLeft)
@@ -39,6 +48,36 @@
 	}
 }
 
+// end records the result of the write of the bytes that were last begun.
+func (req *requests) end(err error) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	req.writing = false
+	if req.err == nil && (!req.givenUp || !errors.Is(err, os.ErrDeadlineExceeded)) {
+		req.err = err
+	}
+	req.changed.Broadcast()
+}
+
+// await waits until the requests that have begun are written, or until giveUp is called and no
+// write is in progress. It returns the error of a write that has failed.
+func (req *requests) await() error {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	for req.err == nil && (req.writing || !req.givenUp && (req.head != nil || req.bodyLeft > 0)) {
+		req.changed.Wait()
+	}
+	return req.err
+}
+
+// giveUp ends await once no write is in progress.
+func (req *requests) giveUp() {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	req.givenUp = true
+	req.changed.Broadcast()
+}
+
 // beginHead records bytes of a head and returns those after it.
 func (req *requests) beginHead(buf []byte) []byte {
 	before := len(req.head)
--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -4,16 +4,41 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// LargestUpload is the size of a body that exceeds the buffers of two sockets, so that writing it
+// blocks until the other side reads.
+const LargestUpload = 24 << 20
+
+// UploadBytes are sizes of bodies of requests, from one that is written at once to the largest.
+var UploadBytes = []int{4, 20 << 10, 300 << 10, 4 << 20, LargestUpload}
+
+// Resets returns answers with a text to a request with a body of some bytes, which are sent early
+// and reset at several moments. After a half close, a reset counts only while the body is written.
+func Resets(text string, bodyBytes int) []Early {
+	var out []Early
+	for _, pause := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 25 * time.Millisecond} {
+		out = append(out, Early{Text: text, Unasked: true, Resets: true, Pause: pause})
+		for _, read := range []int{0, bodyBytes / 2} {
+			out = append(out, Early{Text: text, Read: int64(read), Resets: true, Pause: pause})
+		}
+		if bodyBytes >= LargestUpload {
+			out = append(out, Early{Text: text, HalfCloses: true, Resets: true, Pause: pause})
+		}
+	}
+	return out
+}
+
 // Answer is the text of an answer. $HEADERS stands for further headers, $LENGTH for the length of
 // the body, $BODY for the body itself and $CHUNKS for the body in chunks, without the trailer.
 type Answer struct{ Name, text string }
@@ -60,6 +85,60 @@
 // Serve answers the request on each connection with a text and then closes the connection. It
 // returns the address.
 func Serve(tb testing.TB, text string) string {
+	return serve(tb, func(con *net.TCPConn, rea *bufio.Reader) {
+		htr, err := http.ReadRequest(rea)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, htr.Body)
+		_, _ = io.WriteString(con, text)
+	})
+}
+
+// Early is an answer that is sent before the request has been read.
+type Early struct {
+	Text string
+	// Unasked says that nothing is read of the request before the answer. Otherwise its head is, and
+	// Read bytes of its body.
+	Unasked bool
+	Read    int64
+	// HalfCloses says that the answer ends with a half close. Resets says that the connection is then
+	// reset, after Pause; otherwise the rest of the request is read.
+	HalfCloses bool
+	Resets     bool
+	Pause      time.Duration
+}
+
+// String names the answer without its text.
+func (ear Early) String() string {
+	return fmt.Sprintf("unasked %v, %d read, half closed %v, after %s", ear.Unasked, ear.Read, ear.HalfCloses, ear.Pause)
+}
+
+// ServeEarly answers the request on each connection early. It returns the address.
+func ServeEarly(tb testing.TB, ear Early) string { return serve(tb, ear.answer) }
+
+func (ear Early) answer(con *net.TCPConn, rea *bufio.Reader) {
+	for line := ""; line != "\r\n" && !ear.Unasked; {
+		var err error
+		if line, err = rea.ReadString('\n'); err != nil {
+			return
+		}
+	}
+	_, _ = io.CopyN(io.Discard, rea, ear.Read)
+	_, _ = io.WriteString(con, ear.Text)
+	if ear.HalfCloses {
+		_ = con.CloseWrite()
+	}
+	if !ear.Resets {
+		_, _ = io.Copy(io.Discard, rea)
+		return
+	}
+	time.Sleep(ear.Pause)
+	_ = con.SetLinger(0)
+}
+
+// serve calls answer for each connection, which it then closes.
+func serve(tb testing.TB, answer func(con *net.TCPConn, rea *bufio.Reader)) string {
 	tb.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(tb, err)
@@ -70,18 +149,11 @@
 			if err != nil {
 				return
 			}
-			go answer(con, text)
+			go func() {
+				defer con.Close()
+				answer(con.(*net.TCPConn), bufio.NewReader(con))
+			}()
 		}
 	}()
 	return lis.Addr().String()
 }
-
-func answer(con net.Conn, text string) {
-	defer con.Close()
-	htr, err := http.ReadRequest(bufio.NewReader(con))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, htr.Body)
-	_, _ = io.WriteString(con, text)
-}
