Count large events of streams towards the memory for bodies

Seen: servers in trouble that send 250 KB of an event and then hold the connection made a host of 64 MB take 114.6 MB in 240 calls. The process would have ended, and with it the calls of all others.

Cause: an event is bounded by 256 KB, but the events of all streams together were not, and they are held until the time limit of their calls.

Change: the buffer of an event takes memory of the budget for bodies from 8 KB on, before it grows, and gives it back with the next event and at the end. If there is none, the stream breaks off and is resumed elsewhere where it can be. Ordinary events take none, so their streams go on.

TestEventMemory shows the accounting.

--- a/request/receiver/body.go
+++ b/request/receiver/body.go
@@ -40,7 +40,8 @@
 	return bud.reserved
 }
 
-func (bud *MemoryBudget) reserve(n int64) bool {
+// Reserve reserves memory in bytes. It returns false if the limit does not allow that.
+func (bud *MemoryBudget) Reserve(n int64) bool {
 	bud.mu.Lock()
 	defer bud.mu.Unlock()
 	if bud.MaxBytes > 0 && bud.reserved+n > bud.MaxBytes {
@@ -50,7 +51,8 @@
 	return true
 }
 
-func (bud *MemoryBudget) release(n int64) {
+// Release gives back reserved memory in bytes.
+func (bud *MemoryBudget) Release(n int64) {
 	bud.mu.Lock()
 	defer bud.mu.Unlock()
 	bud.reserved -= n
@@ -98,7 +100,7 @@
 	case bod.announcedBytes < 0 && bod.readBytes >= bod.reservedBytes/BodyCopies:
 		want = max(2*bod.reservedBytes, firstReserveBytes*BodyCopies)
 	}
-	if !bod.budget.reserve(want - bod.reservedBytes) {
+	if !bod.budget.Reserve(want - bod.reservedBytes) {
 		return &RefusalError{
 			Status: http.StatusServiceUnavailable, Code: "host_memory_full",
 			Message: "the host holds too many large requests", RetryAfter: memoryRetryAfter,
@@ -111,13 +113,13 @@
 // Keep reduces the reservation to the memory of a body that has been read and is kept, in
 // bytes.
 func (bod *Body) Keep(heldBytes int64) {
-	bod.budget.release(bod.reservedBytes - heldBytes)
+	bod.budget.Release(bod.reservedBytes - heldBytes)
 	bod.reservedBytes = heldBytes
 }
 
 // Release releases the reserved memory. It is idempotent.
 func (bod *Body) Release() {
-	bod.budget.release(bod.reservedBytes)
+	bod.budget.Release(bod.reservedBytes)
 	bod.reservedBytes = 0
 }
 
--- a/request/relayer/event.go
+++ b/request/relayer/event.go
@@ -22,23 +22,25 @@
 	hasData bool
 }
 
-// readEvent reads one event, up to its final blank line, into buf. At the end of the
-// stream it returns io.EOF, or io.ErrUnexpectedEOF within an event.
-func readEvent(rea *bufio.Reader, buf []byte) (event, error) {
-	eve := event{raw: buf[:0]}
+// readEvent reads one event, up to its final blank line, into buf, which holds it until the next
+// call. At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF within an event.
+func readEvent(rea *bufio.Reader, buf *eventBuffer) (event, error) {
+	buf.clear()
+	var eve event
 	for {
-		line, err := readLine(rea, &eve)
+		line, err := readLine(rea, buf)
 		if err != nil {
 			return eve, err
 		}
-		if len(eve.raw) > maxEventBytes {
+		if len(buf.raw) > maxEventBytes {
 			return eve, errEventTooLarge
 		}
 		if len(line) == 0 {
-			if len(bytes.TrimSpace(eve.raw)) == 0 {
-				eve.raw = eve.raw[:0]
+			if len(bytes.TrimSpace(buf.raw)) == 0 {
+				buf.clear()
 				continue
 			}
+			eve.raw = buf.raw
 			return eve, nil
 		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
@@ -48,19 +50,21 @@
 	}
 }
 
-// readLine appends a line to the event and returns it without its line ending.
-func readLine(rea *bufio.Reader, eve *event) ([]byte, error) {
-	start := len(eve.raw)
+// readLine appends a line to the event in buf and returns it without its line ending.
+func readLine(rea *bufio.Reader, buf *eventBuffer) ([]byte, error) {
+	start := len(buf.raw)
 	for {
 		part, err := rea.ReadSlice('\n')
-		eve.raw = append(eve.raw, part...)
+		if err := buf.append(part); err != nil {
+			return nil, err
+		}
 		switch {
 		case err == nil:
-			return bytes.TrimRight(eve.raw[start:], "\r\n"), nil
-		case errors.Is(err, bufio.ErrBufferFull) && len(eve.raw) <= maxEventBytes:
+			return bytes.TrimRight(buf.raw[start:], "\r\n"), nil
+		case errors.Is(err, bufio.ErrBufferFull) && len(buf.raw) <= maxEventBytes:
 		case errors.Is(err, bufio.ErrBufferFull):
 			return nil, errEventTooLarge
-		case errors.Is(err, io.EOF) && len(eve.raw) > 0:
+		case errors.Is(err, io.EOF) && len(buf.raw) > 0:
 			return nil, io.ErrUnexpectedEOF
 		default:
 			return nil, err
--- a/request/relayer/event_test.go
+++ b/request/relayer/event_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"hemlockpin/request/receiver"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -29,7 +31,7 @@
 			rea := bufio.NewReaderSize(strings.NewReader(tt.input), 16)
 			var ids, raws []string
 			for {
-				eve, err := readEvent(rea, nil)
+				eve, err := readEvent(rea, &eventBuffer{})
 				if err != nil {
 					require.ErrorIs(t, err, tt.err)
 					break
@@ -44,7 +46,7 @@
 }
 
 func TestReadEventTooLarge(t *testing.T) {
-	_, err := readEvent(bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes+100)), 64), nil)
+	_, err := readEvent(bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes+100)), 64), &eventBuffer{})
 	require.True(t, errors.Is(err, errEventTooLarge), err)
 }
 
@@ -58,3 +60,36 @@
 	require.False(t, follows("a", "a"))
 	require.True(t, follows("b", "a"))
 }
+
+// TestEventMemory guards against large events in the making that don't count towards the memory for
+// bodies, and against ordinary events that fail because others have taken it.
+func TestEventMemory(t *testing.T) {
+	const limit = 64 << 10
+	bud := &receiver.MemoryBudget{MaxBytes: limit}
+	large := "data: " + strings.Repeat("x", 20<<10) + "\n\n"
+	small := "data: " + strings.Repeat("x", smallEventBytes/2) + "\n\n"
+	first := &eventBuffer{budget: bud}
+	rea := bufio.NewReaderSize(strings.NewReader(large+small+large), 64)
+	eve, err := readEvent(rea, first)
+	require.NoError(t, err)
+	require.Equal(t, large, string(eve.raw))
+	require.GreaterOrEqual(t, bud.Reserved(), int64(len(large)))
+
+	second := &eventBuffer{budget: bud}
+	_, err = readEvent(bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes-100)), 64), second)
+	require.ErrorIs(t, err, errEventMemory)
+	require.LessOrEqual(t, bud.Reserved(), int64(limit))
+	eve, err = readEvent(bufio.NewReaderSize(strings.NewReader(small), 64), &eventBuffer{budget: bud})
+	require.NoError(t, err)
+	require.Equal(t, small, string(eve.raw))
+	second.release()
+
+	eve, err = readEvent(rea, first)
+	require.NoError(t, err)
+	require.Equal(t, small, string(eve.raw))
+	require.Zero(t, bud.Reserved(), "the next event gives the memory back")
+	_, err = readEvent(rea, first)
+	require.NoError(t, err)
+	first.release()
+	require.Zero(t, bud.Reserved())
+}
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -258,19 +258,19 @@
 
 // stream forwards the events of a stream as they arrive.
 func (fwd *forwarding) stream(ctx context.Context, lea Lease, ans *exchanger.Answer, watch *stallWatch) Outcome {
-	var buf []byte
+	buf := eventBuffer{budget: fwd.Bodies}
+	defer buf.release()
 	ctl := http.NewResponseController(fwd.wri)
 	var pos position
 	first, forwarded := true, 0
 	for {
-		eve, err := readEvent(ans.Body, buf)
+		eve, err := readEvent(ans.Body, &buf)
 		if errors.Is(err, io.EOF) {
 			return fwd.endStream(ctx, lea, ans, first, pos)
 		}
 		if err != nil {
 			return fwd.sendFailure(ctx, lea, err)
 		}
-		buf = eve.raw
 		if first {
 			first = false
 			lea.ReportFirstEvent()
