Bound the heads of all answers together

Seen: servers in trouble that send a head of 60 KB with many short fields, and then hold the connection, made a host of 64 MB take 297 MB in 240 streams and 196 MB in 240 calls.

Cause: a head is bounded by 64 KB, but its memory is a multiple of that (each field is an entry of a map), and nothing bounded the heads of all answers.

Change: the inspector accounts for a head as the acceptor does for those of callers, from its first bytes until the next answer or the close, before net/http gets them. From 16 KB of memory on it takes them of the memory for bodies in the users' interface; without memory the answer is broken. Ordinary heads take none. A large head is no longer kept by a connection that is kept.

Remains: the header of a failure that is kept for the caller while another endpoint is tried is not accounted for after its connection is closed.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -105,6 +105,8 @@
 type Exchanger struct {
 	// Traffic counts the bytes of all connections; nil disables counting.
 	Traffic *counter.Traffic
+	// Memory bounds what the heads of all answers hold together; nil for no limit.
+	Memory inspector.Memory
 }
 
 // Exchange sends a request and waits for the head of its answer. When ctx ends,
@@ -121,7 +123,7 @@
 		_ = con.Close()
 		return nil, &NotSentError{Address: address, Err: err}
 	}
-	con = inspector.New(exc.Traffic.Wrap(con))
+	con = inspector.New(exc.Traffic.Wrap(con), exc.Memory)
 	stop := context.AfterFunc(ctx, func() { _ = con.Close() })
 	ans, noAnswer := exchange(con, address, req, hea)
 	if noAnswer != nil {
--- a/connection/inspector/answers.go
+++ b/connection/inspector/answers.go
@@ -47,9 +47,11 @@
 	// line holds the begin of a head, of a trailer, or of a line with the size of a chunk.
 	line []byte
 	// headBytes and interim count the heads of the current request, answered the requests whose
-	// final answer is complete.
+	// final answer is complete. cost is the memory of its heads and of its trailer.
 	headBytes int
 	interim   int
+	cost      int64
+	account   account
 	answered  int
 	// left is the number of bytes that are left of a body or of a chunk.
 	left int64
@@ -96,8 +98,8 @@
 		if count, _ := reqs.begun(); count <= ans.answered {
 			return 0, errUnasked
 		}
-		ans.place, ans.headBytes, ans.interim = inHead, 0, 0
-		return 0, nil
+		ans.place, ans.headBytes, ans.interim, ans.cost = inHead, 0, 0, 0
+		return 0, ans.account.hold(0)
 	default:
 		return len(buf), nil
 	}
@@ -120,10 +122,16 @@
 		if ans.headBytes += end; ans.headBytes > maxHeadBytes {
 			return 0, nil, errHeadTooLarge
 		}
+		ans.cost += int64(end)*headByteCost + headFieldCost
+		if ans.cost > smallHeadBytes {
+			if err := ans.account.hold(ans.cost); err != nil {
+				return 0, nil, err
+			}
+		}
 		ans.line = append(ans.line, buf[n:n+end]...)
 		n += end
 		if endsWithEmptyLine(ans.line) {
-			section, ans.line = ans.line, ans.line[:0]
+			section, ans.line = ans.line, nil
 			return n, section, nil
 		}
 	}
--- a/connection/inspector/fuzz_test.go
+++ b/connection/inspector/fuzz_test.go
@@ -37,7 +37,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		first := ""
 		for i, size := range []int{len(text) + 1, 1, 7} {
-			con := New(&textConn{text: bytes.NewReader(text), size: size})
+			con := New(&textConn{text: bytes.NewReader(text), size: size}, nil)
 			outcome := readAnswer(t, con)
 			if i == 0 {
 				first = outcome
--- a/connection/inspector/inspector.go
+++ b/connection/inspector/inspector.go
@@ -37,9 +37,11 @@
 }
 
 // New returns a connection that reads answers from con, on which no request has been written.
-func New(con net.Conn) *Conn {
+// Large heads take memory of mem until the next answer or the close; nil for no limit.
+func New(con net.Conn, mem Memory) *Conn {
 	out := &Conn{Conn: con}
 	out.requests.changed.L = &out.requests.mu
+	out.answers.account.memory = mem
 	return out
 }
 
@@ -89,3 +91,9 @@
 	con.requests.end(err)
 	return n, err
 }
+
+// Close closes the connection.
+func (con *Conn) Close() error {
+	con.answers.account.close()
+	return con.Conn.Close()
+}
--- a/connection/inspector/inspector_test.go
+++ b/connection/inspector/inspector_test.go
@@ -47,6 +47,8 @@
 	}
 }
 
+func (con *scriptedConn) Close() error { return nil }
+
 func (con *scriptedConn) SetWriteDeadline(time.Time) error {
 	close(con.deadline)
 	return nil
@@ -62,7 +64,7 @@
 		var out strings.Builder
 		synctest.Test(t, func(t *testing.T) {
 			raw := &scriptedConn{deadline: make(chan struct{})}
-			con := New(raw)
+			con := New(raw, nil)
 			var uploads sync.WaitGroup
 			defer uploads.Wait()
 			for line := range strings.SplitSeq(dat.Input, "\n") {
--- a/connection/inspector/transport.go
+++ b/connection/inspector/transport.go
@@ -9,8 +9,8 @@
 
 // Attach makes a transport read all answers through Conns. It must be called before the transport
 // is used, and after its DialContext and TLSClientConfig are set. The transport then speaks
-// HTTP/1.1 only.
-func Attach(tra *http.Transport) {
+// HTTP/1.1 only. Large heads take memory of mem; nil for no limit.
+func Attach(tra *http.Transport, mem Memory) {
 	dial := tra.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -20,7 +20,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return New(con), nil
+		return New(con, mem), nil
 	}
 	tra.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		con, err := dial(ctx, network, address)
@@ -39,6 +39,6 @@
 			_ = con.Close()
 			return nil, err
 		}
-		return New(sec), nil
+		return New(sec, mem), nil
 	}
 }
--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -127,7 +127,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	inspector.Attach(tra)
+	inspector.Attach(tra, nil)
 	return &client{Client: http.Client{Transport: tra}, transport: tra}
 }
 
@@ -156,7 +156,7 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	inspector.Attach(tra)
+	inspector.Attach(tra, nil)
 	return &http.Client{
 		Transport:     tra,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -102,7 +102,7 @@
 		tra := &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
 		}
-		inspector.Attach(tra)
+		inspector.Attach(tra, nil)
 		per.Client.Transport = tra
 	})
 	return &per.Client
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -109,7 +109,7 @@
 			return
 		}
 		tra := &http.Transport{Proxy: http.ProxyFromEnvironment}
-		inspector.Attach(tra)
+		inspector.Attach(tra, nil)
 		req.Client.Transport = tra
 	})
 	return &req.Client
--- a/process/forwarder/forwarder.go
+++ b/process/forwarder/forwarder.go
@@ -151,7 +151,7 @@
 		Hosts:  func() int { return len(fwd.gossiper.Live(time.Now())) + 1 },
 	}
 	fwd.relayer = &relayer.Relayer{
-		Codec: pla.Codec, Tables: fwd.publisher.Current, Exchanger: &exchanger.Exchanger{Traffic: &fwd.endpointTraffic}, RetryBudget: fwd.retryBudget,
+		Codec: pla.Codec, Tables: fwd.publisher.Current, Exchanger: &exchanger.Exchanger{Traffic: &fwd.endpointTraffic, Memory: &fwd.bodyMemory}, RetryBudget: fwd.retryBudget,
 		Placer: &assigner.Assigner{
 			Registry: &fwd.registry, Pool: fwd.pool, Planners: fwd.planners, Reserver: pla.EngineClient, DataCenter: set.DataCenter, Permits: fwd.permits, Holds: &fwd.holds, OnLeaving: fwd.markLeaving, Clock: time.Now, Log: log,
 		},
--- a/process/server/tables.go
+++ b/process/server/tables.go
@@ -128,7 +128,7 @@
 		DialContext:         ser.platformTraffic.Dialer(platformDialTimeout),
 		MaxIdleConnsPerHost: platformIdleConns, IdleConnTimeout: platformIdleTimeout, DisableCompression: true,
 	}
-	inspector.Attach(tra)
+	inspector.Attach(tra, nil)
 	return &persister.Persister{BaseURL: ser.Settings.Platform, Client: http.Client{Transport: tra}, Region: ser.Settings.Region}
 }
 
