Bound the replies of endpoints together in the product's own interface

Seen: a service in trouble that sends 12 MB and holds the connection, or sends without end, made a host with 48 MB for bodies take 805 to 824 MB in 60 calls: the process of other clients' requests would have ended.

Cause: a reply is bounded by 16 MB, an event of an engine by 1 MB, but nothing bounded all of them; the memory for bodies was that of requests only. A claimed call waits for its reply 30 s beyond its time limit, so replies pile up.

Change: connection/rationer has the buffer that events of streams use already; replies, events and heads of the invoker use it with the memory for bodies. It counts twice, since what it has outgrown stays until the collector frees it. The memory of a reply is given back when neither the call nor the answer to the caller needs it, and that of a hedge that lost when it ends. Bodies of errors are read up to 64 KB, types of events up to 256 bytes.

--- a/connection/exchanger/exchanger.go
+++ b/connection/exchanger/exchanger.go
@@ -20,6 +20,7 @@
 
 	"hemlockpin/connection/counter"
 	"hemlockpin/connection/inspector"
+	"hemlockpin/connection/rationer"
 )
 
 const (
@@ -106,7 +107,7 @@
 	// Traffic counts the bytes of all connections; nil disables counting.
 	Traffic *counter.Traffic
 	// Memory bounds what the heads of all answers hold together; nil for no limit.
-	Memory inspector.Memory
+	Memory rationer.Memory
 }
 
 // Exchange sends a request and waits for the head of its answer. When ctx ends,
--- a/connection/inspector/inspector.go
+++ b/connection/inspector/inspector.go
@@ -11,6 +11,8 @@
 	"net"
 	"time"
 
+	"hemlockpin/connection/rationer"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -38,7 +40,7 @@
 
 // New returns a connection that reads answers from con, on which no request has been written.
 // Large heads take memory of mem until the next answer or the close; nil for no limit.
-func New(con net.Conn, mem Memory) *Conn {
+func New(con net.Conn, mem rationer.Memory) *Conn {
 	out := &Conn{Conn: con}
 	out.requests.changed.L = &out.requests.mu
 	out.answers.account.memory = mem
--- a/connection/inspector/memory.go
+++ b/connection/inspector/memory.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/rotisserie/eris"
+	"hemlockpin/connection/rationer"
 )
 
 const (
@@ -16,18 +16,9 @@
 	smallHeadBytes = 16 << 10
 )
 
-var errHeadMemory = eris.New("the process holds too many large answers")
-
-// Memory bounds what the answers of several connections hold together, in bytes. Reserve returns
-// false if the limit does not allow more.
-type Memory interface {
-	Reserve(bytes int64) bool
-	Release(bytes int64)
-}
-
-// account is what a connection holds of a Memory.
+// account is what a connection holds of the shared memory.
 type account struct {
-	memory Memory
+	memory rationer.Memory
 
 	mu       sync.Mutex
 	reserved int64
@@ -44,7 +35,7 @@
 	if more := bytes - acc.reserved; more < 0 {
 		acc.memory.Release(-more)
 	} else if more > 0 && !acc.memory.Reserve(more) {
-		return errHeadMemory
+		return rationer.ErrExhausted
 	}
 	acc.reserved = bytes
 	return nil
--- a/connection/inspector/memory_test.go
+++ b/connection/inspector/memory_test.go
@@ -5,10 +5,12 @@
 	"strings"
 	"testing"
 
+	"hemlockpin/connection/rationer"
+
 	"github.com/stretchr/testify/require"
 )
 
-// limitedMemory is a Memory with a limit.
+// limitedMemory is a memory with a limit.
 type limitedMemory struct{ limit, reserved int64 }
 
 func (mem *limitedMemory) Reserve(bytes int64) bool {
@@ -43,8 +45,8 @@
 	large := answer(2000, "")
 	require.NoError(t, read(large, size))
 	require.Greater(t, mem.reserved, int64(2000*headFieldCost))
-	require.ErrorIs(t, read(answer(2000, ""), size), errHeadMemory)
-	require.ErrorIs(t, read(answer(3, strings.Repeat("a:\r\n", 2000)), size), errHeadMemory)
+	require.ErrorIs(t, read(answer(2000, ""), size), rationer.ErrExhausted)
+	require.ErrorIs(t, read(answer(3, strings.Repeat("a:\r\n", 2000)), size), rationer.ErrExhausted)
 	require.LessOrEqual(t, mem.reserved, mem.limit)
 	require.NoError(t, read(answer(20, ""), size), "an ordinary answer")
 
--- a/connection/inspector/transport.go
+++ b/connection/inspector/transport.go
@@ -5,12 +5,14 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+
+	"hemlockpin/connection/rationer"
 )
 
 // Attach makes a transport read all answers through Conns. It must be called before the transport
 // is used, and after its DialContext and TLSClientConfig are set. The transport then speaks
 // HTTP/1.1 only. Large heads take memory of mem; nil for no limit.
-func Attach(tra *http.Transport, mem Memory) {
+func Attach(tra *http.Transport, mem rationer.Memory) {
 	dial := tra.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -17,6 +17,7 @@
 
 	"hemlockpin/connection/counter"
 	"hemlockpin/connection/inspector"
+	"hemlockpin/connection/rationer"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel"
@@ -27,6 +28,9 @@
 	// gzipEncoding is the content encoding of compressed reports.
 	gzipEncoding = "gzip"
 
+	// maxErrorBytes bounds the body of a reply that reports an error.
+	maxErrorBytes = 64 << 10
+
 	dialTimeout             = 500 * time.Millisecond
 	idleConnTimeout         = 30 * time.Second
 	maxIdleConnsPerEndpoint = 64
@@ -74,6 +78,12 @@
 	// reports. Service calls with AtMostOnce are not counted.
 	Traffic counter.Traffic
 	Control counter.Traffic
+	// Memory bounds what the replies hold together: their heads, bodies and events; nil for no
+	// limit. It must not change after the first call.
+	Memory rationer.Memory
+
+	once       sync.Once
+	onceClient *http.Client
 
 	mu          sync.Mutex
 	clients     map[poolKey]*client
@@ -102,7 +112,7 @@
 	defer inv.mu.Unlock()
 	cli := inv.clients[key]
 	if cli == nil {
-		cli = newClient(inv.trafficOf(key))
+		cli = newClient(inv.trafficOf(key), inv.Memory)
 		if inv.clients == nil {
 			inv.clients = map[poolKey]*client{}
 		}
@@ -120,14 +130,14 @@
 	return &inv.Traffic
 }
 
-func newClient(traffic *counter.Traffic) *client {
+func newClient(traffic *counter.Traffic, mem rationer.Memory) *client {
 	tra := &http.Transport{
 		DialContext:         traffic.Dialer(dialTimeout),
 		MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	inspector.Attach(tra, nil)
+	inspector.Attach(tra, mem)
 	return &client{Client: http.Client{Transport: tra}, transport: tra}
 }
 
@@ -146,21 +156,22 @@
 	}
 }
 
-// atMostOnceClient opens a connection for each call and follows no redirects, so that
-// it sends a call at most once.
-var atMostOnceClient = newAtMostOnceClient()
-
-func newAtMostOnceClient() *http.Client {
-	tra := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-	}
-	inspector.Attach(tra, nil)
-	return &http.Client{
-		Transport:     tra,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+// atMostOnceClient returns a client that opens a connection for each call and follows no
+// redirects, so that it sends a call at most once.
+func (inv *Invoker) atMostOnceClient() *http.Client {
+	inv.once.Do(func() {
+		tra := &http.Transport{
+			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		}
+		inspector.Attach(tra, inv.Memory)
+		inv.onceClient = &http.Client{
+			Transport:     tra,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	})
+	return inv.onceClient
 }
 
 // clientFor chooses the client of a service call. The transport of net/http
@@ -168,7 +179,7 @@
 // must run at most once gets a new connection.
 func (inv *Invoker) clientFor(address string, cal ServiceCall) *http.Client {
 	if cal.AtMostOnce {
-		return atMostOnceClient
+		return inv.atMostOnceClient()
 	}
 	return inv.client(poolKey{address: address})
 }
@@ -211,7 +222,7 @@
 		Message string
 		Ran     Execution
 	}
-	buf, _ := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	buf, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
 	if json.Unmarshal(buf, &body) != nil || body.Ran == "" {
 		body.Ran = Unknown
 	}
@@ -255,24 +266,22 @@
 		}
 	}
 	// The reply counts only if it is whole, with its trailer.
-	buf, err := readReply(res.Body)
+	buf, err := inv.readReply(res.Body)
+	defer buf.Release()
 	if err != nil {
 		return &Error{Step: step + ": read", Address: address, Execution: Ran, Err: err}
 	}
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(buf, out); err != nil {
+	if err := json.Unmarshal(buf.Bytes(), out); err != nil {
 		return &Error{Step: step + ": decode", Address: address, Execution: Ran, Err: err}
 	}
 	return nil
 }
 
 // readReply reads a whole reply into memory.
-func readReply(bod io.Reader) ([]byte, error) {
-	buf, err := io.ReadAll(io.LimitReader(bod, maxReplyBytes+1))
-	if err == nil && len(buf) > maxReplyBytes {
-		err = eris.Errorf("the reply exceeds %d bytes", maxReplyBytes)
-	}
-	return buf, err
+func (inv *Invoker) readReply(bod io.Reader) (*rationer.Buffer, error) {
+	buf := &rationer.Buffer{Memory: inv.Memory}
+	return buf, eris.Wrap(buf.ReadAll(bod, maxReplyBytes), "the reply")
 }
--- a/connection/invoker/scanner.go
+++ b/connection/invoker/scanner.go
@@ -7,9 +7,14 @@
 	"errors"
 	"strconv"
 
+	"hemlockpin/connection/rationer"
+
 	"github.com/rotisserie/eris"
 )
 
+// maxEventTypeBytes bounds the type of an event.
+const maxEventTypeBytes = 256
+
 // errMalformed reports an event that cannot be decoded.
 var errMalformed = eris.New("malformed event")
 
@@ -29,20 +34,27 @@
 	// share the string, which saves an allocation for each token.
 	requestID string
 	eventType []byte
-	data      []byte
-	longLine  []byte
+	data      rationer.Buffer
+	longLine  rationer.Buffer
+}
+
+// release gives the memory of the scanner back.
+func (sca *scanner) release() {
+	sca.data.Release()
+	sca.longLine.Release()
 }
 
 // next reads one event. An error event is returned as a reportedError.
 func (sca *scanner) next(reader *bufio.Reader) (Event, error) {
 	sca.eventType = sca.eventType[:0]
-	sca.data = sca.data[:0]
+	sca.data.Clear()
+	sca.longLine.Clear()
 	for {
 		line, err := sca.readLine(reader)
 		if err != nil {
 			return nil, err
 		}
-		if len(line) == 0 && len(sca.eventType) == 0 && len(sca.data) == 0 {
+		if len(line) == 0 && len(sca.eventType) == 0 && len(sca.data.Bytes()) == 0 {
 			continue
 		}
 		if len(line) == 0 {
@@ -59,7 +71,10 @@
 func (sca *scanner) readLine(reader *bufio.Reader) ([]byte, error) {
 	line, err := reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
-		sca.longLine = append(sca.longLine[:0], line...)
+		sca.longLine.Clear()
+		if err := sca.longLine.Append(line); err != nil {
+			return nil, err
+		}
 		line, err = sca.readLongLine(reader)
 	}
 	if err != nil {
@@ -73,12 +88,14 @@
 func (sca *scanner) readLongLine(reader *bufio.Reader) ([]byte, error) {
 	for {
 		line, err := reader.ReadSlice('\n')
-		sca.longLine = append(sca.longLine, line...)
-		if len(sca.longLine) > maxEventBytes {
+		if err := sca.longLine.Append(line); err != nil {
+			return nil, err
+		}
+		if len(sca.longLine.Bytes()) > maxEventBytes {
 			return nil, eris.Wrapf(errMalformed, "the event is over %d bytes", maxEventBytes)
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return sca.longLine, err
+			return sca.longLine.Bytes(), err
 		}
 	}
 }
@@ -88,14 +105,21 @@
 	val = bytes.TrimPrefix(val, []byte(" "))
 	switch string(name) {
 	case "event":
+		if len(val) > maxEventTypeBytes {
+			return eris.Wrapf(errMalformed, "unknown event type %.64q", val)
+		}
 		sca.eventType = append(sca.eventType[:0], val...)
 	case "data":
-		if len(sca.data) > 0 {
-			sca.data = append(sca.data, '\n')
+		if len(sca.data.Bytes()) > 0 {
+			if err := sca.data.Append([]byte{'\n'}); err != nil {
+				return err
+			}
+		}
+		if err := sca.data.Append(val); err != nil {
+			return err
 		}
-		sca.data = append(sca.data, val...)
 	}
-	if len(sca.data) > maxEventBytes {
+	if len(sca.data.Bytes()) > maxEventBytes {
 		return eris.Wrapf(errMalformed, "the event is over %d bytes", maxEventBytes)
 	}
 	return nil
@@ -107,15 +131,15 @@
 		if tok, ok := sca.parseToken(); ok {
 			return tok, nil
 		}
-		return decodeAs[Token](sca.data)
+		return decodeAs[Token](sca.data.Bytes())
 	case "Finish":
-		return decodeAs[Finish](sca.data)
+		return decodeAs[Finish](sca.data.Bytes())
 	case "Idle":
-		return decodeAs[Idle](sca.data)
+		return decodeAs[Idle](sca.data.Bytes())
 	case "Error":
 		var rep reportedError
-		if err := json.Unmarshal(sca.data, &rep); err != nil {
-			return nil, eris.Wrapf(errMalformed, "error event %.64q", sca.data)
+		if err := json.Unmarshal(sca.data.Bytes(), &rep); err != nil {
+			return nil, eris.Wrapf(errMalformed, "error event %.64q", sca.data.Bytes())
 		}
 		return nil, &rep
 	default:
@@ -134,7 +158,7 @@
 // parseToken decodes a token event whose fields are in the engines' usual order and
 // contain no escapes. It returns false for any other form.
 func (sca *scanner) parseToken() (Token, bool) {
-	cur := cursor{remaining: sca.data, ok: true}
+	cur := cursor{remaining: sca.data.Bytes(), ok: true}
 	cur.expect(`{"RequestID":`)
 	id := cur.text()
 	cur.expect(`,"Attempt":`)
--- a/connection/invoker/scanner_test.go
+++ b/connection/invoker/scanner_test.go
@@ -62,7 +62,8 @@
 	f.Add(`{"RequestID":"r","Attempt":1,"Index":2,"Text":" t"}`)
 	f.Add(`{"RequestID":"other","Attempt":1,"Index":9223372036854775808,"Text":"\""}`)
 	f.Fuzz(func(t *testing.T, data string) {
-		sca := scanner{requestID: "r", data: []byte(data)}
+		sca := scanner{requestID: "r"}
+		require.NoError(t, sca.data.Append([]byte(data)))
 		parsed, ok := sca.parseToken()
 		if !ok {
 			return
--- a/connection/invoker/service.go
+++ b/connection/invoker/service.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"net/http"
+
+	"hemlockpin/connection/rationer"
 )
 
 // KeyHeader carries the idempotency key to a plain service.
@@ -23,7 +25,8 @@
 	AtMostOnce bool
 }
 
-// ServiceReply is the answer of a plain service.
+// ServiceReply is the answer of a plain service. Release must be called when its body is no longer
+// used.
 type ServiceReply struct {
 	Status int
 	Header http.Header
@@ -31,6 +34,15 @@
 	// Unframed says that neither a length nor chunks mark the end of the reply: it ended with
 	// its connection and may have broken off.
 	Unframed bool
+
+	buffer *rationer.Buffer
+}
+
+// Release gives the memory of the body back. It is idempotent.
+func (rep ServiceReply) Release() {
+	if rep.buffer != nil {
+		rep.buffer.Release()
+	}
 }
 
 // Call sends a call to the service at address. It returns a reply with any status
@@ -52,10 +64,11 @@
 		return ServiceReply{}, &Error{Step: "Invoker.Call: send", Address: address, Execution: executionAfter(err), Err: err}
 	}
 	defer res.Body.Close()
-	body, err := readReply(res.Body)
+	buf, err := inv.readReply(res.Body)
 	if err != nil {
+		buf.Release()
 		return ServiceReply{}, &Error{Step: "Invoker.Call: read", Address: address, Execution: Ran, Err: err}
 	}
 	unframed := res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
-	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: body, Unframed: unframed}, nil
+	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: buf.Bytes(), Unframed: unframed, buffer: buf}, nil
 }
--- a/connection/invoker/stream.go
+++ b/connection/invoker/stream.go
@@ -101,6 +101,7 @@
 		return nil, &Error{Step: "Invoker.Generate: encode", Address: address, Execution: NotRun, Err: err}
 	}
 	str := &Stream{address: address, execution: Unknown}
+	str.scanner.data.Memory, str.scanner.longLine.Memory = inv.Memory, inv.Memory
 	str.ctx, str.cancel = context.WithCancel(ctx)
 	str.timer = time.AfterFunc(EventTimeout+maxUploadTime(len(body)), str.onTimeout)
 	req, err := http.NewRequestWithContext(str.ctx, http.MethodPost, "http://"+address+"/v1/generate", bytes.NewReader(body))
@@ -236,4 +237,5 @@
 	if str.body != nil {
 		str.body.Close()
 	}
+	str.scanner.release()
 }
--- a/process/server/server.go
+++ b/process/server/server.go
@@ -96,7 +96,7 @@
 	own := invoker.Owner{Host: set.HostID, Incarnation: ser.Incarnation}
 	ser.meter = newMeter(ser.scope)
 	ser.bodyMemory.MaxBytes = set.BodyMemoryLimit()
-	ser.invoker = &invoker.Invoker{}
+	ser.invoker = &invoker.Invoker{Memory: &ser.bodyMemory}
 	ser.persister = ser.newPersister()
 	ser.publisher = &publisher.Publisher{Store: ser.persister}
 	ser.lister = ser.newLister()
--- a/request/executor/once.go
+++ b/request/executor/once.go
@@ -41,6 +41,10 @@
 
 	mu    sync.Mutex
 	state claimer.State
+	// reply is the reply of the service; it is released when none of its users is left: the call
+	// and the answer to the caller.
+	reply invoker.ServiceReply
+	users int
 }
 
 // CallsInProgress returns the number of claimed calls in progress, including those
@@ -63,17 +67,28 @@
 	cal.writer.Header().Set(receiver.KeyHeader, key.Text)
 	cla := &claimedCall{
 		call: cal, executor: exe, commit: exe.claimOf(cal, key), end: make(chan claimer.Action, 1),
-		state: claimer.State{KeyFromCaller: key.FromCaller},
+		state: claimer.State{KeyFromCaller: key.FromCaller}, users: 2,
 	}
+	defer cla.leave()
 	exe.claimedCalls.Add(1)
 	go func() {
 		defer exe.claimedCalls.Add(-1)
 		defer release()
+		defer cla.leave()
 		cla.run(context.WithoutCancel(ctx))
 	}()
 	exe.answer(ctx, cal, cla.await(ctx))
 }
 
+// leave ends one of the uses of the reply.
+func (cla *claimedCall) leave() {
+	cla.mu.Lock()
+	defer cla.mu.Unlock()
+	if cla.users--; cla.users == 0 {
+		cla.reply.Release()
+	}
+}
+
 // await returns the final action of the call, or the answer for its current phase at the
 // time limit or when the host answers what is left at the end of its drain.
 func (cla *claimedCall) await(ctx context.Context) claimer.Action {
@@ -169,6 +184,11 @@
 	ctx, stop := context.WithDeadline(ctx, cla.deadline.Add(lateAnswerTime))
 	defer stop()
 	eve, _ := cla.executor.dispatchCall(ctx, cla.call, lea)
+	if rep, ok := eve.(claimer.Replied); ok {
+		cla.mu.Lock()
+		cla.reply = rep.Reply
+		cla.mu.Unlock()
+	}
 	return eve
 }
 
--- a/request/executor/repeat.go
+++ b/request/executor/repeat.go
@@ -22,6 +22,8 @@
 	startedAt time.Time
 	// results receives the result of each dispatch.
 	results chan dispatchResult
+	// pending is the number of dispatches whose results were not received yet.
+	pending int
 	// reply is the first complete answer; problem is the last refusal of a placement.
 	reply   invoker.ServiceReply
 	problem responder.Problem
@@ -40,6 +42,7 @@
 	now := exe.Clock()
 	exe.RetryBudget.Earn(now)
 	rep := &repeatableCall{call: cal, latencies: exe.latenciesOf(cal.pool.Name), startedAt: now, results: make(chan dispatchResult, hedger.MaxDispatches)}
+	defer rep.releaseReplies()
 	var hedgeTimer <-chan time.Time
 	if delay, ok := rep.latencies.Delay(now); ok {
 		timer := time.NewTimer(delay)
@@ -108,6 +111,7 @@
 		rep.problem = problemOf(err)
 		return hedger.Refused{Code: rep.problem.Code, Message: rep.problem.Message}
 	}
+	rep.pending++
 	go func() {
 		defer lea.Release()
 		eve, _ := exe.dispatchCall(ctx, rep.call, lea)
@@ -116,9 +120,26 @@
 	return hedger.Placed{Endpoint: lea.Endpoint}
 }
 
+// releaseReplies gives back the memory of all replies, also of those that come later.
+func (rep *repeatableCall) releaseReplies() {
+	rep.reply.Release()
+	if rep.pending == 0 {
+		return
+	}
+	results, pending := rep.results, rep.pending
+	go func() {
+		for range pending {
+			if eve, ok := (<-results).event.(claimer.Replied); ok {
+				eve.Reply.Release()
+			}
+		}
+	}()
+}
+
 func (exe *Executor) awaitRepeatable(ctx context.Context, rep *repeatableCall, hedgeTimer <-chan time.Time) hedger.Event {
 	select {
 	case res := <-rep.results:
+		rep.pending--
 		return exe.resultEvent(ctx, rep, res)
 	case <-hedgeTimer:
 		return hedger.DelayPassed{}
--- a/request/relayer/event.go
+++ b/request/relayer/event.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"hemlockpin/connection/rationer"
 )
 
 // maxEventBytes bounds one event of a stream. A faulty endpoint may send data without
@@ -24,23 +26,23 @@
 
 // readEvent reads one event, up to its final blank line, into buf, which holds it until the next
 // call. At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF within an event.
-func readEvent(rea *bufio.Reader, buf *eventBuffer) (event, error) {
-	buf.clear()
+func readEvent(rea *bufio.Reader, buf *rationer.Buffer) (event, error) {
+	buf.Clear()
 	var eve event
 	for {
 		line, err := readLine(rea, buf)
 		if err != nil {
 			return eve, err
 		}
-		if len(buf.raw) > maxEventBytes {
+		if len(buf.Bytes()) > maxEventBytes {
 			return eve, errEventTooLarge
 		}
 		if len(line) == 0 {
-			if len(bytes.TrimSpace(buf.raw)) == 0 {
-				buf.clear()
+			if len(bytes.TrimSpace(buf.Bytes())) == 0 {
+				buf.Clear()
 				continue
 			}
-			eve.raw = buf.raw
+			eve.raw = buf.Bytes()
 			return eve, nil
 		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
@@ -51,20 +53,20 @@
 }
 
 // readLine appends a line to the event in buf and returns it without its line ending.
-func readLine(rea *bufio.Reader, buf *eventBuffer) ([]byte, error) {
-	start := len(buf.raw)
+func readLine(rea *bufio.Reader, buf *rationer.Buffer) ([]byte, error) {
+	start := len(buf.Bytes())
 	for {
 		part, err := rea.ReadSlice('\n')
-		if err := buf.append(part); err != nil {
+		if err := buf.Append(part); err != nil {
 			return nil, err
 		}
 		switch {
 		case err == nil:
-			return bytes.TrimRight(buf.raw[start:], "\r\n"), nil
-		case errors.Is(err, bufio.ErrBufferFull) && len(buf.raw) <= maxEventBytes:
+			return bytes.TrimRight(buf.Bytes()[start:], "\r\n"), nil
+		case errors.Is(err, bufio.ErrBufferFull) && len(buf.Bytes()) <= maxEventBytes:
 		case errors.Is(err, bufio.ErrBufferFull):
 			return nil, errEventTooLarge
-		case errors.Is(err, io.EOF) && len(buf.raw) > 0:
+		case errors.Is(err, io.EOF) && len(buf.Bytes()) > 0:
 			return nil, io.ErrUnexpectedEOF
 		default:
 			return nil, err
--- a/request/relayer/event_test.go
+++ b/request/relayer/event_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"hemlockpin/connection/rationer"
 	"hemlockpin/request/receiver"
 
 	"github.com/stretchr/testify/require"
@@ -31,7 +32,7 @@
 			rea := bufio.NewReaderSize(strings.NewReader(tt.input), 16)
 			var ids, raws []string
 			for {
-				eve, err := readEvent(rea, &eventBuffer{})
+				eve, err := readEvent(rea, &rationer.Buffer{})
 				if err != nil {
 					require.ErrorIs(t, err, tt.err)
 					break
@@ -46,7 +47,7 @@
 }
 
 func TestReadEventTooLarge(t *testing.T) {
-	_, err := readEvent(bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes+100)), 64), &eventBuffer{})
+	_, err := readEvent(bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes+100)), 64), &rationer.Buffer{})
 	require.True(t, errors.Is(err, errEventTooLarge), err)
 }
 
@@ -64,25 +65,25 @@
 // TestEventMemory guards against large events in the making that don't count towards the memory for
 // bodies, and against ordinary events that fail because others have taken it.
 func TestEventMemory(t *testing.T) {
-	const limit = 64 << 10
+	const limit = 192 << 10
 	bud := &receiver.MemoryBudget{MaxBytes: limit}
 	large := "data: " + strings.Repeat("x", 20<<10) + "\n\n"
-	small := "data: " + strings.Repeat("x", smallEventBytes/2) + "\n\n"
-	first := &eventBuffer{budget: bud}
+	small := "data: " + strings.Repeat("x", rationer.SmallBytes/2) + "\n\n"
+	first := &rationer.Buffer{Memory: bud}
 	rea := bufio.NewReaderSize(strings.NewReader(large+small+large), 64)
 	eve, err := readEvent(rea, first)
 	require.NoError(t, err)
 	require.Equal(t, large, string(eve.raw))
 	require.GreaterOrEqual(t, bud.Reserved(), int64(len(large)))
 
-	second := &eventBuffer{budget: bud}
+	second := &rationer.Buffer{Memory: bud}
 	_, err = readEvent(bufio.NewReaderSize(strings.NewReader("data: "+strings.Repeat("x", maxEventBytes-100)), 64), second)
-	require.ErrorIs(t, err, errEventMemory)
+	require.ErrorIs(t, err, rationer.ErrExhausted)
 	require.LessOrEqual(t, bud.Reserved(), int64(limit))
-	eve, err = readEvent(bufio.NewReaderSize(strings.NewReader(small), 64), &eventBuffer{budget: bud})
+	eve, err = readEvent(bufio.NewReaderSize(strings.NewReader(small), 64), &rationer.Buffer{Memory: bud})
 	require.NoError(t, err)
 	require.Equal(t, small, string(eve.raw))
-	second.release()
+	second.Release()
 
 	eve, err = readEvent(rea, first)
 	require.NoError(t, err)
@@ -90,6 +91,6 @@
 	require.Zero(t, bud.Reserved(), "the next event gives the memory back")
 	_, err = readEvent(rea, first)
 	require.NoError(t, err)
-	first.release()
+	first.Release()
 	require.Zero(t, bud.Reserved())
 }
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlockpin/connection/exchanger"
+	"hemlockpin/connection/rationer"
 	"hemlockpin/request/receiver"
 )
 
@@ -258,8 +259,8 @@
 
 // stream forwards the events of a stream as they arrive.
 func (fwd *forwarding) stream(ctx context.Context, lea Lease, ans *exchanger.Answer, watch *stallWatch) Outcome {
-	buf := eventBuffer{budget: fwd.Bodies}
-	defer buf.release()
+	buf := rationer.Buffer{Memory: fwd.Bodies}
+	defer buf.Release()
 	ctl := http.NewResponseController(fwd.wri)
 	var pos position
 	first, forwarded := true, 0
