Bound the text of an answer and count it

Seen: an engine in trouble sends tokens that are sound but long, up to 1 MB each. The host keeps the text until the end of the answer, to go on with it on another engine: with 10,000 tokens it would be 10 GB.

Cause: an answer is limited in tokens only.

Change: an answer with more than 16 MB of text is broken off as one that does not fit the request. Texts over 64 KB count towards the memory for bodies.

--- a/process/server/server.go
+++ b/process/server/server.go
@@ -109,7 +109,7 @@
 	ser.limitExchanger = ser.newLimitExchanger()
 	ser.executor = &executor.Executor{
 		Owner: own, Invoker: ser.invoker, Admitter: ser.admitter, Claims: tracedClaims{ser.journal}, Clock: time.Now, Scope: ser.scope,
-		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes,
+		Tracer: otel.Tracer("hemlockpin"), MaxBodyBytes: set.MaxBodyBytes, Memory: &ser.bodyMemory,
 		Allocator: tracedAllocator{ser.allocator}, Drain: &ser.drainGate,
 	}
 	ser.reclaimer = ser.newReclaimer(own)
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -11,6 +11,7 @@
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
+	"hemlockpin/connection/rationer"
 	"hemlockpin/process/drainer"
 	"hemlockpin/request/budgeter"
 	"hemlockpin/request/hedger"
@@ -108,6 +109,8 @@
 	Tracer    trace.Tracer
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// Memory bounds what the texts of all answers take until their ends; nil for no limit.
+	Memory rationer.Memory
 	// Drain tells what the host's drain permits; nil for a host that never drains.
 	Drain *drainer.Gate
 	// RetryBudget limits the dispatches after the first dispatch of each request.
--- a/request/executor/generate.go
+++ b/request/executor/generate.go
@@ -31,6 +31,7 @@
 	state     attempter.State
 	assembler assembler.Assembler
 	answer    *responder.Answer
+	text      textAccount
 	blocks    []uint64
 	// lease is set while the request has an endpoint, stream while a dispatch to that
 	// endpoint is open.
@@ -80,6 +81,8 @@
 			IncludeUsage: pro.IncludeUsage, Created: req.arrived,
 		},
 	}
+	gen.text.memory = exe.Memory
+	defer gen.text.release()
 	exe.generate(ctx, gen)
 	gen.answer.ClearDeadline()
 }
--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -129,6 +129,10 @@
 	gen.assembler = ass
 	switch ver {
 	case assembler.Deliver:
+		if err := gen.text.add(len(tok.Text)); err != nil {
+			exe.counters().untrusted.Inc(1)
+			return err
+		}
 		gen.lease.Prefilled()
 		gen.state = gen.state.WithDelivered(ass.Next)
 		gen.progress.at = exe.Clock()
--- a/request/executor/resume_test.go
+++ b/request/executor/resume_test.go
@@ -104,6 +104,14 @@
 }
 
 func generatePrompt(t *testing.T, alloc executor.Allocator, prompt string, tokens int) (*executor.Executor, string) {
+	t.Helper()
+	exe, status, text := answerPrompt(t, alloc, prompt, tokens)
+	require.Equal(t, http.StatusOK, status, text)
+	return exe, text
+}
+
+// answerPrompt sends a prompt to a host and returns the status and the body of the answer.
+func answerPrompt(t *testing.T, alloc executor.Allocator, prompt string, tokens int) (exe *executor.Executor, status int, text string) {
 	t.Helper()
 	mat := matcher.New(parser.Tables{
 		Revision: 1,
@@ -111,7 +119,7 @@
 		Pools:    []parser.Pool{{Name: "p", Kind: parser.PoolEngine, Selector: parser.Selector{Service: "m"}}},
 		Teams:    []parser.Team{{Name: "t", KeyDigests: []string{parser.DigestKey("k")}}},
 	})
-	exe := &executor.Executor{
+	exe = &executor.Executor{
 		Owner: invoker.Owner{Host: "host-0", Incarnation: 1}, Invoker: &invoker.Invoker{},
 		Allocator: alloc, Admitter: &admitter.Admitter{}, Clock: time.Now,
 		Scope: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), MaxBodyBytes: 1 << 20,
@@ -126,8 +134,7 @@
 	res, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
 	defer res.Body.Close()
-	text, err := io.ReadAll(res.Body)
+	buf, err := io.ReadAll(res.Body)
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, res.StatusCode, string(text))
-	return exe, string(text)
+	return exe, res.StatusCode, string(buf)
 }
