Don't take the beginning of a large object for the whole

Seen: an object of the store with more bytes than are read, or without end, was taken for whole after 64 MB, though its length or its chunks said that more follows. A faulty store could make a host hold 64 MB for a value that can have 1 MB.

Cause: the limit cut the answer and did not report it.

Change: an answer over its limit is an error; for objects the limit is that of their values.

Evidence: TestGetTooLarge; on the commit before values of 1 MB + 1 byte and of 80 MB are returned without an error, the latter with 64 MB.

--- a/connection/persister/frame_test.go
+++ b/connection/persister/frame_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"hemlockpin/connection/persister"
+	"hemlockpin/internal/answerer"
 
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +37,15 @@
 		})
 	}
 }
+
+// TestGetTooLarge guards against the beginning of an object that is too large, or that has no end,
+// being taken for the whole object.
+func TestGetTooLarge(t *testing.T) {
+	for size, whole := range map[int]bool{persister.MaxValueBytes: true, persister.MaxValueBytes + 1: false, 80 << 20: false} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			address := answerer.Serve(t, answerer.Sound.Text("ETag: \"3\"\r\n", strings.Repeat("x", size)))
+			obj, err := (&persister.Persister{BaseURL: "http://" + address}).Get(t.Context(), "claims/1")
+			require.Equal(t, whole, err == nil, "%d bytes", len(obj.Value))
+		})
+	}
+}
--- a/connection/persister/list.go
+++ b/connection/persister/list.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"sync"
@@ -69,6 +68,6 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "unpack answer")
 	}
-	out, err := io.ReadAll(io.LimitReader(reader, maxAnswerBytes))
+	out, err := readAtMost(reader, maxAnswerBytes)
 	return out, eris.Wrap(err, "unpack answer")
 }
--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -33,6 +33,9 @@
 	// maxAnswerBytes bounds the body of an answer, as received and as decompressed.
 	maxAnswerBytes = 64 << 20
 
+	// objectsPath is the path of all objects.
+	objectsPath = "/v1/objects/"
+
 	dialTimeout     = 500 * time.Millisecond
 	idleConnTimeout = 30 * time.Second
 	maxIdleConns    = 64
@@ -113,7 +116,7 @@
 
 // Get reads one object.
 func (per *Persister) Get(ctx context.Context, path string) (Object, error) {
-	res, err := per.do(ctx, http.MethodGet, "/v1/objects/"+path, nil, nil)
+	res, err := per.do(ctx, http.MethodGet, objectsPath+path, nil, nil)
 	if err != nil {
 		return Object{}, eris.Wrapf(err, "Persister.Get: %s from platform %s", path, per.BaseURL)
 	}
@@ -130,7 +133,7 @@
 	if len(obj.Value) > MaxValueBytes {
 		return 0, eris.Wrapf(ErrTooLarge, "Persister.Put: %s has %d bytes", obj.Path, len(obj.Value))
 	}
-	res, err := per.do(ctx, http.MethodPut, "/v1/objects/"+obj.Path, precondition(obj.Version), obj.Value)
+	res, err := per.do(ctx, http.MethodPut, objectsPath+obj.Path, precondition(obj.Version), obj.Value)
 	if err != nil {
 		return 0, eris.Wrapf(err, "Persister.Put: %s to platform %s", obj.Path, per.BaseURL)
 	}
@@ -139,7 +142,7 @@
 
 // Delete removes an object if its stored version is the given version.
 func (per *Persister) Delete(ctx context.Context, path string, version uint64) error {
-	_, err := per.do(ctx, http.MethodDelete, "/v1/objects/"+path, precondition(version), nil)
+	_, err := per.do(ctx, http.MethodDelete, objectsPath+path, precondition(version), nil)
 	return eris.Wrapf(err, "Persister.Delete: %s at platform %s", path, per.BaseURL)
 }
 
@@ -186,7 +189,11 @@
 		return response{}, eris.Wrap(err, "send")
 	}
 	defer res.Body.Close()
-	buf, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	limit := int64(maxAnswerBytes)
+	if method == http.MethodGet && strings.HasPrefix(path, objectsPath) {
+		limit = MaxValueBytes
+	}
+	buf, err := readAtMost(res.Body, limit)
 	if err != nil {
 		per.closeIdleAfterTimeout(err)
 		return response{}, eris.Wrap(err, "read answer")
@@ -205,6 +212,15 @@
 	return out, err
 }
 
+// readAtMost reads to the end of an answer of at most limit bytes.
+func readAtMost(rea io.Reader, limit int64) ([]byte, error) {
+	buf, err := io.ReadAll(io.LimitReader(rea, limit+1))
+	if err == nil && int64(len(buf)) > limit {
+		err = eris.Errorf("the answer exceeds %d bytes", limit)
+	}
+	return buf, err
+}
+
 // closeIdleAfterTimeout closes the idle connections if err is a timeout: a
 // network fault may block all established connections while new connections work.
 func (per *Persister) closeIdleAfterTimeout(err error) {
