--- a/connection/invoker/invalid_answer_test.go
+++ b/connection/invoker/invalid_answer_test.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"testing"
 
-	"hemlockpin/internal/answerer"
+	"hemlockpin/internal/testkit/answerer"
 
 	"github.com/stretchr/testify/require"
 )
--- a/connection/persister/early_answer_test.go
+++ b/connection/persister/early_answer_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"hemlockpin/connection/persister"
-	"hemlockpin/internal/answerer"
+	"hemlockpin/internal/testkit/answerer"
 
 	"github.com/stretchr/testify/require"
 )
--- a/operator/requester/invalid_answer_test.go
+++ b/operator/requester/invalid_answer_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"hemlockpin/internal/answerer"
+	"hemlockpin/internal/testkit/answerer"
 	"hemlockpin/operator/requester"
 	"hemlockpin/version/parser"
 
--- a/request/executor/invalid_reply_test.go
+++ b/request/executor/invalid_reply_test.go
@@ -8,7 +8,7 @@
 
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/messenger"
-	"hemlockpin/internal/answerer"
+	"hemlockpin/internal/testkit/answerer"
 	"hemlockpin/request/responder"
 
 	"github.com/stretchr/testify/require"
