Account for the fields of a head by line, not by read

Found by reading the diff: a sound head that arrives byte by byte was accounted for as if each byte were a field, and broken when the memory for answers was used up. With bytes and an end in one read, the end was reported before the fault of the bytes after it; connections of TCP don't do that.

Evidence: TestHeadMemory reads an ordinary answer byte by byte without any memory; it failed before.

--- a/connection/inspector/answers.go
+++ b/connection/inspector/answers.go
@@ -44,7 +44,7 @@
 // first one.
 type answers struct {
 	place place
-	// line holds the begin of a head, of a trailer, or of a line with the size of a chunk.
+	// line holds the beginning of a head, of a trailer, or of a line with the size of a chunk.
 	line []byte
 	// headBytes and interim count the heads of the current request, answered the requests whose
 	// final answer is complete. cost is the memory of its heads and of its trailer.
@@ -116,13 +116,15 @@
 func (ans *answers) section(buf []byte) (n int, section []byte, err error) {
 	for n < len(buf) {
 		end := bytes.IndexByte(buf[n:], '\n') + 1
-		if end == 0 {
+		if end > 0 {
+			ans.cost += headFieldCost
+		} else {
 			end = len(buf) - n
 		}
 		if ans.headBytes += end; ans.headBytes > maxHeadBytes {
 			return 0, nil, errHeadTooLarge
 		}
-		ans.cost += int64(end)*headByteCost + headFieldCost
+		ans.cost += int64(end) * headByteCost
 		if ans.cost > smallHeadBytes {
 			if err := ans.account.hold(ans.cost); err != nil {
 				return 0, nil, err
@@ -148,6 +150,7 @@
 	return len(rest) == 0 || rest[len(rest)-1] == '\n'
 }
 
+// head follows a head and finds the place after it.
 func (ans *answers) head(buf []byte, reqs *requests) (int, error) {
 	n, text, err := ans.section(buf)
 	if text == nil {
@@ -179,6 +182,7 @@
 	return n, nil
 }
 
+// chunkSize follows the line with the size of a chunk.
 func (ans *answers) chunkSize(buf []byte) (int, error) {
 	n := bytes.IndexByte(buf, '\n') + 1
 	if n == 0 {
@@ -222,6 +226,7 @@
 	return n, nil
 }
 
+// trailer follows what comes after the last chunk.
 func (ans *answers) trailer(buf []byte) (int, error) {
 	n, text, err := ans.section(buf)
 	if text == nil {
--- a/connection/inspector/inspector.go
+++ b/connection/inspector/inspector.go
@@ -59,10 +59,14 @@
 	if con.fault == nil && errors.Is(err, io.EOF) {
 		con.fault = con.checkEnd()
 	}
-	if con.fault != nil && sound == 0 {
+	switch {
+	case con.fault == nil:
+		return sound, err
+	case sound > 0:
+		return sound, nil
+	default:
 		return 0, con.fault
 	}
-	return sound, err
 }
 
 // checkEnd returns an error if the end of the connection is not the end of an unframed answer. The
--- a/connection/inspector/memory_test.go
+++ b/connection/inspector/memory_test.go
@@ -50,8 +50,12 @@
 	require.LessOrEqual(t, mem.reserved, mem.limit)
 	require.NoError(t, read(answer(20, ""), size), "an ordinary answer")
 
+	slow := New(&textConn{text: strings.NewReader("HTTP/1.1 200 X\r\n" + strings.Repeat("Name: value\r\n", 20) + "\r\n"), size: 1}, &limitedMemory{})
+	_, err := io.ReadAll(slow)
+	require.NoError(t, err, "an ordinary answer, byte by byte")
+
 	held := mem.reserved
-	_, err := io.WriteString(large, "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n")
+	_, err = io.WriteString(large, "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n")
 	require.NoError(t, err)
 	_, err = large.Read(make([]byte, size))
 	require.NoError(t, err)
