Read whole numbers however they are written

Cause: encoding/json does not decode 90.0 into an integer, and one such number made the whole configuration invalid. Not only weights: version, limits, priorities, attempts, slots and memory alike, and beyond the configuration entries of servers, quarantines, replies of the store and reports of engines; in the other interface tables, orders, edits, bodies of callers, and what engines send; and the settings that the platform fills in.

Ruled out: that hosts lose the version on the way to each other: in the record it is in force at none. That only weights matter: TestNumberForms writes each number of a configuration in three forms.

Change: connection/decoder decodes all JSON of others; 90, 90.0 and 9e1 are one number. Weights, times, and the figures of reports may have fractions. What can't be read is told with its field and value by hemlockpin check, log and metric: reports that can't be decoded and failing reads of the store had no metric. For whole weights a call gets the same pool as before.

Conclusion: a number that can't be read still leaves out the whole version, as before.

--- a/connection/invoker/invoker.go
+++ b/connection/invoker/invoker.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hemlockpin/connection/counter"
+	"hemlockpin/connection/decoder"
 	"hemlockpin/connection/inspector"
 	"hemlockpin/connection/rationer"
 
@@ -223,7 +224,7 @@
 		Ran     Execution
 	}
 	buf, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
-	if json.Unmarshal(buf, &body) != nil || body.Ran == "" {
+	if decoder.Unmarshal(buf, &body) != nil || body.Ran == "" {
 		body.Ran = Unknown
 	}
 	return &Error{Step: step, Address: address, Status: res.StatusCode, Code: body.Code, Execution: body.Ran, Err: eris.New(body.Message)}
@@ -274,7 +275,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(buf.Bytes(), out); err != nil {
+	if err := decoder.Unmarshal(buf.Bytes(), out); err != nil {
 		return &Error{Step: step + ": decode", Address: address, Execution: Ran, Err: err}
 	}
 	return nil
--- a/connection/invoker/scanner.go
+++ b/connection/invoker/scanner.go
@@ -3,10 +3,10 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"errors"
 	"strconv"
 
+	"hemlockpin/connection/decoder"
 	"hemlockpin/connection/rationer"
 
 	"github.com/rotisserie/eris"
@@ -138,7 +138,7 @@
 		return decodeAs[Idle](sca.data.Bytes())
 	case "Error":
 		var rep reportedError
-		if err := json.Unmarshal(sca.data.Bytes(), &rep); err != nil {
+		if err := decoder.Unmarshal(sca.data.Bytes(), &rep); err != nil {
 			return nil, eris.Wrapf(errMalformed, "error event %.64q", sca.data.Bytes())
 		}
 		return nil, &rep
@@ -149,7 +149,7 @@
 
 func decodeAs[E Event](data []byte) (Event, error) {
 	var eve E
-	if err := json.Unmarshal(data, &eve); err != nil {
+	if err := decoder.Unmarshal(data, &eve); err != nil {
 		return nil, eris.Wrapf(errMalformed, "%T: %v", eve, err)
 	}
 	return eve, nil
--- a/connection/persister/list.go
+++ b/connection/persister/list.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"compress/gzip"
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"sync"
 
+	"hemlockpin/connection/decoder"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -47,7 +48,7 @@
 		return per.list.entries, nil
 	}
 	var ents []Entry
-	if err := json.Unmarshal(res.body, &ents); err != nil {
+	if err := decoder.Unmarshal(res.body, &ents); err != nil {
 		return nil, eris.Wrapf(err, "Persister.Entries: decode answer of platform %s", per.BaseURL)
 	}
 	per.list.etag = res.etag
--- a/connection/persister/weights.go
+++ b/connection/persister/weights.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 
+	"hemlockpin/connection/decoder"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -31,6 +32,6 @@
 	if err != nil {
 		return wei, eris.Wrapf(err, "Persister.Weights: %s version %s from platform %s", model, version, per.BaseURL)
 	}
-	err = json.Unmarshal(res.body, &wei)
+	err = decoder.Unmarshal(res.body, &wei)
 	return wei, eris.Wrapf(err, "Persister.Weights: decode answer of platform %s", per.BaseURL)
 }
--- a/operator/editor/editor.go
+++ b/operator/editor/editor.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"slices"
 
+	"hemlockpin/connection/decoder"
 	"hemlockpin/version/parser"
 
 	"github.com/rotisserie/eris"
@@ -130,7 +131,7 @@
 // for text after the document.
 func decodeStrict[T any](doc []byte) (T, error) {
 	var val T
-	dec := json.NewDecoder(bytes.NewReader(doc))
+	dec := json.NewDecoder(bytes.NewReader(decoder.Normalize(doc)))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&val); err != nil {
 		return val, eris.Wrapf(err, "byte %d", dec.InputOffset())
--- a/process/configurer/bound.go
+++ b/process/configurer/bound.go
@@ -72,5 +72,5 @@
 	if set.MaxFiles == 0 {
 		return int64(set.MaxConns)
 	}
-	return int64(min(set.MaxConns, max(1, (set.MaxFiles-reservedFiles)/filesPerCall)))
+	return int64(min(set.MaxConns, int(max(1, (set.MaxFiles-reservedFiles)/filesPerCall))))
 }
--- a/process/configurer/bound_test.go
+++ b/process/configurer/bound_test.go
@@ -11,8 +11,7 @@
 func TestBounds(t *testing.T) {
 	tests := []struct {
 		name                string
-		memory              int64
-		files               int
+		memory, files       WholeNumber
 		heap, bodies, conns int64
 	}{
 		{"unknown", 0, 0, 0, 512 << 20, 10_000},
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -23,15 +23,15 @@
 
 // Host holds the identity, the resources and the listen addresses of the host.
 type Host struct {
-	HostID     string  `long:"host-id" env:"HEMLOCKPIN_HOST_ID" description:"name of this host, unique in the fleet"`
-	CPUShare   float64 `long:"cpu-share" env:"HEMLOCKPIN_CPU_SHARE" description:"processor time that the host has, in cores; 0 if unknown. Hosts with more plan for the others"`
-	MemoryMB   int64   `long:"memory-mb" env:"HEMLOCKPIN_MEMORY_MB" description:"memory that the process may take, in MB; 0 if unknown. It bounds the bodies of requests and the collector's heap"`
-	MaxFiles   int     `long:"max-files" env:"HEMLOCKPIN_MAX_FILES" description:"descriptors that the process may hold; 0 if unknown. It bounds the callers' connections"`
-	DataCenter string  `long:"data-center" env:"HEMLOCKPIN_DATA_CENTER" description:"data centre of this host"`
-	Region     string  `long:"region" env:"HEMLOCKPIN_REGION" description:"region of this host"`
-	Listen     string  `long:"listen" env:"HEMLOCKPIN_LISTEN" default:"127.0.0.1:8080" description:"address for callers, as IP:port"`
-	PeerListen string  `long:"peer-listen" env:"HEMLOCKPIN_PEER_LISTEN" default:"127.0.0.1:8081" description:"address for other hosts, as IP:port"`
-	Operator   string  `long:"operator-listen" env:"HEMLOCKPIN_OPERATOR_LISTEN" default:"127.0.0.1:8082" description:"address for operators and metrics, as IP:port"`
+	HostID     string      `long:"host-id" env:"HEMLOCKPIN_HOST_ID" description:"name of this host, unique in the fleet"`
+	CPUShare   float64     `long:"cpu-share" env:"HEMLOCKPIN_CPU_SHARE" description:"processor time that the host has, in cores; 0 if unknown. Hosts with more plan for the others"`
+	MemoryMB   WholeNumber `long:"memory-mb" env:"HEMLOCKPIN_MEMORY_MB" description:"memory that the process may take, in MB; 0 if unknown. It bounds the bodies of requests and the collector's heap"`
+	MaxFiles   WholeNumber `long:"max-files" env:"HEMLOCKPIN_MAX_FILES" description:"descriptors that the process may hold; 0 if unknown. It bounds the callers' connections"`
+	DataCenter string      `long:"data-center" env:"HEMLOCKPIN_DATA_CENTER" description:"data centre of this host"`
+	Region     string      `long:"region" env:"HEMLOCKPIN_REGION" description:"region of this host"`
+	Listen     string      `long:"listen" env:"HEMLOCKPIN_LISTEN" default:"127.0.0.1:8080" description:"address for callers, as IP:port"`
+	PeerListen string      `long:"peer-listen" env:"HEMLOCKPIN_PEER_LISTEN" default:"127.0.0.1:8081" description:"address for other hosts, as IP:port"`
+	Operator   string      `long:"operator-listen" env:"HEMLOCKPIN_OPERATOR_LISTEN" default:"127.0.0.1:8082" description:"address for operators and metrics, as IP:port"`
 }
 
 // Limits limit the resources that callers may use on a host.
--- a/process/configurer/file_test.go
+++ b/process/configurer/file_test.go
@@ -88,3 +88,21 @@
 		require.Error(t, err, value)
 	}
 }
+
+// TestNumberForms guards against hosts that don't start because the platform writes a whole number of
+// their settings with a point or an exponent.
+func TestNumberForms(t *testing.T) {
+	for _, values := range []string{
+		"memory-mb = 200\nmax-files = 2000\n[Forwarding]\nevacuate-within = 5000\n",
+		"memory-mb = 200.0\nmax-files = 2000.0\n[Forwarding]\nevacuate-within = 5000.0\n",
+		"memory-mb = 2e2\nmax-files = 2.0E+3\n[Forwarding]\nevacuate-within = 5e3\n",
+	} {
+		set, err := Read([]string{"--config=" + writeFile(t, strings.Replace(fileText, "[Host]\n", "[Host]\n"+values+"\n[Host]\n", 1))})
+		require.NoError(t, err, values)
+		require.EqualValues(t, 200, set.MemoryMB)
+		require.EqualValues(t, 2000, set.MaxFiles)
+		require.Equal(t, 5*time.Second, time.Duration(set.EvacuateWithin))
+	}
+	_, err := Read([]string{"--config=" + writeFile(t, strings.Replace(fileText, "[Host]\n", "[Host]\nmemory-mb = 206.5\n", 1))})
+	require.ErrorContains(t, err, `"206.5" is not a whole number`)
+}
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -241,7 +241,11 @@
 
 // setStoreUnavailable and setStoreAvailable record whether the store answers this host,
 // for the operators' status and for pollWatchers.
-func (fwd *Forwarder) setStoreUnavailable()        { fwd.storeUnavailable.Store(true) }
+func (fwd *Forwarder) setStoreUnavailable() {
+	fwd.scope.Counter("store_read_failures").Inc(1)
+	fwd.storeUnavailable.Store(true)
+}
+
 func (fwd *Forwarder) setStoreAvailable(time.Time) { fwd.storeUnavailable.Store(false) }
 
 // monitorHosts notifies this host's planner of hosts that have died or restarted, and
--- a/process/planner/runner.go
+++ b/process/planner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -31,7 +32,16 @@
 	loadTimeout = 400 * time.Millisecond
 )
 
-// Loader reads the engines' reports.
+// ReportError is a report of an engine that can't be decoded.
+type ReportError struct {
+	// Problem says what is wrong with the report.
+	Problem string
+}
+
+// Error returns the problem.
+func (err *ReportError) Error() string { return err.Problem }
+
+// Loader reads the engines' reports. It returns a ReportError for one that can't be decoded.
 type Loader interface {
 	Load(ctx context.Context, address string) (Load, error)
 }
@@ -261,15 +271,24 @@
 			ctx, stop := context.WithTimeout(ctx, loadTimeout)
 			defer stop()
 			loa, err := run.Loader.Load(ctx, eng.Address)
-			if err != nil {
+			var invalid *ReportError
+			if err != nil && !errors.As(err, &invalid) {
 				run.Log.Debug().Str("Endpoint", eng.ID).Err(err).Msg("engine report could not be read; counting a missed report")
 				pp.apply(Unreachable{eng.ID}, run.Clock())
 				return
 			}
-			if problem := loa.problem(); pp.isNewProblem(eng.ID, problem) {
+			problem := loa.problem()
+			if invalid != nil {
+				problem = invalid.Problem
+			}
+			if pp.isNewProblem(eng.ID, problem) {
 				run.Scope.Counter("invalid_reports").Inc(1)
 				run.Log.Warn().Str("Endpoint", eng.ID).Str("Problem", problem).Msg("invalid engine report; counting it as missed")
 			}
+			if invalid != nil {
+				pp.apply(Unreachable{eng.ID}, run.Clock())
+				return
+			}
 			pp.apply(Report{eng.ID, loa}, run.Clock())
 		})
 	}
--- a/process/planner/runner_test.go
+++ b/process/planner/runner_test.go
@@ -133,3 +133,32 @@
 		require.Equal(t, 1, strings.Count(out.String(), "invalid engine report"))
 	})
 }
+
+// undecodableEngines send reports that can't be decoded.
+type undecodableEngines struct{}
+
+func (undecodableEngines) Load(context.Context, string) (Load, error) {
+	return Load{}, &ReportError{Problem: "running: number 2.5 is not a whole number"}
+}
+
+// TestUndecodableReportIsTold guards against a report that can't be decoded and that only shows as an
+// engine without prompts.
+func TestUndecodableReportIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		scope := tally.NewTestScope("", nil)
+		run := &Runner{
+			Loader: undecodableEngines{}, Engines: func(parser.Pool, time.Time) []Engine { return []Engine{{ID: "e", Address: "e"}} },
+			Pool:     func(string) (parser.Pool, bool) { return parser.Pool{Name: "llm", Batching: &batching}, true },
+			Interval: 200 * time.Millisecond, Clock: time.Now, Log: zerolog.New(&out), Scope: scope,
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go run.Run(ctx)
+		run.Submit(ctx, "llm", Request{ID: "r", Host: "h", Prompt: Prompt{Tokens: 1000, Objective: time.Second, Deadline: time.Now().Add(time.Minute)}}, time.Second)
+		time.Sleep(2 * time.Second)
+		stop()
+		synctest.Wait()
+		require.Equal(t, 1, strings.Count(out.String(), "running: number 2.5 is not a whole number"))
+		require.EqualValues(t, 1, scope.Snapshot().Counters()["invalid_reports+"].Value())
+	})
+}
--- a/process/server/explain.go
+++ b/process/server/explain.go
@@ -1,13 +1,16 @@
 package server
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
 
+	"hemlockpin/connection/decoder"
 	"hemlockpin/request/placer"
 	"hemlockpin/request/responder"
 	"hemlockpin/version/explainer"
@@ -59,7 +62,12 @@
 
 func (ser *Server) postExplain(wri http.ResponseWriter, htr *http.Request) {
 	var req ExplainRequest
-	dec := json.NewDecoder(http.MaxBytesReader(wri, htr.Body, maxOperatorBodyBytes))
+	doc, err := io.ReadAll(http.MaxBytesReader(wri, htr.Body, maxOperatorBodyBytes))
+	if err != nil {
+		responder.WriteJSON(wri, http.StatusBadRequest, OperatorError{Code: "invalid_json", Message: err.Error()})
+		return
+	}
+	dec := json.NewDecoder(bytes.NewReader(decoder.Normalize(doc)))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&req); err != nil {
 		responder.WriteJSON(wri, http.StatusBadRequest, OperatorError{Code: "invalid_json", Message: err.Error()})
--- a/process/server/orders.go
+++ b/process/server/orders.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
+	"hemlockpin/connection/decoder"
 	"hemlockpin/connection/invoker"
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/orderer"
@@ -77,7 +77,7 @@
 
 func (ser *Server) postOrder(wri http.ResponseWriter, req *http.Request) {
 	var ord OrderRequest
-	if err := json.NewDecoder(http.MaxBytesReader(wri, req.Body, maxOrderBytes)).Decode(&ord); err != nil {
+	if err := decoder.Read(http.MaxBytesReader(wri, req.Body, maxOrderBytes), &ord); err != nil {
 		responder.WriteJSON(wri, http.StatusBadRequest, OperatorError{Code: "bad_order", Message: err.Error()})
 		return
 	}
--- a/request/receiver/prompt.go
+++ b/request/receiver/prompt.go
@@ -10,6 +10,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"hemlockpin/connection/decoder"
 	"hemlockpin/request/hasher"
 
 	"github.com/rotisserie/eris"
@@ -109,7 +110,7 @@
 		return Prompt{}, badRequest("invalid_utf8", "", "the body is not valid UTF-8")
 	}
 	var req wirePrompt
-	if err := json.Unmarshal(buf, &req); err != nil {
+	if err := json.Unmarshal(decoder.Normalize(buf), &req); err != nil {
 		return Prompt{}, jsonError(err)
 	}
 	if err := req.validate(); err != nil {
--- a/version/parser/route.go
+++ b/version/parser/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 )
@@ -13,6 +14,11 @@
 	MaxTimeLimit = time.Hour
 	// MaxPromptTokens is the longest prompt that a route may match.
 	MaxPromptTokens = 4_000_000
+	// MaxWeight is the greatest weight of a share. The sum of the weights of a route stays finite.
+	MaxWeight = 1e12
+
+	// fractionSteps is the number of parts into which a hash divides a step of a weight.
+	fractionSteps = 1 << 20
 )
 
 // Match defines which requests a route matches. Empty fields match everything.
@@ -68,26 +74,38 @@
 // the sum of the weights.
 type Share struct {
 	Pool   string
-	Weight int
+	Weight float64
 }
 
 // PoolFor returns the pool for a call. hash is a uniformly distributed hash of the
 // call, so that a repeated call is assigned to the same pool.
 func (rou Route) PoolFor(hash uint64) string {
-	sum := 0
+	sum := 0.0
 	for _, sha := range rou.Split {
 		sum += max(0, sha.Weight)
 	}
 	if sum == 0 {
 		return rou.Pool
 	}
-	remainder := int(hash % uint64(sum))
+	pool, rest := rou.Pool, positionOf(hash, sum)
 	for _, sha := range rou.Split {
-		if remainder -= max(0, sha.Weight); remainder < 0 {
-			return sha.Pool
+		if sha.Weight <= 0 {
+			continue
+		}
+		pool = sha.Pool
+		if rest -= sha.Weight; rest < 0 {
+			break
 		}
 	}
-	return rou.Pool
+	return pool
+}
+
+// positionOf maps a hash to a number from 0 to sum, uniformly. Where sum is whole, its whole part is
+// the remainder of the hash by sum.
+func positionOf(hash uint64, sum float64) float64 {
+	steps := uint64(math.Ceil(sum))
+	fraction := float64(hash/steps%fractionSteps) / fractionSteps
+	return (float64(hash%steps) + fraction) * sum / float64(steps)
 }
 
 // Attempts returns MaxAttempts with its default of 1.
@@ -126,8 +144,8 @@
 func (rou Route) validateForwarding() []string {
 	var faults []string
 	for _, sha := range rou.Split {
-		if sha.Weight < 0 || sha.Pool == "" {
-			faults = append(faults, fmt.Sprintf("route %q: a share of Split needs a Pool and a Weight of 0 or more", rou.Name))
+		if !(sha.Weight >= 0) || sha.Weight > MaxWeight || sha.Pool == "" {
+			faults = append(faults, fmt.Sprintf("route %q: a share of Split needs a Pool and a Weight of 0 to %.0e", rou.Name, MaxWeight))
 		}
 	}
 	if rou.MaxAttempts < 0 || rou.FirstTarget < 0 || rou.PauseTarget < 0 {
--- a/version/parser/tables.go
+++ b/version/parser/tables.go
@@ -14,6 +14,8 @@
 	"strings"
 	"time"
 
+	"hemlockpin/connection/decoder"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -104,7 +106,7 @@
 	if len(doc) > MaxDocumentBytes {
 		return tab, &FaultsError{[]string{fmt.Sprintf("document has %d bytes, the limit is %d", len(doc), MaxDocumentBytes)}}
 	}
-	dec := json.NewDecoder(bytes.NewReader(doc))
+	dec := json.NewDecoder(bytes.NewReader(decoder.Normalize(doc)))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&tab); err != nil {
 		return Tables{}, &FaultsError{[]string{fmt.Sprintf("byte %d: %v", dec.InputOffset(), err)}}
