Don't take an object with an unreadable version for one that does not exist

Cause: an ETag of the platform that is no number gave version 0, which stands for an object that does not exist: the next write asks that there be none, and fails for ever. Change: such a reply is an error, and a version may have a point or an exponent. Conclusion: a write whose reply can't be read counts as one with an unknown outcome.

--- a/connection/persister/persister.go
+++ b/connection/persister/persister.go
@@ -9,7 +9,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -21,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockpin/connection/decoder"
 	"hemlockpin/connection/inspector"
 
 	"github.com/rotisserie/eris"
@@ -123,7 +123,11 @@
 	if !res.framed {
 		return Object{}, eris.Errorf("Persister.Get: %s from platform %s: the value has neither a length nor chunks and may have broken off", path, per.BaseURL)
 	}
-	return Object{Path: path, Version: parseVersion(res.etag), Value: res.body}, nil
+	version, err := parseVersion(res.etag)
+	if err != nil {
+		return Object{}, eris.Wrapf(err, "Persister.Get: %s from platform %s", path, per.BaseURL)
+	}
+	return Object{Path: path, Version: version, Value: res.body}, nil
 }
 
 // Put writes obj if the stored version is obj.Version, and returns the new
@@ -137,7 +141,8 @@
 	if err != nil {
 		return 0, eris.Wrapf(err, "Persister.Put: %s to platform %s", obj.Path, per.BaseURL)
 	}
-	return parseVersion(res.etag), nil
+	version, err := parseVersion(res.etag)
+	return version, eris.Wrapf(err, "Persister.Put: %s to platform %s; the object may have been written", obj.Path, per.BaseURL)
 }
 
 // Delete removes an object if its stored version is the given version.
@@ -158,7 +163,7 @@
 		return nil, eris.Wrapf(err, "Persister.Watch: %s at platform %s", prefix, per.BaseURL)
 	}
 	var objs []Object
-	err = json.Unmarshal(res.body, &objs)
+	err = decoder.Unmarshal(res.body, &objs)
 	return objs, eris.Wrapf(err, "Persister.Watch: decode answer of platform %s", per.BaseURL)
 }
 
@@ -255,7 +260,13 @@
 	return http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(version, 10))}}
 }
 
-func parseVersion(etag string) uint64 {
-	version, _ := strconv.ParseUint(strings.Trim(etag, `"`), 10, 64)
-	return version
+// parseVersion returns the version of an object. Version 0 would stand for an object that does not
+// exist.
+func parseVersion(etag string) (uint64, error) {
+	digits := strings.Trim(etag, `"`)
+	version, err := strconv.ParseUint(string(decoder.Normalize([]byte(digits))), 10, 64)
+	if err != nil || version == 0 {
+		return 0, eris.Errorf("the ETag %.64q is not the version of an object", etag)
+	}
+	return version, nil
 }
