Keep requiring keys once the last tenant is taken away

Cause: forwarded calls need no key if the tables have no team, which is meant for configurations without that list. An absent, a null and an empty list became the same tables. Ruled out: that the version is not in force (a route of the same version is served), and that the old key is cached (keys that were never held run as well).

Conclusion: hosts of earlier builds go on passing tables without the mark to others.

--- a/connection/decoder/decoder.go
+++ b/connection/decoder/decoder.go
@@ -60,6 +60,21 @@
 	return Unmarshal(doc, out)
 }
 
+// Member is a member of an object that may be absent, which the value alone does not tell. Its zero
+// value is an absent one.
+type Member[T any] struct {
+	// Found reports whether the object has the member, also if that is null.
+	Found bool
+	// Value is the zero value for a member that is null.
+	Value T
+}
+
+// UnmarshalJSON decodes the value of the member.
+func (mem *Member[T]) UnmarshalJSON(doc []byte) error {
+	*mem = Member[T]{Found: true}
+	return json.Unmarshal(doc, &mem.Value)
+}
+
 // describe turns an error of encoding/json about a value into a ValueError.
 func describe(err error) error {
 	var typ *json.UnmarshalTypeError
--- a/operator/checker/checker.go
+++ b/operator/checker/checker.go
@@ -55,6 +55,9 @@
 			out = append(out, warnings(fmt.Sprintf("team %q", tea.Name), []string{"no route takes requests of the team"})...)
 		}
 	}
+	if tab.RequireKeys && len(tab.Teams) == 0 {
+		out = append(out, warnings("tables", []string{"keys are required, but no team has one: all calls but public ones are refused"})...)
+	}
 	return append(out, warnings("caller limits", callerReasons(tab))...)
 }
 
--- a/operator/editor/editor.go
+++ b/operator/editor/editor.go
@@ -111,11 +111,12 @@
 }
 
 // Merge adds the entries of part to tab. An entry of part replaces the entry of the
-// same kind and name; all other entries are unchanged.
+// same kind and name; all other entries are unchanged. RequireKeys of either stays.
 func Merge(tab, part parser.Tables) parser.Tables {
 	tab.Routes = merge(tab.Routes, part.Routes)
 	tab.Pools = merge(tab.Pools, part.Pools)
 	tab.Teams = merge(tab.Teams, part.Teams)
+	tab.RequireKeys = tab.RequireKeys || part.RequireKeys
 	tab.Evacuations = merge(tab.Evacuations, part.Evacuations)
 	return tab
 }
--- a/request/relayer/accept.go
+++ b/request/relayer/accept.go
@@ -153,7 +153,7 @@
 }
 
 func (fwd *forwarding) authorize(mat *matcher.Matcher) *errorAnswer {
-	if fwd.route.Public || len(mat.Tables().Teams) == 0 {
+	if !mat.Tables().NeedsKey(fwd.route) {
 		return nil
 	}
 	tea, ok := mat.Team(fwd.call.Key)
--- a/version/differ/differ.go
+++ b/version/differ/differ.go
@@ -29,6 +29,8 @@
 	Routes Section[parser.Route]
 	Pools  Section[parser.Pool]
 	Teams  Section[parser.Team]
+	// RequireKeys is nil if it has not changed.
+	RequireKeys *bool `json:",omitempty"`
 	// Evacuations is empty in deltas of hosts that know none.
 	Evacuations Section[parser.Evacuation] `json:",omitzero"`
 	// Caller is nil if the limits have not changed.
@@ -58,6 +60,9 @@
 
 		Evacuations: diff(base.Evacuations, next.Evacuations, evacuationName),
 	}
+	if base.RequireKeys != next.RequireKeys {
+		del.RequireKeys = &next.RequireKeys
+	}
 	if base.Caller != next.Caller {
 		del.Caller = &next.Caller
 	}
@@ -104,6 +109,7 @@
 		Pools:  apply(base.Pools, del.Pools, poolName),
 		Teams:  apply(base.Teams, del.Teams, teamName),
 
+		RequireKeys: *cmp.Or(del.RequireKeys, &base.RequireKeys),
 		Evacuations: apply(base.Evacuations, del.Evacuations, evacuationName),
 
 		Caller: *cmp.Or(del.Caller, &base.Caller),
@@ -156,6 +162,7 @@
 		Pools:  compose(del.Pools, next.Pools, poolName),
 		Teams:  compose(del.Teams, next.Teams, teamName),
 
+		RequireKeys: cmp.Or(next.RequireKeys, del.RequireKeys),
 		Evacuations: compose(del.Evacuations, next.Evacuations, evacuationName),
 
 		Caller: cmp.Or(next.Caller, del.Caller),
--- a/version/parser/tables.go
+++ b/version/parser/tables.go
@@ -56,6 +56,9 @@
 	Routes []Route
 	Pools  []Pool
 	Teams  []Team
+	// RequireKeys says that calls need the key of a team although there is no team, so that only
+	// public calls are taken. Without it, forwarded calls need no key if there is no team.
+	RequireKeys bool `json:",omitempty"`
 	// Evacuations are the data centres whose endpoints get no new requests.
 	Evacuations []Evacuation `json:",omitempty"`
 	// Caller limits what callers of forwarded calls may send.
@@ -125,7 +128,7 @@
 
 // Defaults returns the tables with defaults for empty fields of all entries.
 func (tab Tables) Defaults() Tables {
-	out := Tables{Revision: tab.Revision, Nonce: tab.Nonce, Recent: tab.Recent, Evacuations: tab.Evacuations, Caller: tab.Caller}
+	out := Tables{Revision: tab.Revision, Nonce: tab.Nonce, Recent: tab.Recent, RequireKeys: tab.RequireKeys, Evacuations: tab.Evacuations, Caller: tab.Caller}
 	for _, rou := range tab.Routes {
 		out.Routes = append(out.Routes, rou.Defaults())
 	}
@@ -138,6 +141,11 @@
 	return out
 }
 
+// NeedsKey reports whether forwarded calls of a route need the key of a team.
+func (tab Tables) NeedsKey(rou Route) bool {
+	return !rou.Public && (tab.RequireKeys || len(tab.Teams) > 0)
+}
+
 // WithRevision returns the tables with another revision and nonce.
 func (tab Tables) WithRevision(revision uint64, nonce string) Tables {
 	tab.Revision = revision
