Don't take memory for unused where reports do not say so

Cause: a report without the list of reservations counted as one with an empty list, a state that isn't known as unused, and after 7 s without any readable report the memory counted as never used. The host would release memory under a call that runs, which cuts it off. Change: such reports show nothing about the use of a reservation; memory counts as unused only after two reports in a row that show so. Conclusion: an engine none of whose reports can be read keeps the memory of a call until its send ends.

--- a/process/assigner/plan.go
+++ b/process/assigner/plan.go
@@ -200,6 +200,10 @@
 		ass.Log.Info().Str("Endpoint", pars[i].Endpoint).Str("Reservation", id).Err(err).Msg("report of the engine could not be read; taking its reservation for unchanged")
 		return use
 	}
+	if loa.NoReservations {
+		ass.Log.Info().Str("Endpoint", pars[i].Endpoint).Str("Reservation", id).Msg("report of the engine lists no reservations; taking its reservation for unchanged")
+		return use
+	}
 	return use.WithReport(loa.Reservations, id)
 }
 
--- a/process/assigner/reservation.go
+++ b/process/assigner/reservation.go
@@ -26,11 +26,17 @@
 	unused int
 }
 
-// WithReport returns the use after a report of the engine's reservations.
+// WithReport returns the use after a report of the engine's reservations. A state that is not known
+// shows nothing.
 func (use reservationUse) WithReport(ress []planner.Reservation, id string) reservationUse {
 	for _, res := range ress {
-		if res.ID == id && res.Used {
+		if res.ID != id {
+			continue
+		}
+		if res.Used {
 			use.used, use.unused = true, 0
+		}
+		if res.Used || res.Unknown {
 			return use
 		}
 	}
@@ -43,10 +49,7 @@
 func (use reservationUse) Doubtful() bool { return use.used && use.unused > 0 }
 
 // Ended reports whether the memory is no longer needed: the request that has used it has ended,
-// or none has used it for unusedLimit.
+// or none has used it for unusedLimit. Without reports that show so, it is still needed.
 func (use reservationUse) Ended(now time.Time) bool {
-	if use.used {
-		return use.unused >= unusedReports
-	}
-	return now.Sub(use.since) >= unusedLimit
+	return use.unused >= unusedReports && (use.used || now.Sub(use.since) >= unusedLimit)
 }
--- a/process/assigner/reservation_test.go
+++ b/process/assigner/reservation_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hemlockpin/process/planner"
@@ -93,3 +94,54 @@
 		}
 	}), "it is released once")
 }
+
+// silentEngine gives the same report again and again, or an error.
+type silentEngine struct {
+	report   planner.Load
+	err      error
+	released int
+}
+
+func (eng *silentEngine) Reserve(context.Context, string, string, int64, time.Duration) (bool, error) {
+	return true, nil
+}
+
+func (eng *silentEngine) Release(context.Context, string, string) error {
+	eng.released++
+	return nil
+}
+
+func (eng *silentEngine) Load(context.Context, string) (planner.Load, error) {
+	return eng.report, eng.err
+}
+
+// TestUnknownUse guards against memory that is released under a call that runs, because the reports do
+// not say whether it is in use.
+func TestUnknownUse(t *testing.T) {
+	own := func(res planner.Reservation) planner.Load {
+		res.ID = "own"
+		return planner.Load{Reservations: []planner.Reservation{res}}
+	}
+	tests := map[string]struct {
+		eng      silentEngine
+		released int
+	}{
+		"no list of reservations": {silentEngine{report: planner.Load{NoReservations: true}}, 0},
+		"a state that is unknown": {silentEngine{report: own(planner.Reservation{Unknown: true})}, 0},
+		"no report":               {silentEngine{err: errors.New("no report")}, 0},
+		"in use":                  {silentEngine{report: own(planner.Reservation{Used: true})}, 0},
+		"not in use":              {silentEngine{report: own(planner.Reservation{})}, 1},
+		"none":                    {silentEngine{}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ass := &Assigner{Reserver: &tt.eng, Clock: time.Now, Log: zerolog.Nop()}
+				stop := ass.renew([]planner.Part{{Endpoint: "e", Address: "e", Reserve: 5}}, "own")
+				time.Sleep(20 * time.Second)
+				stop()
+				require.Equal(t, tt.released, tt.eng.released)
+			})
+		})
+	}
+}
--- a/process/planner/event.go
+++ b/process/planner/event.go
@@ -65,8 +65,10 @@
 	MemoryUsed  int64
 	MemoryTotal int64
 	Reserved    int64
-	// Reservations are those that the engine holds.
-	Reservations []Reservation
+	// Reservations are those that the engine holds, NoReservations says that the report does not
+	// list them.
+	Reservations   []Reservation
+	NoReservations bool
 	// Pace is the factor by which the engine's work takes longer than its pool's
 	// parameters say.
 	Pace    float64
@@ -76,8 +78,9 @@
 // Reservation is memory of an engine that is set aside for a request.
 type Reservation struct {
 	ID string
-	// Used reports whether a request uses it now.
-	Used bool
+	// Used reports whether a request uses it now, Unknown that the report does not say.
+	Used    bool
+	Unknown bool
 }
 
 // Event is the input of a plan: Request, Cancel, Began, Ended, Announced, Failed, Erred, Listing,
