Act for the caller when the answer of an engine is known to be lost

The second look for an engine comes 11.6 s after the call, too late for another read.

Cause: the renewal of the reservations follows the reports and knows that the run has ended; the send did not learn it. How soon it knows depended on one engine's reports: a report that failed or took over 0.5 s left the memory set aside for another interval, also for as long as the send lasted, and a run that ended before the first report, at 1.2 s, counted as one that had never begun, for 7 s (LEAK allows 4 s).

Change: Lease.Lost tells the send. It ends once nothing of the answer is on its way any more: a slow answer, and a caller that reads slowly, go on. Then the call is resent where it may be, and ends with 502 where it may not. The use is checked each 0.4 s until it is seen, other engines are asked if a report is late or fails, late reports count up to 0.9 s, renewals and releases go to all engines at once. A call that an engine has not begun is only taken away from it if another one may run it.

--- a/process/assigner/plan.go
+++ b/process/assigner/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/url"
 	"slices"
@@ -23,7 +24,14 @@
 	renewInterval = 1200 * time.Millisecond
 	// reserveTimeout is the time limit for one reservation or release.
 	reserveTimeout = 500 * time.Millisecond
-	// doubtInterval is the interval after a report that a reservation is no longer used.
+	// reportTimeout is the time limit for the reports that one check of the use of a reservation
+	// reads. The reservation must not lapse within two such checks.
+	reportTimeout = 900 * time.Millisecond
+	// lateReport is the time after which the report of another engine is read as well.
+	lateReport = 150 * time.Millisecond
+	// doubtInterval is the interval of reports until one shows that a reservation is used, after one
+	// that shows it unused, and after a check without a report. The end of a run that no report has
+	// shown can't be told from a call that has not begun.
 	doubtInterval = 400 * time.Millisecond
 	// maxGrantAttempts is the number of grants requested for a call if an engine of the
 	// grant is leaving or its memory cannot be reserved.
@@ -90,7 +98,7 @@
 	if !ok {
 		return relayer.Lease{}, false
 	}
-	lea := relayer.Lease{Endpoint: end, Helpers: res.helpers, ExpectedFirstEvent: act.First, ReportAnswer: ass.observeAnswer(end, ass.limitSequence(end.ID))}
+	lea := relayer.Lease{Endpoint: end, Helpers: res.helpers, Lost: res.lost, ExpectedFirstEvent: act.First, ReportAnswer: ass.observeAnswer(end, ass.limitSequence(end.ID))}
 	lea.ReportFirstEvent = func() { ass.Planners.notifyPlanners(act.ID, planner.Began{ID: act.ID}) }
 	lea.ReportFailure = func(address string) {
 		failed := end.ID
@@ -112,6 +120,8 @@
 type reservation struct {
 	helpers []relayer.Helper
 	release func()
+	// lost receives a Loss if the memory is released because the call does not run any more.
+	lost <-chan relayer.Loss
 }
 
 // reserveAll reserves the memory of a grant on all engines that need a reservation or on
@@ -143,8 +153,12 @@
 		return reservation{}, false
 	}
 	ass.Log.Info().Str("RequestID", req.ID).Int("Engines", reservations).Msg("memory for the prompt reserved")
-	stop := ass.renew(pars, id)
-	return reservation{helpers: helpers, release: func() { stop(); go release() }}, true
+	stop, lost := ass.renew(pars, id)
+	return reservation{helpers: helpers, lost: lost, release: func() {
+		if !stop() {
+			go release()
+		}
+	}}, true
 }
 
 func (ass *Assigner) reserveOne(ctx context.Context, par planner.Part, id string) error {
@@ -157,77 +171,158 @@
 	return err
 }
 
-// renew renews the reservations until the returned function is called. It releases them before
-// if the engine that leads reports that their request has ended.
-func (ass *Assigner) renew(pars []planner.Part, id string) (stop func()) {
+// renewal renews the reservations of a call while they are needed.
+type renewal struct {
+	*Assigner
+	parts []planner.Part
+	id    string
+	use   reservationUse
+	// renewedAt is the time of the last renewal.
+	renewedAt time.Time
+	// released says that the reservations are no longer needed; lost then receives a Loss.
+	released bool
+	lost     chan relayer.Loss
+}
+
+// renew renews the reservations until the returned function is called. If the reports of the engines
+// show before that their request has ended, it releases them, and lost receives that. The returned
+// function reports whether they have been released.
+func (ass *Assigner) renew(pars []planner.Part, id string) (stop func() (released bool), lost <-chan relayer.Loss) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	now := ass.Clock()
+	ren := &renewal{Assigner: ass, parts: pars, id: id, use: reservationUse{since: now}, renewedAt: now, lost: make(chan relayer.Loss, 1)}
 	go func() {
 		defer close(done)
-		use := reservationUse{since: ass.Clock()}
-		for wait := renewInterval; ; {
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-				return
-			}
-			use = ass.checkUse(ctx, use, pars, id)
-			switch wait = renewInterval; {
-			case ctx.Err() != nil:
-				return
-			case use.Ended(ass.Clock()):
-				ass.Log.Warn().Str("Reservation", id).Bool("Used", use.used).Dur("AgeMs", ass.Clock().Sub(use.since)).Msg("memory is reserved but not used by the call any more; releasing it")
-				ass.release(pars, id)
-				return
-			case use.Doubtful():
-				wait = doubtInterval
-			default:
-				ass.renewAll(ctx, pars, id)
-			}
-		}
+		ren.run(ctx)
 	}()
-	return func() { cancel(); <-done }
+	return func() bool { cancel(); <-done; return ren.released }, ren.lost
 }
 
-// checkUse returns the use of a reservation after a report of the first engine that has it. A
-// report that can't be read shows nothing.
-func (ass *Assigner) checkUse(ctx context.Context, use reservationUse, pars []planner.Part, id string) reservationUse {
-	i := slices.IndexFunc(pars, func(par planner.Part) bool { return par.Reserve > 0 })
-	ctx, stop := context.WithTimeout(ctx, reserveTimeout)
+// run renews the reservations until ctx ends or they are no longer needed.
+func (ren *renewal) run(ctx context.Context) {
+	for wait := doubtInterval; ; {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		checkedAt := ren.Clock()
+		use, reported := ren.checkUse(ctx, ren.use, ren.parts, ren.id)
+		if ctx.Err() != nil {
+			return
+		}
+		if ren.use = use; use.Ended(ren.Clock()) {
+			ren.end()
+			return
+		}
+		interval := renewInterval
+		if use.Doubtful() || !use.used || !reported {
+			interval = doubtInterval
+		}
+		if now := ren.Clock(); !use.Doubtful() && now.Sub(ren.renewedAt) >= renewInterval {
+			ren.renewedAt = now
+			ren.renewAll(ctx, ren.parts, ren.id)
+		}
+		wait = max(0, interval-ren.Clock().Sub(checkedAt))
+	}
+}
+
+// end releases the reservations, which their call does not need any more.
+func (ren *renewal) end() {
+	ren.Log.Warn().Str("Reservation", ren.id).Bool("Used", ren.use.used).Dur("AgeMs", ren.Clock().Sub(ren.use.since)).Msg("memory is reserved but not used by the call any more; releasing it and ending the send")
+	ren.released = true
+	ren.lost <- relayer.Loss{Ran: ren.use.used}
+	go ren.release(ren.parts, ren.id)
+}
+
+// checkUse returns the use of a reservation after a report of an engine that has it: the first one
+// or, if its report is late or can't be read, any other. It returns false if no report shows
+// anything.
+func (ass *Assigner) checkUse(ctx context.Context, use reservationUse, pars []planner.Part, id string) (reservationUse, bool) {
+	ctx, stop := context.WithTimeout(ctx, reportTimeout)
 	defer stop()
-	loa, err := ass.Reserver.Load(ctx, pars[i].Address)
-	if err != nil {
-		ass.Log.Info().Str("Endpoint", pars[i].Endpoint).Str("Reservation", id).Err(err).Msg("report of the engine could not be read; taking its reservation for unchanged")
-		return use
+	type reply struct {
+		reservations []planner.Reservation
+		ok           bool
+	}
+	replies := make(chan reply, len(pars))
+	pending := 0
+	ask := func(pars []planner.Part) {
+		for _, par := range pars {
+			pending++
+			go func() {
+				ress, ok := ass.readReservations(ctx, par, id)
+				replies <- reply{ress, ok}
+			}()
+		}
 	}
-	if loa.NoReservations {
-		ass.Log.Info().Str("Endpoint", pars[i].Endpoint).Str("Reservation", id).Msg("report of the engine lists no reservations; taking its reservation for unchanged")
-		return use
+	pars = slices.DeleteFunc(slices.Clone(pars), func(par planner.Part) bool { return par.Reserve <= 0 })
+	ask(pars[:1])
+	others := pars[1:]
+	late := time.After(lateReport)
+	for pending > 0 {
+		select {
+		case rep := <-replies:
+			pending--
+			if rep.ok {
+				return use.WithReport(rep.reservations, id), true
+			}
+		case <-late:
+		}
+		ask(others)
+		others = nil
+	}
+	return use, false
+}
+
+// readReservations reads the reservations that an engine reports. It returns false if the report
+// shows nothing.
+func (ass *Assigner) readReservations(ctx context.Context, par planner.Part, id string) ([]planner.Reservation, bool) {
+	loa, err := ass.Reserver.Load(ctx, par.Address)
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return nil, false
+	case err != nil:
+		ass.Log.Info().Str("Endpoint", par.Endpoint).Str("Reservation", id).Err(err).Msg("report of the engine could not be read; taking its reservation for unchanged")
+		return nil, false
+	case loa.NoReservations:
+		ass.Log.Info().Str("Endpoint", par.Endpoint).Str("Reservation", id).Msg("report of the engine lists no reservations; taking its reservation for unchanged")
+		return nil, false
+	default:
+		return loa.Reservations, true
 	}
-	return use.WithReport(loa.Reservations, id)
 }
 
 func (ass *Assigner) renewAll(ctx context.Context, pars []planner.Part, id string) {
+	var gro sync.WaitGroup
 	for _, par := range pars {
 		if par.Reserve <= 0 {
 			continue
 		}
-		if err := ass.reserveOne(ctx, par, id); err != nil && ctx.Err() == nil {
-			ass.Log.Warn().Str("Endpoint", par.Endpoint).Str("Reservation", id).Err(err).Msg("reservation could not be renewed; retrying at the next interval")
-		}
+		gro.Go(func() {
+			if err := ass.reserveOne(ctx, par, id); err != nil && ctx.Err() == nil {
+				ass.Log.Warn().Str("Endpoint", par.Endpoint).Str("Reservation", id).Err(err).Msg("reservation could not be renewed; retrying at the next interval")
+			}
+		})
 	}
+	gro.Wait()
 }
 
 // release releases the reservations. A reservation that cannot be released expires.
 func (ass *Assigner) release(pars []planner.Part, id string) {
+	ctx, stop := context.WithTimeout(context.Background(), reserveTimeout)
+	defer stop()
+	var gro sync.WaitGroup
 	for _, par := range pars {
 		if par.Reserve <= 0 {
 			continue
 		}
-		ctx, stop := context.WithTimeout(context.Background(), reserveTimeout)
-		if err := ass.Reserver.Release(ctx, par.Address, id); err != nil {
-			ass.Log.Warn().Str("Endpoint", par.Endpoint).Str("Reservation", id).Err(err).Msg("reservation could not be released; the engine drops it when it expires")
-		}
-		stop()
+		gro.Go(func() {
+			if err := ass.Reserver.Release(ctx, par.Address, id); err != nil {
+				ass.Log.Warn().Str("Endpoint", par.Endpoint).Str("Reservation", id).Err(err).Msg("reservation could not be released; the engine drops it when it expires")
+			}
+		})
 	}
+	gro.Wait()
 }
--- a/request/relayer/call.go
+++ b/request/relayer/call.go
@@ -136,6 +136,16 @@
 	ReportFailure    func(address string)
 	ReportError      func()
 	Release          func()
+	// Lost receives a Loss once the endpoint's reports show that no further answer to the call can
+	// come; nil if nothing is known of that.
+	Lost <-chan Loss
+}
+
+// Loss says that the endpoint does not run the call any more, and that the memory for it has been
+// released.
+type Loss struct {
+	// Ran says that the endpoint has run the call; if not, the call may still wait there.
+	Ran bool
 }
 
 // RefusedError reports that no endpoint was available.
--- a/request/relayer/relayer.go
+++ b/request/relayer/relayer.go
@@ -35,6 +35,7 @@
 var (
 	errTimeLimit = errors.New("the time limit of the call has passed")
 	errStalled   = errors.New("the endpoint is stalled and another endpoint is available")
+	errLost      = errors.New("the endpoint does not run the call any more, and its answer has not arrived")
 	// errQuarantined is the cause for which a call is not sent.
 	errQuarantined = errors.New("engines crash on parts of the prompt")
 )
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -159,12 +159,19 @@
 	return max(minPauseLimit, pauseFactor*time.Duration(fwd.route.PauseTarget))
 }
 
+// endedByWatch reports whether the host has given up on the endpoint of a send, while the call goes
+// on.
+func endedByWatch(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, errStalled) || errors.Is(cause, errLost)
+}
+
 // sendFailure turns an error of a send into an outcome.
 func (fwd *forwarding) sendFailure(ctx context.Context, lea Lease, err error) Outcome {
 	var dialErr *exchanger.NotSentError
 	unreached := errors.As(err, &dialErr)
 	switch {
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled):
+	case ctx.Err() != nil && !endedByWatch(ctx):
 		return fwd.endOutcome(ctx, !unreached)
 	case unreached && errors.Is(err, errTimeLimit):
 		return TimedOut{}
@@ -208,7 +215,7 @@
 	case fwd.state.Events > 0:
 		return fwd.sendFailure(ctx, lea, fmt.Errorf("the stream has begun, and an answer with status %d does not continue it", ans.Status))
 	}
-	if err := fwd.bufferAnswer(ans); err != nil {
+	if err := fwd.bufferAnswer(ans, watch); err != nil {
 		return fwd.sendFailure(ctx, lea, err)
 	}
 	if fwd.crashed(ctx, lea, ans) {
@@ -222,8 +229,8 @@
 }
 
 // bufferAnswer reads an answer completely, within the memory budget for bodies.
-func (fwd *forwarding) bufferAnswer(ans *exchanger.Answer) error {
-	bod := receiver.NewBody(io.NopCloser(ans.Body), fwd.Bodies, ans.Length, maxAnswerBytes)
+func (fwd *forwarding) bufferAnswer(ans *exchanger.Answer, watch *stallWatch) error {
+	bod := receiver.NewBody(io.NopCloser(watchedReader{ans.Body, watch}), fwd.Bodies, ans.Length, maxAnswerBytes)
 	buf, err := receiver.ReadBody(bod, maxAnswerBytes)
 	if err != nil {
 		bod.Release()
@@ -295,6 +302,7 @@
 		if err := ctl.Flush(); err != nil {
 			return CallerDisconnected{}
 		}
+		watch.eventForwarded()
 		fwd.recordForwarded(eve)
 		if forwarded++; forwarded == soundEvents {
 			fwd.recordSound()
--- a/request/relayer/stall.go
+++ b/request/relayer/stall.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
 )
 
+// lossGrace is the time without progress after which an answer that can't come any more counts as
+// lost. What the endpoint has sent may still be on its way to the caller.
+const lossGrace = 200 * time.Millisecond
+
 // stallWatch detects an endpoint that sends nothing for too long. Such an endpoint may
 // have failed or may be busy with other requests, so the send is cancelled only once
 // another endpoint is available for the call.
@@ -19,8 +24,12 @@
 	timer *time.Timer
 	// events counts the events received, so that an event that arrives during the
 	// search for a replacement is noticed.
-	events  int
-	stopped bool
+	events int
+	// progress counts what was received and forwarded of the answer; forwarding says that an
+	// event is being forwarded.
+	progress   int
+	forwarding bool
+	stopped    bool
 }
 
 // watchStall starts to watch a send. cancel cancels ctx, the context of the send.
@@ -29,6 +38,9 @@
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	watch.timer = time.AfterFunc(fwd.stallLimit(lea, fwd.Clock()), func() { watch.findReplacement(ctx) })
+	if lea.Lost != nil {
+		go watch.awaitLoss(ctx)
+	}
 	return watch
 }
 
@@ -37,9 +49,87 @@
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	watch.events++
+	watch.progress++
+	watch.forwarding = true
 	watch.timer.Reset(watch.fwd.pauseLimit())
 }
 
+// eventForwarded records that the caller has taken the event that was received last.
+func (watch *stallWatch) eventForwarded() {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	watch.progress++
+	watch.forwarding = false
+}
+
+// bytesReceived records that a part of an answer was received.
+func (watch *stallWatch) bytesReceived() {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	watch.progress++
+}
+
+// watchedReader reads an answer that isn't a stream.
+type watchedReader struct {
+	io.Reader
+	watch *stallWatch
+}
+
+// Read reads a part of the answer.
+func (rea watchedReader) Read(buf []byte) (int, error) {
+	n, err := rea.Reader.Read(buf)
+	if n > 0 {
+		rea.watch.bytesReceived()
+	}
+	return n, err
+}
+
+// awaitLoss cancels the send once the endpoint is known not to run the call any more and nothing
+// of its answer is on the way. A call that may still wait at the endpoint is only cancelled if
+// another endpoint may run it.
+func (watch *stallWatch) awaitLoss(ctx context.Context) {
+	var los Loss
+	select {
+	case los = <-watch.lease.Lost:
+	case <-ctx.Done():
+		return
+	}
+	fwd := watch.fwd
+	if !los.Ran && !fwd.allowsResend() {
+		fwd.log.Info().Str("Endpoint", watch.lease.Endpoint.ID).Msg("endpoint has not begun the call; waiting for its refusal, since no other endpoint may run the call")
+		return
+	}
+	for !watch.cancelIfIdle(ctx) {
+	}
+}
+
+// cancelIfIdle waits for lossGrace. It cancels the send if there was no progress meanwhile, and
+// returns true if the send has ended.
+func (watch *stallWatch) cancelIfIdle(ctx context.Context) bool {
+	watch.mu.Lock()
+	before := watch.progress
+	watch.mu.Unlock()
+	select {
+	case <-time.After(lossGrace):
+	case <-ctx.Done():
+		return true
+	}
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	if watch.stopped {
+		return true
+	}
+	if watch.forwarding || watch.progress != before {
+		return false
+	}
+	watch.fwd.Scope.Counter("answers_lost").Inc(1)
+	watch.fwd.log.Warn().Str("Endpoint", watch.lease.Endpoint.ID).Int("Events", watch.events).Msg("answer of the endpoint is lost; ending the send")
+	watch.stopped = true
+	watch.timer.Stop()
+	watch.cancel(errLost)
+	return true
+}
+
 func (watch *stallWatch) stop() {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
@@ -94,6 +184,13 @@
 	}
 }
 
+// allowsResend reports whether another endpoint may run the call now.
+func (fwd *forwarding) allowsResend() bool {
+	fwd.mu.Lock()
+	defer fwd.mu.Unlock()
+	return fwd.state.allowsResend(fwd.route)
+}
+
 // takeRetry takes a retry from the budget if the call may be sent to another endpoint.
 // It returns false if the call may not, or if no retry is left.
 func (fwd *forwarding) takeRetry(now time.Time) bool {
--- a/request/relayer/trial.go
+++ b/request/relayer/trial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -61,7 +60,7 @@
 		if ans != nil && events == 0 {
 			evi = quarantiner.StrongEvidence
 		}
-		if !errors.Is(context.Cause(ctx), errStalled) {
+		if !endedByWatch(ctx) {
 			fwd.checkCrash(ctx, lea.Endpoint.Address, evi)
 		}
 	}
