Don't count prompts that are refused as too late as demand

Cause: each request to the plan counts as work that is still to come for up to 6 s, also one that is refused at once because its prompt can't be read in the time left. A stalled send asks each 0.3 s. With so much demand, a prompt that is late anyway does not start. Ruled out: work on the engines; the planner's log shows no other grant and nothing waiting. Change: a prompt counts only if it could be read in time when it arrived. Before: TestRefusedPromptsAreNoDemand fails on the parent commit (the prompt waits). After: it passes, as do the loads and fleets of process/planner.

--- a/process/planner/choose.go
+++ b/process/planner/choose.go
@@ -57,6 +57,11 @@
 
 func (pen *pending) long() bool { return pen.prefill >= longPrefill }
 
+// timeLeft is the time until the caller gives up or the deadline passes.
+func (pen *pending) timeLeft(now time.Time) ms {
+	return msOf(min(pen.callerDeadline.Sub(now), pen.prompt.Deadline.Sub(now)))
+}
+
 // slack is the time until the first event is due.
 func (pen *pending) slack(now time.Time) ms { return msOf(pen.prompt.Target.Sub(now)) }
 
--- a/process/planner/plan.go
+++ b/process/planner/plan.go
@@ -36,6 +36,8 @@
 	// evaluated is the time at which dispatch last evaluated the request; zero if it has
 	// not yet.
 	evaluated time.Time
+	// inDemand reports that the prompt counts in Plan.longDemand.
+	inDemand bool
 	// latestStart is the latest time at which the request can start and still meet its
 	// objective on idle engines.
 	latestStart time.Time
@@ -135,10 +137,13 @@
 	pen := pla.newPending(req, now)
 	pla.waiting = append(pla.waiting, pen)
 	pla.hasNewRequest = true
-	if pen.long() {
-		pla.longDemand = pla.longDemand.plus(float64(pen.prefill)/1000, now)
-	} else {
+	switch {
+	case !pen.long():
 		pla.shortDemand = pla.shortDemand.plus(1, now)
+	case pla.idleFirst(pen) <= pen.timeLeft(now):
+		// A prompt that is refused since it can't be read in time any more takes no engine.
+		pla.longDemand = pla.longDemand.plus(float64(pen.prefill)/1000, now)
+		pen.inDemand = true
 	}
 }
 
@@ -226,7 +231,7 @@
 // recently occupied.
 func (pla *Plan) longShare(pen *pending, now time.Time) float64 {
 	demand := pla.longDemand.value(now)
-	if pen.long() {
+	if pen.inDemand {
 		demand -= average{}.plus(float64(pen.prefill)/1000, pen.arrived).value(now)
 	}
 	return min(1, max(0, demand)/float64(max(1, len(pla.sortedEngines))))
--- a/process/planner/refuse.go
+++ b/process/planner/refuse.go
@@ -21,7 +21,7 @@
 			usable++
 		}
 	}
-	timeLeft := msOf(min(pen.callerDeadline.Sub(now), pen.prompt.Deadline.Sub(now)))
+	timeLeft := pen.timeLeft(now)
 	wait := max(pla.queueWait(pen, usable), pla.limitWait(pen, now))
 	if found {
 		wait += max(0, cho.first-pla.idleFirst(pen))
