--- a/connection/invoker/early_answer_test.go
+++ b/connection/invoker/early_answer_test.go
@@ -27,6 +27,22 @@
 	}
 }
 
+// TestEarlyInvalidStatus guards against a reply whose status HTTP does not have, sent while the call is
+// still being written, that counts as a reply.
+func TestEarlyInvalidStatus(t *testing.T) {
+	for _, size := range answerer.UploadBytes {
+		for _, ear := range answerer.EarlyInvalid(size) {
+			t.Run(fmt.Sprintf("%d bytes, %q, %v", size, ear.Text, ear), func(t *testing.T) {
+				for _, once := range []bool{true, false} {
+					cal := ServiceCall{Method: http.MethodPost, Path: "/", Body: make([]byte, size), AtMostOnce: once}
+					rep, err := (&Invoker{}).Call(t.Context(), answerer.ServeEarly(t, ear), cal)
+					require.Error(t, err, "status %d, %q", rep.Status, rep.Body)
+				}
+			})
+		}
+	}
+}
+
 // TestSoundEarlyReply guards against a reply that is sent before the call has been read being lost.
 func TestSoundEarlyReply(t *testing.T) {
 	for _, size := range answerer.UploadBytes {
--- a/internal/testkit/answerer/answerer.go
+++ b/internal/testkit/answerer/answerer.go
@@ -39,6 +39,19 @@
 	return out
 }
 
+// EarlyInvalid returns answers with a status that is not allowed, which are sent before a request with
+// a body of some bytes has been read. Some are reset while the body is written.
+func EarlyInvalid(bodyBytes int) []Early {
+	var out []Early
+	for _, frame := range []string{"", "Content-Length: 4\r\n", "Content-Length: 400\r\n"} {
+		for _, status := range []string{"000", "099", "600"} {
+			text := "HTTP/1.1 " + status + " X\r\n" + frame + "\r\npart"
+			out = append(out, Early{Text: text, Read: int64(bodyBytes / 2), HalfCloses: true}, Early{Text: text, Read: int64(bodyBytes / 2), Resets: true, Pause: 5 * time.Millisecond})
+		}
+	}
+	return out
+}
+
 // Answer is the text of an answer. $HEADERS stands for further headers, $LENGTH for the length of
 // the body, $BODY for the body itself and $CHUNKS for the body in chunks, without the trailer.
 type Answer struct{ Name, text string }
@@ -66,7 +79,7 @@
 		{"interim answer with status 099", "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 X\r\n$HEADERSContent-Length: $LENGTH\r\n\r\n$BODY"},
 		{"control character in the reason", "HTTP/1.1 200 a\x01b\r\n$HEADERSContent-Length: $LENGTH\r\n\r\n$BODY"},
 	}
-	for _, status := range []string{"000", "-00", "099", "+20", "600", "999", " 200"} {
+	for _, status := range []string{"000", "-00", "099", "+20", "600", "999", " 200", "0", "00", "0000", "20", "2000", "0x2", "2e2", "200.0", "20\xff", ""} {
 		out = append(out, Answer{"status " + status, "HTTP/1.1 " + status + " X\r\n$HEADERSContent-Length: $LENGTH\r\n\r\n$BODY"})
 	}
 	return out
