Tell of numbers in headers that can't be read

Cause: a length, a limit or a time in a header that can't be read counts as absent, and nobody learns of it. Change: calls go on as before; a log line names the headers, and unreadable_headers counts them by their sender. After: TestUnreadableHeaders and TestUnreadableHeadersAreTold pass.

--- a/request/relayer/accept.go
+++ b/request/relayer/accept.go
@@ -45,6 +45,7 @@
 		return &errorAnswer{status: http.StatusBadRequest, code: "bad_header", message: err.Error()}
 	}
 	fwd.log = fwd.Log.With().Str("RequestID", fwd.call.ID).Logger()
+	fwd.reportUnreadable("caller", fwd.htr.Header)
 	fwd.awaitTables()
 	fwd.awaitConfirmed()
 	mat := fwd.Tables()
@@ -78,6 +79,16 @@
 	return nil
 }
 
+// reportUnreadable logs and counts the headers of a caller or an endpoint whose numbers can't be read.
+func (fwd *forwarding) reportUnreadable(from string, hea http.Header) {
+	names := fwd.Codec.Unreadable(hea)
+	if len(names) == 0 {
+		return
+	}
+	fwd.Scope.Tagged(map[string]string{"from": from}).Counter("unreadable_headers").Inc(1)
+	fwd.log.Warn().Str("From", from).Strs("Headers", names).Msg("headers have numbers that can't be read; going on without them")
+}
+
 // findRoute finds the route of the call by the target that the endpoint gets.
 func (fwd *forwarding) findRoute(mat *matcher.Matcher) *errorAnswer {
 	var ok bool
--- a/request/relayer/call.go
+++ b/request/relayer/call.go
@@ -88,6 +88,9 @@
 	Dispatch(hea http.Header, dis Dispatch)
 	// Answer parses the headers of an endpoint's answer.
 	Answer(status int, hea http.Header) AnswerInfo
+	// Unreadable returns the names of headers of a call or an answer whose numbers can't be read.
+	// They count as absent.
+	Unreadable(hea http.Header) []string
 	// HostAnswer sets the headers of an answer that the host itself gives.
 	HostAnswer(hea http.Header, id string, retryAfter time.Duration)
 }
--- a/request/relayer/send.go
+++ b/request/relayer/send.go
@@ -193,6 +193,7 @@
 // buffers the complete answer.
 func (fwd *forwarding) readAnswer(ctx context.Context, lea Lease, ans *exchanger.Answer, watch *stallWatch) Outcome {
 	info := fwd.Codec.Answer(ans.Status, ans.Header)
+	fwd.reportUnreadable("endpoint", ans.Header)
 	if info.ID != "" && info.ID != fwd.call.ID {
 		return fwd.sendFailure(ctx, lea, errors.New("answer belongs to another call"))
 	}
