Wait longer for the rest of an answer that has begun to arrive

On a link that loses packets the rest may take longer, and another run of a long prompt takes seconds. Change: once a part has arrived, the send waits for 1 s without progress. Conclusion: an answer of which nothing has arrived still ends after 0.2 s.

--- a/request/relayer/stall.go
+++ b/request/relayer/stall.go
@@ -8,9 +8,14 @@
 	"time"
 )
 
-// lossGrace is the time without progress after which an answer that can't come any more counts as
-// lost. What the endpoint has sent may still be on its way to the caller.
-const lossGrace = 200 * time.Millisecond
+const (
+	// lossGrace is the time without progress after which an answer counts as lost whose endpoint does
+	// not run the call any more. What the endpoint has sent may still be on its way.
+	lossGrace = 200 * time.Millisecond
+	// transitGrace takes its place once a part of the answer has arrived: the path works, and what
+	// a lossy link holds back comes sooner than another run.
+	transitGrace = time.Second
+)
 
 // stallWatch detects an endpoint that sends nothing for too long. Such an endpoint may
 // have failed or may be busy with other requests, so the send is cancelled only once
@@ -103,14 +108,18 @@
 	}
 }
 
-// cancelIfIdle waits for lossGrace. It cancels the send if there was no progress meanwhile, and
+// cancelIfIdle waits for lossGrace or transitGrace. It cancels the send if there was no progress meanwhile, and
 // returns true if the send has ended.
 func (watch *stallWatch) cancelIfIdle(ctx context.Context) bool {
 	watch.mu.Lock()
 	before := watch.progress
 	watch.mu.Unlock()
+	grace := lossGrace
+	if before > 0 {
+		grace = transitGrace
+	}
 	select {
-	case <-time.After(lossGrace):
+	case <-time.After(grace):
 	case <-ctx.Done():
 		return true
 	}
