Don't send a prompt again whose answer is already too long

Callers saw: an answer with more text than a host keeps (16 MB) is sent to eight engines in turn, each with the text so far, before its caller gets 502; with the race detector on this machine the time limit of 10 s passed first, and the caller got 504. Cause: the limit counted as a failure of the engine that another one may mend, but no engine can continue such an answer. Change: the failure is permanent. Conclusion: only the product's own interface is concerned.

--- a/request/executor/relay.go
+++ b/request/executor/relay.go
@@ -222,14 +222,14 @@
 		exe.counters().stalled.Inc(1)
 		return attempter.Stalled{Endpoint: end}
 	}
-	eve := attempter.Failed{Endpoint: end, Ran: invoker.Unknown, Message: err.Error()}
+	eve := attempter.Failed{Endpoint: end, Ran: invoker.Unknown, Message: err.Error(), Permanent: eris.Is(err, errTextTooLong)}
 	var invokeErr *invoker.Error
 	if errors.As(err, &invokeErr) {
 		eve.Ran = invokeErr.Execution
 		eve.Permanent = invokeErr.Status == http.StatusBadRequest || invokeErr.Status == http.StatusRequestEntityTooLarge
 		eve.Connection = errors.Is(err, invoker.ErrUnresponsive) || invokeErr.Status == 0 && invokeErr.Code == "" && invokeErr.Execution != invoker.NotRun
 	}
-	if !eve.Permanent {
+	if !eve.Permanent || eris.Is(err, errTextTooLong) {
 		gen.lease.report(false, exe.Clock())
 	}
 	if eris.Is(err, invoker.ErrUnresponsive) {
--- a/request/executor/text.go
+++ b/request/executor/text.go
@@ -16,6 +16,9 @@
 	textCopies = 2
 )
 
+// errTextTooLong means that an answer has more text than a host keeps. No other engine can continue it.
+var errTextTooLong = eris.New("the text of the answer is too long")
+
 // textAccount is the memory of the text of an answer. Its zero value has no shared memory.
 type textAccount struct {
 	memory rationer.Memory
@@ -29,7 +32,7 @@
 	acc.bytes += more
 	switch {
 	case acc.bytes > maxTextBytes:
-		return eris.Wrapf(errUntrusted, "the text of the answer is over %d bytes", maxTextBytes)
+		return eris.Wrapf(errTextTooLong, "limit %d bytes", maxTextBytes)
 	case acc.memory == nil || acc.bytes <= max(smallTextBytes, acc.reservedFor):
 		return nil
 	}
