review: case 14, an evacuation is ignored after a drill

A request reaches a server in a zone later than evacuateMs after its evacuation was acknowledged.

Seen: an evacuation is put in force and taken back in the seconds that the store loses. The next one, 8 s after the drill, has a revision that had been given out before, and the hosts ignore it to the end of the case.

At fault: nothing reads Store-Era; process/registrar/evacuations.go Evacuation.newer orders by the store's revision.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/hemlockpind ] && [ -x target/review/case14 ] || exit 2
+exec target/review/case14
