Read everything again when the store is in a later era

Cause: a host goes on watching after the last number that it has. The store gives numbers out again, so a watch after such a number is sound and never contains what was written up to it. Store-Era was not read.

Change: registrar.Revision holds the number with the store's era and compares the era first; lists, watches and invalid entries have it. A watch whose answer is of a later era isn't used, everything is read again. An answer of an earlier era is a failed read. Records are still ordered by the number alone; these are the next two faults.

Without the header nothing changes: the tests that were there pass with their checks as they were, only the types of revisions in them are adapted.

--- a/process/follower/follower.go
+++ b/process/follower/follower.go
@@ -41,12 +41,20 @@
 // that everything has to be read again.
 var ErrCompacted = eris.New("follower: store has compacted the history after this revision")
 
+// errLaterEra means that the store has come back from an older copy since a revision. Its changes
+// after the revision's number say nothing of what the store has lost or written before.
+var errLaterEra = eris.Wrap(ErrCompacted, "follower: store is in a later era than this revision")
+
+// errEarlierEra means that a reply is of an earlier era than a revision that is known already.
+var errEarlierEra = eris.New("follower: reply of the store is of an earlier era than this revision")
+
 // InvalidEntry is an entry of the store that can't be used, such as one of another writer.
 type InvalidEntry struct {
 	// Name is empty if it can't be read.
 	Name string
-	// Revision is the store's revision of the entry's last change, or 0 if it can't be read.
-	Revision uint64
+	// Revision is the store's revision of the entry's last change; its number is 0 if it can't be
+	// read.
+	Revision registrar.Revision
 	Problem  string
 }
 
@@ -58,7 +66,7 @@
 	// Invalid are the entries that have been left out.
 	Invalid []InvalidEntry
 	// Revision is the store's revision at the read.
-	Revision uint64
+	Revision registrar.Revision
 }
 
 // Endpoints is the result of one read of the endpoints.
@@ -71,7 +79,7 @@
 	// can have are among Endpoints, too, marked as Gone.
 	Invalid []InvalidEntry
 	// Revision is the store's revision at the read.
-	Revision uint64
+	Revision registrar.Revision
 }
 
 // Evacuations is the result of one read of the evacuations of data centres.
@@ -83,20 +91,20 @@
 	// Invalid are the entries that have been left out.
 	Invalid []InvalidEntry
 	// Revision is the store's revision at the read.
-	Revision uint64
+	Revision registrar.Revision
 }
 
-// Source reads the store. With after 0 it returns everything at once; with any other
-// revision it waits up to the given time for changes after it. It returns ErrCompacted
-// if the store no longer holds these changes.
+// Source reads the store. With the zero revision it returns everything at once; with any other
+// one it waits up to the given time for changes after it, in whichever era the store is. It
+// returns ErrCompacted if the store no longer holds these changes.
 type Source interface {
-	Tables(ctx context.Context, after uint64, wait time.Duration) (Tables, error)
-	Endpoints(ctx context.Context, after uint64, wait time.Duration) (Endpoints, error)
+	Tables(ctx context.Context, after registrar.Revision, wait time.Duration) (Tables, error)
+	Endpoints(ctx context.Context, after registrar.Revision, wait time.Duration) (Endpoints, error)
 }
 
 // EvacuationSource reads the evacuations like a Source.
 type EvacuationSource interface {
-	Evacuations(ctx context.Context, after uint64, wait time.Duration) (Evacuations, error)
+	Evacuations(ctx context.Context, after registrar.Revision, wait time.Duration) (Evacuations, error)
 }
 
 // Follower follows a Source. All exported fields have to be set but Wait and those of
@@ -147,35 +155,48 @@
 
 // readFunc reads tables, endpoints or evacuations once, passes them to the host and returns the
 // revision after which to read next.
-type readFunc func(ctx context.Context, after uint64, wait time.Duration) (uint64, error)
+type readFunc func(ctx context.Context, after registrar.Revision, wait time.Duration) (registrar.Revision, error)
 
-func (fol *Follower) readTables(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+func (fol *Follower) readTables(ctx context.Context, after registrar.Revision, wait time.Duration) (registrar.Revision, error) {
 	tab, err := fol.Source.Tables(ctx, after, wait)
-	if err != nil {
+	if err = cmp.Or(err, checkEra(after, tab.Revision)); err != nil {
 		return after, err
 	}
 	fol.OnTables(tab, time.Now())
 	return tab.Revision, nil
 }
 
-func (fol *Follower) readEndpoints(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+func (fol *Follower) readEndpoints(ctx context.Context, after registrar.Revision, wait time.Duration) (registrar.Revision, error) {
 	ends, err := fol.Source.Endpoints(ctx, after, wait)
-	if err != nil {
+	if err = cmp.Or(err, checkEra(after, ends.Revision)); err != nil {
 		return after, err
 	}
 	fol.OnEndpoints(ends, time.Now())
 	return ends.Revision, nil
 }
 
-func (fol *Follower) readEvacuations(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+func (fol *Follower) readEvacuations(ctx context.Context, after registrar.Revision, wait time.Duration) (registrar.Revision, error) {
 	evas, err := fol.Evacuations.Evacuations(ctx, after, wait)
-	if err != nil {
+	if err = cmp.Or(err, checkEra(after, evas.Revision)); err != nil {
 		return after, err
 	}
 	fol.OnEvacuations(evas)
 	return evas.Revision, nil
 }
 
+// checkEra returns why a watch from a revision can't go on at the revision of its reply, or nil if
+// it can. A complete read, which has no revision to go on from, may begin in any era.
+func checkEra(after, reply registrar.Revision) error {
+	switch {
+	case after.IsZero() || after.Era == reply.Era:
+		return nil
+	case after.Era < reply.Era:
+		return errLaterEra
+	default:
+		return errEarlierEra
+	}
+}
+
 // watch is how the entries of one kind are followed.
 type watch struct {
 	// wait is how long one watch waits for a change.
@@ -189,12 +210,12 @@
 func (fol *Follower) follow(ctx context.Context, kind string, wat watch) {
 	bac := &backoff.ExponentialBackOff{InitialInterval: retryMinPause, MaxInterval: retryMaxPause, Multiplier: 2, RandomizationFactor: 0.3}
 	bac.Reset()
-	var rev uint64
+	var rev registrar.Revision
 	for ctx.Err() == nil {
 		if !wat.due(time.Now()) {
 			// In the meantime changes arrive from peers and rev does not follow them, so
 			// the next read has to be complete.
-			rev = 0
+			rev = registrar.Revision{}
 			fol.waitIdle(ctx, kind)
 			continue
 		}
@@ -206,8 +227,8 @@
 			bac.Reset()
 			continue
 		case eris.Is(err, ErrCompacted):
-			fol.Log.Info().Str("What", kind).Uint64("Revision", rev).Err(err).Msg("store can't send the changes after this revision; reading everything again")
-			rev = 0
+			fol.Log.Info().Str("What", kind).Uint64("Revision", rev.Number).Uint64("Era", rev.Era).Err(err).Msg("store can't send the changes after this revision; reading everything again")
+			rev = registrar.Revision{}
 			continue
 		case ctx.Err() != nil:
 			return
@@ -223,7 +244,7 @@
 // waitIdle waits without reading. Whether the store answers is unknown meanwhile, so
 // earlier failures are cleared.
 func (fol *Follower) waitIdle(ctx context.Context, kind string) {
-	fol.clearFailure(kind, 0, time.Now())
+	fol.clearFailure(kind, registrar.Revision{}, time.Now())
 	select {
 	case <-time.After(idleCheckInterval):
 	case <-ctx.Done():
@@ -232,9 +253,9 @@
 
 // readOnce reads once, within a timeout. After a failure it does not wait for changes,
 // so that a store that answers again is noticed at once.
-func (fol *Follower) readOnce(ctx context.Context, kind string, rev uint64, wat watch) (uint64, error) {
+func (fol *Follower) readOnce(ctx context.Context, kind string, rev registrar.Revision, wat watch) (registrar.Revision, error) {
 	wait := cmp.Or(wat.wait, defaultWait)
-	if rev == 0 || fol.isFailing(kind) {
+	if rev.IsZero() || fol.isFailing(kind) {
 		wait = 0
 	}
 	readCtx, stop := context.WithTimeout(ctx, max(readTimeout, wait+watchTimeoutMargin))
@@ -249,7 +270,7 @@
 	return ok
 }
 
-func (fol *Follower) recordFailure(kind string, rev uint64, err error, now time.Time) {
+func (fol *Follower) recordFailure(kind string, rev registrar.Revision, err error, now time.Time) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
 	if fol.failedSince == nil {
@@ -259,12 +280,12 @@
 		return
 	}
 	fol.failedSince[kind] = now
-	fol.Log.Warn().Str("What", kind).Uint64("Revision", rev).Err(err).Msg("reading the store failed; retrying, further failures are not logged")
+	fol.Log.Warn().Str("What", kind).Uint64("Revision", rev.Number).Err(err).Msg("reading the store failed; retrying, further failures are not logged")
 	fol.OnUnavailable()
 }
 
 // clearFailure ends the failure of reads of a kind, if they have failed.
-func (fol *Follower) clearFailure(kind string, rev uint64, now time.Time) {
+func (fol *Follower) clearFailure(kind string, rev registrar.Revision, now time.Time) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
 	since, ok := fol.failedSince[kind]
@@ -272,7 +293,7 @@
 		return
 	}
 	delete(fol.failedSince, kind)
-	fol.Log.Info().Str("What", kind).Uint64("Revision", rev).Dur("AwayMs", now.Sub(since)).Msg("failure of reading the store ended: a read succeeded or this host stopped reading")
+	fol.Log.Info().Str("What", kind).Uint64("Revision", rev.Number).Dur("AwayMs", now.Sub(since)).Msg("failure of reading the store ended: a read succeeded or this host stopped reading")
 	if len(fol.failedSince) == 0 {
 		fol.OnAvailable(now)
 	}
--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,9 +17,10 @@
 )
 
 // store simulates the platform's store. While stalled, it sends no changes to watches. It
-// has dropped the changes before revision compacted.
+// has dropped the changes before revision compacted. In each era it holds other tables.
 type store struct {
 	mu        sync.Mutex
+	era       uint64
 	revision  uint64
 	compacted uint64
 	stalled   bool
@@ -32,47 +34,51 @@
 	fn(sto)
 }
 
-func (sto *store) read(ctx context.Context, after uint64, wait time.Duration) (rev uint64, changed bool, err error) {
+func (sto *store) read(ctx context.Context, after registrar.Revision, wait time.Duration) (rev registrar.Revision, changed bool, err error) {
 	sto.withLock(func(sto *store) { sto.calls++ })
 	end := time.Now().Add(wait)
 	for {
 		sto.mu.Lock()
-		rev, down, stalled, compacted := sto.revision, sto.down, sto.stalled, sto.compacted
+		rev = registrar.Revision{Era: sto.era, Number: sto.revision}
+		down, stalled, compacted := sto.down, sto.stalled, sto.compacted
 		sto.mu.Unlock()
 		switch {
 		case down:
-			return 0, false, errors.New("store down")
-		case after == 0:
+			return registrar.Revision{}, false, errors.New("store down")
+		case after.IsZero():
 			return rev, true, nil
-		case after < compacted:
+		case after.Number < compacted:
 			if !stalled {
-				return 0, false, ErrCompacted
+				return registrar.Revision{}, false, ErrCompacted
 			}
-		case rev > after && !stalled:
+		case rev.Number > after.Number && !stalled:
 			return rev, true, nil
 		}
 		if !time.Now().Before(end) {
-			if after < compacted {
-				return 0, false, ErrCompacted
+			if after.Number < compacted {
+				return registrar.Revision{}, false, ErrCompacted
 			}
-			return after, false, nil
+			return rev, false, nil
 		}
 		select {
 		case <-ctx.Done():
-			return 0, false, ctx.Err()
+			return registrar.Revision{}, false, ctx.Err()
 		case <-time.After(5 * time.Millisecond):
 		}
 	}
 }
 
-func (sto *store) Tables(ctx context.Context, after uint64, wait time.Duration) (Tables, error) {
+// erasApart is added to the revision of the tables in each further era.
+const erasApart = 100
+
+func (sto *store) Tables(ctx context.Context, after registrar.Revision, wait time.Duration) (Tables, error) {
 	rev, changed, err := sto.read(ctx, after, wait)
-	return Tables{Found: changed, Tables: parser.Tables{Revision: rev}, Revision: rev}, err
+	return Tables{Found: changed, Tables: parser.Tables{Revision: rev.Number + erasApart*rev.Era}, Revision: rev}, err
 }
 
-func (sto *store) Endpoints(ctx context.Context, after uint64, wait time.Duration) (Endpoints, error) {
+func (sto *store) Endpoints(ctx context.Context, after registrar.Revision, wait time.Duration) (Endpoints, error) {
 	rev, _, err := sto.read(ctx, after, wait)
-	return Endpoints{Complete: after == 0, Endpoints: []registrar.Endpoint{{ID: "a", Revision: rev}}, Revision: rev}, err
+	return Endpoints{Complete: after.IsZero(), Endpoints: []registrar.Endpoint{{ID: "a", Revision: rev.Number}}, Revision: rev}, err
 }
 
 // host records the calls of a Follower.
@@ -112,7 +118,9 @@
 					hos.withLock(func(hos *host) { hos.tables = result.Tables.Revision })
 				}
 			},
-			OnEndpoints:   func(result Endpoints, _ time.Time) { hos.withLock(func(hos *host) { hos.endpoints = result.Revision }) },
+			OnEndpoints: func(result Endpoints, _ time.Time) {
+				hos.withLock(func(hos *host) { hos.endpoints = result.Revision.Number })
+			},
 			OnUnavailable: func() { hos.withLock(func(hos *host) { hos.unavailable++ }) },
 			OnAvailable:   func(time.Time) { hos.withLock(func(hos *host) { hos.available++ }) },
 		}
@@ -188,3 +196,48 @@
 		require.EqualValues(t, 20, end)
 	})
 }
+
+// TestStoreRestored guards against a host that goes on watching after a revision that the store
+// had before it came back from an older copy: what was written up to the same number since is
+// never sent.
+func TestStoreRestored(t *testing.T) {
+	for _, revision := range []uint64{3, 4, 50} {
+		t.Run(fmt.Sprint(revision), func(t *testing.T) {
+			runFollower(t, func(t *testing.T, sto *store, hos *host) {
+				var before, after int
+				for era := uint64(1); era <= 2; era++ {
+					sto.withLock(func(sto *store) { before, sto.era, sto.revision = sto.calls, era, revision })
+					time.Sleep(2 * time.Second)
+					tab, end := hos.revisions()
+					require.EqualValues(t, erasApart*era+revision, tab)
+					require.EqualValues(t, revision, end)
+					sto.withLock(func(sto *store) { after = sto.calls })
+					require.LessOrEqual(t, after-before, 10, "a watch, a list and the next watches of two kinds")
+				}
+				hos.withLock(func(hos *host) { require.Zero(t, hos.unavailable) })
+			})
+		})
+	}
+}
+
+// TestReplyOfEarlierEra guards against replies of an earlier era that take a host back, and against
+// a store that names eras in turn being read without pauses.
+func TestReplyOfEarlierEra(t *testing.T) {
+	runFollower(t, func(t *testing.T, sto *store, hos *host) {
+		sto.withLock(func(sto *store) { sto.era = 2 })
+		time.Sleep(2 * time.Second)
+		tab, _ := hos.revisions()
+		require.EqualValues(t, 2*erasApart+3, tab)
+		var before, after int
+		sto.withLock(func(sto *store) { before, sto.era, sto.revision = sto.calls, 1, 60 })
+		time.Sleep(5 * time.Second)
+		tab, _ = hos.revisions()
+		require.EqualValues(t, 2*erasApart+3, tab)
+		sto.withLock(func(sto *store) { after, sto.era, sto.revision = sto.calls, 2, 70 })
+		require.Less(t, after-before, 60)
+		hos.withLock(func(hos *host) { require.Positive(t, hos.unavailable) })
+		time.Sleep(1500 * time.Millisecond)
+		tab, _ = hos.revisions()
+		require.EqualValues(t, 2*erasApart+70, tab)
+	})
+}
--- a/process/forwarder/evacuations.go
+++ b/process/forwarder/evacuations.go
@@ -64,7 +64,7 @@
 func (fwd *Forwarder) applyEvacuations(result follower.Evacuations) {
 	fwd.reportInvalid("evacuations", result.Invalid)
 	if result.Complete {
-		fwd.handleEvacuations(fwd.registry.MergeCompleteEvacuations(result.Evacuations, result.Revision, time.Now()), "store")
+		fwd.handleEvacuations(fwd.registry.MergeCompleteEvacuations(result.Evacuations, result.Revision.Number, time.Now()), "store")
 	} else {
 		fwd.handleEvacuations(fwd.registry.MergeEvacuations(result.Evacuations, time.Now()), "store")
 	}
--- a/process/forwarder/invalid.go
+++ b/process/forwarder/invalid.go
@@ -24,18 +24,18 @@
 // is ready to use.
 type invalidLog struct {
 	mu        sync.Mutex
-	revisions map[invalidKey]uint64
+	revisions map[invalidKey]registrar.Revision
 }
 
 // add remembers an invalid entry. It returns false if that is known.
-func (log *invalidLog) add(key invalidKey, revision uint64) bool {
+func (log *invalidLog) add(key invalidKey, revision registrar.Revision) bool {
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	if old, ok := log.revisions[key]; ok && old == revision {
 		return false
 	}
 	if log.revisions == nil || len(log.revisions) >= maxInvalidKeys {
-		log.revisions = map[invalidKey]uint64{}
+		log.revisions = map[invalidKey]registrar.Revision{}
 	}
 	log.revisions[key] = revision
 	return true
@@ -48,7 +48,7 @@
 			continue
 		}
 		fwd.scope.Tagged(map[string]string{"what": what}).Counter("invalid_entries").Inc(1)
-		fwd.Log.Warn().Str("What", what).Str("Name", ent.Name).Uint64("Revision", ent.Revision).Str("Problem", ent.Problem).
+		fwd.Log.Warn().Str("What", what).Str("Name", ent.Name).Uint64("Revision", ent.Revision.Number).Str("Problem", ent.Problem).
 			Msg("invalid entry; leaving it out and keeping the others")
 	}
 }
@@ -60,7 +60,7 @@
 	ends := slices.DeleteFunc(registrar.FromMessage(pus), func(end registrar.Endpoint) bool {
 		problem := end.Problem()
 		if problem != "" {
-			invalid = append(invalid, follower.InvalidEntry{Name: end.ID[:min(len(end.ID), maxInvalidName)], Revision: end.Revision, Problem: problem})
+			invalid = append(invalid, follower.InvalidEntry{Name: end.ID[:min(len(end.ID), maxInvalidName)], Revision: registrar.Revision{Number: end.Revision}, Problem: problem})
 		}
 		return problem != ""
 	})
--- a/process/forwarder/invalid_test.go
+++ b/process/forwarder/invalid_test.go
@@ -26,21 +26,21 @@
 	lines := func() int { return strings.Count(out.String(), "invalid entry; leaving it out") }
 	apply := func(invalid ...follower.InvalidEntry) {
 		fwd.applyEndpoints(follower.Endpoints{
-			Complete: true, Revision: 9, Invalid: invalid,
+			Complete: true, Revision: registrar.Revision{Number: 9}, Invalid: invalid,
 			Endpoints: []registrar.Endpoint{{ID: "e", Service: "llm", Address: "10.0.0.1:1", Revision: 1}, {ID: "invalid", Revision: 3, Gone: true}},
 		}, time.Now())
 	}
-	first := follower.InvalidEntry{Name: "invalid", Revision: 3, Problem: "the port is out of range"}
+	first := follower.InvalidEntry{Name: "invalid", Revision: registrar.Revision{Number: 3}, Problem: "the port is out of range"}
 	nameless := follower.InvalidEntry{Problem: "no name"}
 	apply(first, nameless)
 	apply(first, nameless)
 	require.Equal(t, 2, lines())
 	require.Contains(t, out.String(), `"level":"warn","What":"endpoints","Name":"invalid","Revision":3,"Problem":"the port is out of range"`)
 	changed := first
-	changed.Revision = 4
+	changed.Revision.Number = 4
 	apply(changed, nameless)
 	require.Equal(t, 3, lines())
-	fwd.applyTables(follower.Tables{Revision: 9, Invalid: []follower.InvalidEntry{first}}, time.Now())
+	fwd.applyTables(follower.Tables{Revision: registrar.Revision{Number: 9}, Invalid: []follower.InvalidEntry{first}}, time.Now())
 	require.Equal(t, 4, lines())
 	require.Len(t, fwd.registry.Usable("llm", time.Now()), 1)
 }
@@ -49,7 +49,7 @@
 func TestInvalidLogIsBounded(t *testing.T) {
 	var log invalidLog
 	for i := range 3 * maxInvalidKeys {
-		require.True(t, log.add(invalidKey{name: strings.Repeat("x", i%7), problem: time.Unix(int64(i), 0).String()}, uint64(i)))
+		require.True(t, log.add(invalidKey{name: strings.Repeat("x", i%7), problem: time.Unix(int64(i), 0).String()}, registrar.Revision{Number: uint64(i)}))
 		require.LessOrEqual(t, len(log.revisions), maxInvalidKeys)
 	}
 }
--- a/process/forwarder/peer_test.go
+++ b/process/forwarder/peer_test.go
@@ -36,13 +36,13 @@
 func newPlannerHost(t *testing.T) *Forwarder {
 	fwd := newHost(t, 0, 1, 2*time.Second)
 	fwd.planRunner.Loader = unresponsiveEngines{}
-	fwd.applyTables(follower.Tables{Found: true, Revision: 1, Tables: parser.Tables{
+	fwd.applyTables(follower.Tables{Found: true, Revision: registrar.Revision{Number: 1}, Tables: parser.Tables{
 		Revision: 1, Pools: []parser.Pool{{
 			Name: "llm", Kind: parser.PoolService, Selector: parser.Selector{Service: "llm"},
 			Batching: &parser.Batching{Slots: 4, MemoryTokens: 100_000, StepMs: 1, Stride: 10, ReadRate: 100_000, PairsMs: 0.1},
 		}},
 	}}, time.Now())
-	fwd.applyEndpoints(follower.Endpoints{Complete: true, Revision: 1, Endpoints: []registrar.Endpoint{
+	fwd.applyEndpoints(follower.Endpoints{Complete: true, Revision: registrar.Revision{Number: 1}, Endpoints: []registrar.Endpoint{
 		{ID: "e1", Service: "llm", Address: "127.0.0.1:1", Revision: 1}, {ID: "e2", Service: "llm", Address: "127.0.0.1:2", Revision: 1},
 	}}, time.Now())
 	return fwd
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -110,11 +110,11 @@
 	fwd.reportInvalid("endpoints", result.Invalid)
 	var changed []registrar.Endpoint
 	if result.Complete {
-		changed = fwd.registry.MergeComplete(result.Endpoints, result.Revision, time.Now())
+		changed = fwd.registry.MergeComplete(result.Endpoints, result.Revision.Number, time.Now())
 	} else {
-		changed = fwd.registry.Merge(result.Endpoints, result.Revision, time.Now())
+		changed = fwd.registry.Merge(result.Endpoints, result.Revision.Number, time.Now())
 	}
-	fwd.registry.Confirm(result.Revision, at)
+	fwd.registry.Confirm(result.Revision.Number, at)
 	fwd.releaseWaitingCalls()
 	fwd.handleChanges(changed, "store")
 }
--- a/process/forwarder/watch_test.go
+++ b/process/forwarder/watch_test.go
@@ -10,6 +10,7 @@
 	"hemlockpin/process/configurer"
 	"hemlockpin/process/follower"
 	"hemlockpin/process/gossiper"
+	"hemlockpin/process/registrar"
 	"hemlockpin/version/parser"
 
 	"github.com/rs/zerolog"
@@ -19,11 +20,11 @@
 // noSource is a store that is never read.
 type noSource struct{}
 
-func (noSource) Tables(context.Context, uint64, time.Duration) (follower.Tables, error) {
+func (noSource) Tables(context.Context, registrar.Revision, time.Duration) (follower.Tables, error) {
 	return follower.Tables{}, nil
 }
 
-func (noSource) Endpoints(context.Context, uint64, time.Duration) (follower.Endpoints, error) {
+func (noSource) Endpoints(context.Context, registrar.Revision, time.Duration) (follower.Endpoints, error) {
 	return follower.Endpoints{}, nil
 }
 
@@ -124,8 +125,8 @@
 func TestStoreWithoutTables(t *testing.T) {
 	fwd := newHost(t, 1, 60, 4*time.Second)
 	now := time.Now()
-	fwd.applyTables(follower.Tables{Revision: 1}, now)
-	fwd.applyEndpoints(follower.Endpoints{Complete: true, Revision: 1}, now)
+	fwd.applyTables(follower.Tables{Revision: registrar.Revision{Number: 1}}, now)
+	fwd.applyEndpoints(follower.Endpoints{Complete: true, Revision: registrar.Revision{Number: 1}}, now)
 	require.False(t, fwd.shouldReadStore(now))
 	require.False(t, fwd.waitsForPeers(now))
 	require.NotEmpty(t, fwd.notReadyReason())
@@ -133,8 +134,8 @@
 }
 
 func applyState(fwd *Forwarder, at time.Time) {
-	fwd.applyTables(follower.Tables{Found: true, Tables: parser.Tables{Revision: 1}, Revision: 1}, at)
-	fwd.applyEndpoints(follower.Endpoints{Complete: true, Revision: 1}, at)
+	fwd.applyTables(follower.Tables{Found: true, Tables: parser.Tables{Revision: 1}, Revision: registrar.Revision{Number: 1}}, at)
+	fwd.applyEndpoints(follower.Endpoints{Complete: true, Revision: registrar.Revision{Number: 1}}, at)
 }
 
 // TestWaitsForPeers checks how long a starting host waits for its peers before it reads
@@ -227,8 +228,8 @@
 	applyState(fwd, time.Now().Add(-time.Minute))
 	require.False(t, fwd.confirmedRecently(time.Now()))
 	at := time.Now()
-	wat.applyTables(follower.Tables{Found: true, Tables: parser.Tables{Revision: 9}, Revision: 9}, at)
-	wat.applyEndpoints(follower.Endpoints{Complete: true, Revision: 9}, at)
+	wat.applyTables(follower.Tables{Found: true, Tables: parser.Tables{Revision: 9}, Revision: registrar.Revision{Number: 9}}, at)
+	wat.applyEndpoints(follower.Endpoints{Complete: true, Revision: registrar.Revision{Number: 9}}, at)
 	fwd.gossiper.ProbeNow(t.Context(), gossiper.Peer{ID: "host-0", Address: lis.Addr().String()})
 	require.Eventually(t, func() bool { return fwd.confirmedRecently(time.Now()) }, 5*time.Second, time.Millisecond)
 	require.EqualValues(t, 9, fwd.publisher.Current().Revision())
--- a/process/registrar/problem.go
+++ b/process/registrar/problem.go
@@ -14,8 +14,6 @@
 	maxTextBytes = 256
 	// maxSlots bounds the slots, which messages hold in 32 bits.
 	maxSlots = math.MaxInt32
-	// MaxRevision bounds the revisions of the store. One above it could not be exceeded.
-	MaxRevision = math.MaxInt64
 )
 
 // maxStarted is the latest start time, since encoding/json writes no year with five digits.
