Order evacuations by the store's era first

Cause: the record of an earlier, lifted evacuation had a higher number. The store gives numbers out again, so the new record counted as older, from the store and from peers.

TestEvacuationAfterDrill on: the evacuation isn't in force 5 s after its ack.

Change: records have a registrar.Revision, also between hosts. When all evacuations are read in a later era, those that the copy lacks stay in force for 2 s, in which the operator writes again what was lost. A peer's record of an earlier era that this host doesn't have is answered with its lifting, so that a host that slept through the return learns that it is gone.

--- a/process/forwarder/evacuations.go
+++ b/process/forwarder/evacuations.go
@@ -39,7 +39,7 @@
 	fol.ShouldReadEvacuations = fwd.shouldReadEvacuations
 	fol.EvacuationWait = min(maxEvacuationWait, time.Duration(evacuationWaitShare*float64(fwd.Settings.EvacuateWithin)))
 	pay.Evacuations = func() []*messenger.EvacuationRecord {
-		evas, _ := fwd.registry.Evacuations()
+		evas, _, _ := fwd.registry.Evacuations()
 		return registrar.EvacuationMessages(evas)
 	}
 	pay.MergeEvacuations = func(recs []*messenger.EvacuationRecord) {
@@ -54,7 +54,7 @@
 	if _, self := fwd.watchers(now); self {
 		return true
 	}
-	if _, known := fwd.registry.Evacuations(); !known {
+	if _, _, known := fwd.registry.Evacuations(); !known {
 		return fwd.registry.HasEndpoints() && now.Sub(fwd.started) >= max(fwd.Settings.StartWait, evacuationPeerWait)
 	}
 	return fwd.sinceConfirmed(now) > time.Duration(evacuationAgeShare*float64(fwd.Settings.EvacuateWithin))
@@ -64,7 +64,7 @@
 func (fwd *Forwarder) applyEvacuations(result follower.Evacuations) {
 	fwd.reportInvalid("evacuations", result.Invalid)
 	if result.Complete {
-		fwd.handleEvacuations(fwd.registry.MergeCompleteEvacuations(result.Evacuations, result.Revision.Number, time.Now()), "store")
+		fwd.handleEvacuations(fwd.registry.MergeCompleteEvacuations(result.Evacuations, result.Revision, time.Now()), "store")
 	} else {
 		fwd.handleEvacuations(fwd.registry.MergeEvacuations(result.Evacuations, time.Now()), "store")
 	}
@@ -82,7 +82,7 @@
 		if eva.Lifted {
 			msg = "evacuation lifted; the endpoints of the data centre get calls again"
 		}
-		fwd.Log.Info().Str("DataCenter", eva.DataCenter).Uint64("Revision", eva.Revision).Int("Endpoints", fwd.registry.CountIn(eva.DataCenter, now)).
+		fwd.Log.Info().Str("DataCenter", eva.DataCenter).Uint64("Revision", eva.Revision.Number).Uint64("Era", eva.Revision.Era).Int("Endpoints", fwd.registry.CountIn(eva.DataCenter, now)).
 			Str("From", from).Msg(msg)
 	}
 	fwd.countEvacuations()
@@ -95,7 +95,7 @@
 }
 
 func (fwd *Forwarder) countEvacuations() {
-	evas, _ := fwd.registry.Evacuations()
+	evas, _, _ := fwd.registry.Evacuations()
 	inForce := 0
 	for _, eva := range evas {
 		if !eva.Lifted {
@@ -110,9 +110,11 @@
 	if !fwd.evacuates() {
 		return
 	}
-	changed := fwd.registry.MergeEvacuations(registrar.EvacuationsOf(pus.GetEvacuations()), time.Now())
+	evas, now := registrar.EvacuationsOf(pus.GetEvacuations()), time.Now()
 	if pus.GetEvacuationsKnown() {
-		fwd.registry.ConfirmEvacuations()
+		rev := registrar.Revision{Era: pus.GetEvacuationsEra(), Number: pus.GetEvacuationsRevision()}
+		fwd.handleEvacuations(fwd.registry.MergePeerEvacuations(evas, rev, now), "peer")
+		return
 	}
-	fwd.handleEvacuations(changed, "peer")
+	fwd.handleEvacuations(fwd.registry.MergeEvacuations(evas, now), "peer")
 }
--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -127,7 +127,7 @@
 	now := time.Now()
 	tablesRev, age := fwd.publisher.Freshness(now)
 	ends, endpointsRev := fwd.registry.RecordsAfter(0)
-	evas, _ := fwd.registry.Evacuations()
+	evas, _, _ := fwd.registry.Evacuations()
 	out := struct {
 		Host              string
 		Incarnation       uint64
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -188,8 +188,9 @@
 func (fwd *Forwarder) handleEndpointsPull(pul *messenger.EndpointsPull) *messenger.Envelope {
 	ends, rev := fwd.registry.RecordsAfter(pul.GetHaveRevision())
 	pus := registrar.Message(ends, rev)
-	evas, known := fwd.registry.Evacuations()
+	evas, evasRev, known := fwd.registry.Evacuations()
 	pus.Evacuations, pus.EvacuationsKnown = registrar.EvacuationMessages(evas), known
+	pus.EvacuationsRevision, pus.EvacuationsEra = evasRev.Number, evasRev.Era
 	return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: pus}}
 }
 
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// reregisterGrace is the time after an outage of the store within which an endpoint
-	// whose entry has lapsed may register again. The platform's contract gives about 2 s.
+	// reregisterGrace is the time after an outage of the store, or after its return from an older
+	// copy, within which an endpoint whose entry has lapsed may register again, and the operator
+	// may write evacuations again. The platform's contract gives about 2 s.
 	reregisterGrace = 2 * time.Second
 	// outageAge is the time without a confirmation, by the store or through peers,
 	// after which the store counts as down. It is below the 3.6 s after which the entries
@@ -99,14 +100,28 @@
 	complete bool
 	// confirmed is the last time at which the store held no later revision than revision.
 	// outageEnd is the time of the first confirmation after the last outage.
-	confirmed time.Time
-	outageEnd time.Time
-	// evacuations are the records by data centre. evacuationsKnown reports whether this host has
-	// ever received all.
-	evacuations      map[string]Evacuation
-	evacuationsKnown bool
-	// liftedAt are the times at which this host learned that an evacuation was lifted.
-	liftedAt map[string]time.Time
+	confirmed   time.Time
+	outageEnd   time.Time
+	evacuations evacuationRecords
+	// era is the latest era of the store of which this host has learned, and eraSince when it has.
+	era      uint64
+	eraSince time.Time
+}
+
+// learnEra records that the store is in an era.
+func (reg *Registry) learnEra(era uint64, now time.Time) {
+	if era > reg.era {
+		reg.era, reg.eraSince = era, now
+	}
+}
+
+// rewriteEnd returns the time until which the store may still lack, or hold in an older version,
+// what its writers wrote in an earlier era. It is not before now.
+func (reg *Registry) rewriteEnd(now time.Time) time.Time {
+	if end := reg.eraSince.Add(reregisterGrace); end.After(now) {
+		return end
+	}
+	return now
 }
 
 // Revision returns the store's revision up to which the records are known, and
@@ -114,7 +129,7 @@
 func (reg *Registry) Revision() (revision uint64, complete bool) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	return reg.revision, reg.complete && (reg.evacuationsKnown || !reg.Evacuates)
+	return reg.revision, reg.complete && (reg.evacuations.known || !reg.Evacuates)
 }
 
 // HasEndpoints reports whether this host has ever received the complete records of endpoints.
@@ -283,7 +298,7 @@
 
 // usable reports whether an endpoint may get new requests.
 func (reg *Registry) usable(rec *record, now time.Time) bool {
-	return !reg.evacuated(rec.DataCenter) && rec.takesCalls(now)
+	return !reg.evacuated(rec.DataCenter, now) && rec.takesCalls(now)
 }
 
 // takesCalls reports whether the endpoint itself takes new requests.
@@ -311,7 +326,7 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	rec := reg.records[id]
-	return rec != nil && (now.Before(rec.coldUntil) || now.Sub(reg.liftedAt[rec.DataCenter]) < coldStart)
+	return rec != nil && (now.Before(rec.coldUntil) || now.Sub(reg.evacuations.liftedAt[rec.DataCenter]) < coldStart)
 }
 
 // MarkLeaving records that the answers of an endpoint's process say that it leaves. It
