--- a/process/assigner/assigner_test.go
+++ b/process/assigner/assigner_test.go
@@ -179,10 +179,10 @@
 	var ends []registrar.Endpoint
 	for i := range 3 {
 		ends = append(ends,
-			registrar.Endpoint{ID: fmt.Sprintf("e%d", i+1), Service: "llm", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Revision: 1},
-			registrar.Endpoint{ID: fmt.Sprintf("d%d", i+1), Service: "desk", Address: "10.0.1.1:1", DataCenter: string(rune('a' + i)), Revision: 1})
+			registrar.Endpoint{ID: fmt.Sprintf("e%d", i+1), Service: "llm", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Revision: registrar.Revision{Number: 1}},
+			registrar.Endpoint{ID: fmt.Sprintf("d%d", i+1), Service: "desk", Address: "10.0.1.1:1", DataCenter: string(rune('a' + i)), Revision: registrar.Revision{Number: 1}})
 	}
-	ass.Registry.MergeComplete(ends, 1, time.Now())
+	ass.Registry.MergeComplete(ends, registrar.Revision{Number: 1}, time.Now())
 	return ass
 }
 
@@ -418,14 +418,14 @@
 // engine.
 func TestPlannerListsLeavingEngine(t *testing.T) {
 	for name, end := range map[string]registrar.Endpoint{
-		"leaving": {ID: "e1", Service: "llm", Address: "10.0.0.1:1", Revision: 2, Leaving: true},
-		"gone":    {ID: "e1", Service: "llm", Address: "10.0.0.1:1", Revision: 2, Gone: true},
+		"leaving": {ID: "e1", Service: "llm", Address: "10.0.0.1:1", Revision: registrar.Revision{Number: 2}, Leaving: true},
+		"gone":    {ID: "e1", Service: "llm", Address: "10.0.0.1:1", Revision: registrar.Revision{Number: 2}, Gone: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ass := newFleet(1).assigner("host-0", &reserver{})
 			now := time.Now()
-			ass.Registry.Confirm(1, now)
-			ass.Registry.Merge([]registrar.Endpoint{end}, 2, now)
+			ass.Registry.Confirm(registrar.Revision{Number: 1}, now)
+			ass.Registry.Merge([]registrar.Endpoint{end}, registrar.Revision{Number: 2}, now)
 			for i := range 20 {
 				lea, err := ass.Place(t.Context(), placementRequest(fmt.Sprint(i), 1000))
 				require.NoError(t, err)
--- a/process/assigner/hold_test.go
+++ b/process/assigner/hold_test.go
@@ -15,11 +15,11 @@
 // used, and if there are none, calls are refused with the time until the first takes calls.
 func TestHeldEndpoints(t *testing.T) {
 	now := time.Unix(1000, 0)
-	first := registrar.Endpoint{ID: "d1", Service: "desk", Address: "10.0.1.1:1", Revision: 1}
-	second := registrar.Endpoint{ID: "d2", Service: "desk", Address: "10.0.1.2:1", Revision: 1, Started: now}
+	first := registrar.Endpoint{ID: "d1", Service: "desk", Address: "10.0.1.1:1", Revision: registrar.Revision{Number: 1}}
+	second := registrar.Endpoint{ID: "d2", Service: "desk", Address: "10.0.1.2:1", Revision: registrar.Revision{Number: 1}, Started: now}
 	ass := &Assigner{Registry: &registrar.Registry{}, Pool: pool, Holds: &Holds{}, Clock: func() time.Time { return now }, Log: zerolog.Nop()}
-	ass.Registry.MergeComplete([]registrar.Endpoint{first, second}, 1, now)
-	ass.Registry.Confirm(1, now)
+	ass.Registry.MergeComplete([]registrar.Endpoint{first, second}, registrar.Revision{Number: 1}, now)
+	ass.Registry.Confirm(registrar.Revision{Number: 1}, now)
 	place := func() (string, error) {
 		lea, err := ass.Place(t.Context(), relayer.PlacementRequest{ID: "c", Pool: "desk"})
 		return lea.Endpoint.ID, err
@@ -40,13 +40,13 @@
 	ass.observeAnswer(first, 0)(relayer.AnswerInfo{RetryAfter: time.Millisecond})
 	_, err = place()
 	require.Error(t, err)
-	second.Started, second.Revision = now.Add(time.Second), 2
-	ass.Registry.Merge([]registrar.Endpoint{second}, 2, now)
+	second.Started, second.Revision = now.Add(time.Second), registrar.Revision{Number: 2}
+	ass.Registry.Merge([]registrar.Endpoint{second}, registrar.Revision{Number: 2}, now)
 	id, err := place()
 	require.NoError(t, err)
 	require.Equal(t, "d2", id)
 	now = now.Add(3 * time.Second)
-	ass.Registry.Confirm(2, now)
+	ass.Registry.Confirm(registrar.Revision{Number: 2}, now)
 	require.Zero(t, ass.Holds.Left(first, now))
 }
 
--- a/process/follower/follower_test.go
+++ b/process/follower/follower_test.go
@@ -78,7 +78,7 @@
 
 func (sto *store) Endpoints(ctx context.Context, after registrar.Revision, wait time.Duration) (Endpoints, error) {
 	rev, _, err := sto.read(ctx, after, wait)
-	return Endpoints{Complete: after.IsZero(), Endpoints: []registrar.Endpoint{{ID: "a", Revision: rev.Number}}, Revision: rev}, err
+	return Endpoints{Complete: after.IsZero(), Endpoints: []registrar.Endpoint{{ID: "a", Revision: rev}}, Revision: rev}, err
 }
 
 // host records the calls of a Follower.
--- a/process/forwarder/invalid.go
+++ b/process/forwarder/invalid.go
@@ -60,7 +60,7 @@
 	ends := slices.DeleteFunc(registrar.FromMessage(pus), func(end registrar.Endpoint) bool {
 		problem := end.Problem()
 		if problem != "" {
-			invalid = append(invalid, follower.InvalidEntry{Name: end.ID[:min(len(end.ID), maxInvalidName)], Revision: registrar.Revision{Number: end.Revision}, Problem: problem})
+			invalid = append(invalid, follower.InvalidEntry{Name: end.ID[:min(len(end.ID), maxInvalidName)], Revision: end.Revision, Problem: problem})
 		}
 		return problem != ""
 	})
--- a/process/forwarder/invalid_test.go
+++ b/process/forwarder/invalid_test.go
@@ -27,7 +27,7 @@
 	apply := func(invalid ...follower.InvalidEntry) {
 		fwd.applyEndpoints(follower.Endpoints{
 			Complete: true, Revision: registrar.Revision{Number: 9}, Invalid: invalid,
-			Endpoints: []registrar.Endpoint{{ID: "e", Service: "llm", Address: "10.0.0.1:1", Revision: 1}, {ID: "invalid", Revision: 3, Gone: true}},
+			Endpoints: []registrar.Endpoint{{ID: "e", Service: "llm", Address: "10.0.0.1:1", Revision: registrar.Revision{Number: 1}}, {ID: "invalid", Revision: registrar.Revision{Number: 3}, Gone: true}},
 		}, time.Now())
 	}
 	first := follower.InvalidEntry{Name: "invalid", Revision: registrar.Revision{Number: 3}, Problem: "the port is out of range"}
@@ -107,8 +107,10 @@
 // records would never count as confirmed again.
 func TestInvalidRevisionsOfPeers(t *testing.T) {
 	fwd := newPlannerHost(t)
-	fwd.comparePeerRevision("127.0.0.1:1", math.MaxUint64, time.Now())
-	require.False(t, fwd.pullingEndpoints.Load())
-	rev, _ := fwd.registry.Revision()
-	require.EqualValues(t, 1, rev)
+	for _, invalid := range []registrar.Revision{{Number: math.MaxUint64}, {Era: math.MaxUint64, Number: 1}} {
+		fwd.comparePeerRevision("127.0.0.1:1", invalid, time.Now())
+		require.False(t, fwd.pullingEndpoints.Load())
+		rev, _ := fwd.registry.Revision()
+		require.Equal(t, registrar.Revision{Number: 1}, rev)
+	}
 }
--- a/process/forwarder/peer_test.go
+++ b/process/forwarder/peer_test.go
@@ -43,7 +43,7 @@
 		}},
 	}}, time.Now())
 	fwd.applyEndpoints(follower.Endpoints{Complete: true, Revision: registrar.Revision{Number: 1}, Endpoints: []registrar.Endpoint{
-		{ID: "e1", Service: "llm", Address: "127.0.0.1:1", Revision: 1}, {ID: "e2", Service: "llm", Address: "127.0.0.1:2", Revision: 1},
+		{ID: "e1", Service: "llm", Address: "127.0.0.1:1", Revision: registrar.Revision{Number: 1}}, {ID: "e2", Service: "llm", Address: "127.0.0.1:2", Revision: registrar.Revision{Number: 1}},
 	}}, time.Now())
 	return fwd
 }
--- a/process/forwarder/serve.go
+++ b/process/forwarder/serve.go
@@ -126,7 +126,7 @@
 func (fwd *Forwarder) status(wri http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	tablesRev, age := fwd.publisher.Freshness(now)
-	ends, endpointsRev := fwd.registry.RecordsAfter(0)
+	ends, endpointsRev := fwd.registry.RecordsAfter(registrar.Revision{})
 	evas, _, _ := fwd.registry.Evacuations()
 	out := struct {
 		Host              string
@@ -137,15 +137,17 @@
 		TablesRevision    uint64
 		TablesAgeMs       int64
 		EndpointsRevision uint64
-		Peers             []gossiper.Peer
-		Endpoints         []registrar.Endpoint
-		Evacuations       []registrar.Evacuation
-		Quarantines       []quarantiner.Quarantine
+		// StoreEra is the era of the store in EndpointsRevision.
+		StoreEra    uint64
+		Peers       []gossiper.Peer
+		Endpoints   []registrar.Endpoint
+		Evacuations []registrar.Evacuation
+		Quarantines []quarantiner.Quarantine
 		// QuarantinesMissing says that neither the store nor a peer has sent the quarantines yet.
 		QuarantinesMissing bool
 	}{
 		fwd.Settings.HostID, fwd.Incarnation, fwd.notReadyReason(), fwd.inFlight.Load(), !fwd.storeUnavailable.Load(), tablesRev, age.Milliseconds(),
-		endpointsRev, fwd.gossiper.Peers(), ends, evas, fwd.quarantine.ledger.Everything(now).Quarantines,
+		endpointsRev.Number, endpointsRev.Era, fwd.gossiper.Peers(), ends, evas, fwd.quarantine.ledger.Everything(now).Quarantines,
 		fwd.quarantine.State() != quarantinesComplete,
 	}
 	wri.Header().Set("Content-Type", "application/json")
--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -39,7 +39,7 @@
 		Multiplexer: fwd.multiplexer, Publisher: fwd.publisher, Entries: func() []persister.Entry { return nil },
 		Seeds: set.SeedPeers, Scope: fwd.scope, Log: fwd.Log, AgeOf: fwd.detector.Age,
 		Payload: gossiper.Payload{
-			EndpointsRevision: func(now time.Time) (uint64, time.Duration) {
+			EndpointsRevision: func(now time.Time) (registrar.Revision, time.Duration) {
 				rev, _ := fwd.registry.Revision()
 				return rev, fwd.detector.Age(fwd.registry.Confirmed(), now)
 			},
@@ -110,15 +110,27 @@
 	fwd.reportInvalid("endpoints", result.Invalid)
 	var changed []registrar.Endpoint
 	if result.Complete {
-		changed = fwd.registry.MergeComplete(result.Endpoints, result.Revision.Number, time.Now())
+		changed = fwd.registry.MergeComplete(result.Endpoints, result.Revision, time.Now())
 	} else {
-		changed = fwd.registry.Merge(result.Endpoints, result.Revision.Number, time.Now())
+		changed = fwd.registry.Merge(result.Endpoints, result.Revision, time.Now())
 	}
-	fwd.registry.Confirm(result.Revision.Number, at)
+	fwd.registry.Confirm(result.Revision, at)
+	fwd.reportEraChange("store")
 	fwd.releaseWaitingCalls()
 	fwd.handleChanges(changed, "store")
 }
 
+// reportEraChange logs and counts a change of the store's era, once.
+func (fwd *Forwarder) reportEraChange(from string) {
+	cha, ok := fwd.registry.TakeEraChange()
+	if !ok {
+		return
+	}
+	fwd.scope.Counter("store_era_changes").Inc(1)
+	fwd.Log.Warn().Uint64("OldEra", cha.Old.Era).Uint64("OldRevision", cha.Old.Number).Uint64("Era", cha.New.Era).Uint64("Revision", cha.New.Number).
+		Int("Removed", cha.Removed).Str("From", from).Msg("store has come back from an older copy; its endpoints are in force, and those that it lacks get calls for two more seconds")
+}
+
 // handleChanges logs changes of endpoints, refreshes the plans and queues the changes
 // for the next broadcast to peers.
 func (fwd *Forwarder) handleChanges(changed []registrar.Endpoint, from string) {
@@ -149,7 +161,7 @@
 	fwd.updatesMu.Unlock()
 	fwd.withUpdateTimeout(func(ctx context.Context) {
 		fwd.gossiper.Broadcast(ctx, func() *messenger.Envelope {
-			return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: registrar.Message(changed, 0)}}
+			return &messenger.Envelope{Body: &messenger.Envelope_EndpointsPush{EndpointsPush: registrar.Message(changed, registrar.Revision{})}}
 		})
 	})
 }
@@ -160,13 +172,13 @@
 	if len(changed) <= maxEndpointLines {
 		for _, end := range changed {
 			fwd.Log.Info().Str("Endpoint", end.ID).Str("Service", end.Service).Str("Address", end.Address).Bool("Leaving", end.Leaving || end.SaysLeaving).
-				Bool("Gone", end.Gone).Dur("ColdMs", end.ColdFor).Uint64("Revision", end.Revision).Str("From", from).Msg("endpoint changed")
+				Bool("Gone", end.Gone).Dur("ColdMs", end.ColdFor).Uint64("Revision", end.Revision.Number).Uint64("Era", end.Revision.Era).Str("From", from).Msg("endpoint changed")
 		}
 		return
 	}
-	leaving, removed, rev := 0, 0, uint64(0)
+	leaving, removed, rev := 0, 0, registrar.Revision{}
 	for _, end := range changed {
-		rev = max(rev, end.Revision)
+		rev = rev.Latest(end.Revision)
 		switch {
 		case end.Gone:
 			removed++
@@ -174,19 +186,24 @@
 			leaving++
 		}
 	}
-	fwd.Log.Info().Int("Endpoints", len(changed)).Int("Leaving", leaving).Int("Gone", removed).Uint64("Revision", rev).Str("From", from).Msg("endpoints changed")
+	fwd.Log.Info().Int("Endpoints", len(changed)).Int("Leaving", leaving).Int("Gone", removed).Uint64("Revision", rev.Number).Uint64("Era", rev.Era).Str("From", from).Msg("endpoints changed")
 }
 
 // handleEndpointsPush merges the records that a peer broadcasts.
 func (fwd *Forwarder) handleEndpointsPush(pus *messenger.EndpointsPush, now time.Time) *messenger.Envelope {
 	fwd.mergePeerEvacuations(pus)
-	fwd.handleChanges(fwd.registry.Merge(fwd.recordsOf(pus), 0, now), "peer")
+	fwd.handleChanges(fwd.registry.Merge(fwd.recordsOf(pus), registrar.Revision{}, now), "peer")
 	return &messenger.Envelope{Body: &messenger.Envelope_Done{Done: &messenger.Done{}}}
 }
 
 // handleEndpointsPull answers with the records that are newer than the peer's revision.
 func (fwd *Forwarder) handleEndpointsPull(pul *messenger.EndpointsPull) *messenger.Envelope {
-	ends, rev := fwd.registry.RecordsAfter(pul.GetHaveRevision())
+	have := registrar.Revision{Era: pul.GetHaveEra(), Number: pul.GetHaveRevision()}
+	if pul.HaveEra == nil {
+		own, _ := fwd.registry.Revision()
+		have.Era = own.Era
+	}
+	ends, rev := fwd.registry.RecordsAfter(have)
 	pus := registrar.Message(ends, rev)
 	evas, evasRev, known := fwd.registry.Evacuations()
 	pus.Evacuations, pus.EvacuationsKnown = registrar.EvacuationMessages(evas), known
@@ -197,14 +214,14 @@
 // comparePeerRevision compares a peer's revision of the endpoints with this host's. At
 // an equal revision this host's records count as confirmed; a newer one is pulled, and one
 // with the evacuations that this host lacks.
-func (fwd *Forwarder) comparePeerRevision(address string, peerRev uint64, at time.Time) {
+func (fwd *Forwarder) comparePeerRevision(address string, peerRev registrar.Revision, at time.Time) {
 	ownRev, complete := fwd.registry.Revision()
 	if peerRev == ownRev {
 		fwd.registry.Confirm(peerRev, at)
 	}
 	// A peer may know the evacuations that this host lacks.
 	missing := !complete && peerRev == ownRev && fwd.registry.HasEndpoints()
-	if peerRev <= ownRev && !missing || peerRev > registrar.MaxRevision || !fwd.pullingEndpoints.CompareAndSwap(false, true) {
+	if !peerRev.After(ownRev) && !missing || !peerRev.InRange() || !fwd.pullingEndpoints.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
@@ -222,20 +239,22 @@
 		fwd.pullQuarantines(ctx, address)
 	}
 	have, _ := fwd.registry.Revision()
-	rep, err := fwd.multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_EndpointsPull{EndpointsPull: &messenger.EndpointsPull{HaveRevision: have}}})
+	rep, err := fwd.multiplexer.Call(ctx, address, &messenger.Envelope{Body: &messenger.Envelope_EndpointsPull{EndpointsPull: &messenger.EndpointsPull{HaveRevision: have.Number, HaveEra: &have.Era}}})
 	if err != nil {
 		fwd.Log.Warn().Str("Peer", address).Err(err).Msg("pull of endpoint records from a peer failed; pulling again at the next message with a newer revision")
 		return
 	}
 	pus := rep.GetEndpointsPush()
 	fwd.mergePeerEvacuations(pus)
-	if pus.GetRevision() == 0 || pus.GetRevision() > registrar.MaxRevision {
+	rev := registrar.Revision{Era: pus.GetEra(), Number: pus.GetRevision()}
+	if rev.Number == 0 || !rev.InRange() {
 		return
 	}
-	changed := fwd.registry.MergeFromPeer(fwd.recordsOf(pus), pus.GetRevision(), time.Now())
+	changed := fwd.registry.MergeFromPeer(fwd.recordsOf(pus), rev, time.Now())
 	if !at.IsZero() {
-		fwd.registry.Confirm(pus.GetRevision(), at)
+		fwd.registry.Confirm(rev, at)
 	}
+	fwd.reportEraChange("peer")
 	fwd.releaseWaitingCalls()
 	fwd.handleChanges(changed, "peer")
 }
--- a/process/forwarder/watch_test.go
+++ b/process/forwarder/watch_test.go
@@ -234,7 +234,7 @@
 	require.Eventually(t, func() bool { return fwd.confirmedRecently(time.Now()) }, 5*time.Second, time.Millisecond)
 	require.EqualValues(t, 9, fwd.publisher.Current().Revision())
 	rev, _ := fwd.registry.Revision()
-	require.EqualValues(t, 9, rev)
+	require.EqualValues(t, 9, rev.Number)
 	for _, confirmed := range []time.Time{fwd.registry.Confirmed(), fwd.publisher.Confirmed()} {
 		require.WithinDuration(t, at, confirmed, 100*time.Millisecond)
 	}
--- a/process/gossiper/exchange.go
+++ b/process/gossiper/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockpin/connection/messenger"
+	"hemlockpin/process/registrar"
 )
 
 // buildPing returns the probe for a peer.
@@ -18,7 +19,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Ping{Ping: &messenger.Ping{
 		From: self, Target: target, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(region, now), Retries: gos.retryBudget(now),
-		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now), Limits: gos.limits(), Evacuations: gos.evacuations(),
+		EndpointsRevision: endpointsRevision.Number, EndpointsEra: endpointsRevision.Era, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now), Limits: gos.limits(), Evacuations: gos.evacuations(),
 	}}}
 }
 
@@ -30,7 +31,7 @@
 	return &messenger.Envelope{Body: &messenger.Envelope_Pong{Pong: &messenger.Pong{
 		From: self, Updates: upds, TablesRevision: rev, TablesAgeMs: age.Milliseconds(),
 		Notices: gos.notices(now), List: gos.listStamp(now), Cells: gos.cells(region, now), Retries: gos.retryBudget(now),
-		EndpointsRevision: endpointsRevision, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now), Limits: gos.limits(), Evacuations: gos.evacuations(),
+		EndpointsRevision: endpointsRevision.Number, EndpointsEra: endpointsRevision.Era, EndpointsAgeMs: endpointsAge.Milliseconds(), QuarantineDigest: gos.quarantineDigest(now), Limits: gos.limits(), Evacuations: gos.evacuations(),
 	}}}
 }
 
@@ -81,15 +82,15 @@
 	}
 }
 
-func (gos *Gossiper) endpointsRevision(now time.Time) (revision uint64, age time.Duration) {
+func (gos *Gossiper) endpointsRevision(now time.Time) (revision registrar.Revision, age time.Duration) {
 	if gos.Payload.EndpointsRevision == nil {
-		return 0, 0
+		return revision, 0
 	}
 	return gos.Payload.EndpointsRevision(now)
 }
 
-func (gos *Gossiper) observeEndpoints(address string, revision uint64, ageMs int64, now time.Time) {
-	if gos.Payload.ObserveEndpoints != nil && address != "" && revision > 0 {
+func (gos *Gossiper) observeEndpoints(address string, revision registrar.Revision, ageMs int64, now time.Time) {
+	if gos.Payload.ObserveEndpoints != nil && address != "" && revision.Number > 0 {
 		gos.Payload.ObserveEndpoints(address, revision, now.Add(-messenger.Age(ageMs)))
 	}
 }
@@ -165,7 +166,7 @@
 	gos.receiveNotices(ctx, pin.GetNotices(), now)
 	gos.mergeCells(pin.GetCells(), now)
 	gos.mergeRetryBudget(pin.GetFrom().GetId(), pin.GetRetries(), now)
-	gos.observeEndpoints(gos.dialAddress(from), pin.GetEndpointsRevision(), pin.GetEndpointsAgeMs(), now)
+	gos.observeEndpoints(gos.dialAddress(from), registrar.Revision{Era: pin.GetEndpointsEra(), Number: pin.GetEndpointsRevision()}, pin.GetEndpointsAgeMs(), now)
 	gos.observeQuarantines(gos.dialAddress(from), pin.GetQuarantineDigest())
 	gos.mergeLimits(pin.GetLimits(), now)
 	gos.mergeEvacuations(pin.GetEvacuations())
@@ -225,7 +226,7 @@
 	gos.receiveNotices(ctx, pon.GetNotices(), now)
 	gos.mergeCells(pon.GetCells(), now)
 	gos.mergeRetryBudget(pon.GetFrom().GetId(), pon.GetRetries(), now)
-	gos.observeEndpoints(address, pon.GetEndpointsRevision(), pon.GetEndpointsAgeMs(), now)
+	gos.observeEndpoints(address, registrar.Revision{Era: pon.GetEndpointsEra(), Number: pon.GetEndpointsRevision()}, pon.GetEndpointsAgeMs(), now)
 	gos.observeQuarantines(address, pon.GetQuarantineDigest())
 	gos.mergeLimits(pon.GetLimits(), now)
 	gos.mergeEvacuations(pon.GetEvacuations())
--- a/process/gossiper/gossiper.go
+++ b/process/gossiper/gossiper.go
@@ -19,6 +19,7 @@
 	"hemlockpin/connection/persister"
 	"hemlockpin/process/lister"
 	"hemlockpin/process/publisher"
+	"hemlockpin/process/registrar"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
@@ -54,10 +55,10 @@
 	MergeRetryBudget func(host string, ret *messenger.RetryBudget, now time.Time)
 	// EndpointsRevision returns the revision of this host's endpoint records and the time
 	// since the store confirmed it.
-	EndpointsRevision func(now time.Time) (revision uint64, age time.Duration)
+	EndpointsRevision func(now time.Time) (revision registrar.Revision, age time.Duration)
 	// ObserveEndpoints receives the address of a peer, the revision of its endpoint records
 	// and the time at which the store confirmed that revision.
-	ObserveEndpoints func(address string, revision uint64, at time.Time)
+	ObserveEndpoints func(address string, revision registrar.Revision, at time.Time)
 	// QuarantineDigest returns the digest of the quarantines that this host knows.
 	// ObserveQuarantines receives the address of a peer and its digest.
 	QuarantineDigest   func(now time.Time) uint64
--- a/process/gossiper/invalid_test.go
+++ b/process/gossiper/invalid_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hemlockpin/connection/messenger"
+	"hemlockpin/process/registrar"
 
 	"github.com/stretchr/testify/require"
 )
@@ -16,7 +17,7 @@
 	for _, age := range []int64{-1, -1_000_000, math.MinInt64, math.MaxInt64, math.MaxInt64 / 1_000_000, 1 << 62} {
 		gos, _ := startPeer(t, "a", 7, nil)
 		var endpointsAt time.Time
-		gos.Payload.ObserveEndpoints = func(_ string, _ uint64, at time.Time) { endpointsAt = at }
+		gos.Payload.ObserveEndpoints = func(_ string, _ registrar.Revision, at time.Time) { endpointsAt = at }
 		from := &messenger.Member{Id: "b", Address: "127.0.0.1:1", Incarnation: 1}
 		now := time.Now()
 		gos.HandlePing(t.Context(), &messenger.Ping{From: from, Target: "a", TablesRevision: 7, TablesAgeMs: age, EndpointsRevision: 3, EndpointsAgeMs: age}, now)
--- a/process/registrar/evacuation.go
+++ b/process/registrar/evacuation.go
@@ -33,7 +33,7 @@
 	switch {
 	case eva.DataCenter == "" || !isShortText(eva.DataCenter):
 		return "the data centre is missing, too long or no text"
-	case eva.Revision.Number == 0, !eva.Revision.inRange():
+	case eva.Revision.Number == 0, !eva.Revision.InRange():
 		return "the revision is out of range"
 	default:
 		return ""
--- a/process/registrar/evacuation_test.go
+++ b/process/registrar/evacuation_test.go
@@ -55,7 +55,7 @@
 					end.DataCenter = dataCenter
 					ends = append(ends, end)
 				}
-				hosts[name].MergeComplete(ends, 1, epoch)
+				hosts[name].MergeComplete(ends, plain(1), epoch)
 			}
 			now := epoch
 			start("one")
@@ -124,7 +124,7 @@
 	var reg Registry
 	end := ready("a", 1)
 	end.DataCenter = "z"
-	reg.MergeComplete([]Endpoint{end, ready("b", 1)}, 1, epoch)
+	reg.MergeComplete([]Endpoint{end, ready("b", 1)}, plain(1), epoch)
 	reg.MergeEvacuations([]Evacuation{{DataCenter: "z", Revision: plain(2)}}, epoch)
 	require.Equal(t, 1, reg.CountIn("z", epoch.Add(time.Second)))
 	require.Equal(t, []string{"b"}, ids(reg.Usable("s", epoch)))
@@ -137,8 +137,8 @@
 	var reg, peer Registry
 	cold, warm := ready("cold", 1), ready("warm", 1)
 	cold.ColdFor, warm.DataCenter = 2*time.Second, "z"
-	reg.MergeComplete([]Endpoint{cold, warm}, 1, epoch)
-	ends, rev := reg.RecordsAfter(0)
+	reg.MergeComplete([]Endpoint{cold, warm}, plain(1), epoch)
+	ends, rev := reg.RecordsAfter(plain(0))
 	peer.MergeFromPeer(FromMessage(Message(ends, rev)), rev, epoch)
 	at := func(after time.Duration) []bool {
 		now := epoch.Add(after)
@@ -151,7 +151,7 @@
 	require.Equal(t, []bool{false, false, true, false}, at(8*time.Second))
 	require.Equal(t, []bool{false, false, false, false}, at(9*time.Second))
 	// The endpoint turns cold again.
-	cold.Revision = 4
-	reg.Merge([]Endpoint{cold}, 4, epoch.Add(20*time.Second))
+	cold.Revision = plain(4)
+	reg.Merge([]Endpoint{cold}, plain(4), epoch.Add(20*time.Second))
 	require.Equal(t, []bool{true, false, false, false}, at(21*time.Second))
 }
--- a/process/registrar/message.go
+++ b/process/registrar/message.go
@@ -7,12 +7,12 @@
 )
 
 // Message converts records to the message that peers exchange.
-func Message(ends []Endpoint, revision uint64) *messenger.EndpointsPush {
-	pus := &messenger.EndpointsPush{Revision: revision}
+func Message(ends []Endpoint, revision Revision) *messenger.EndpointsPush {
+	pus := &messenger.EndpointsPush{Revision: revision.Number, Era: revision.Era}
 	for _, end := range ends {
 		rec := &messenger.EndpointRecord{
 			Id: end.ID, Service: end.Service, Address: end.Address, DataCenter: end.DataCenter,
-			Leaving: end.Leaving, SaysLeaving: end.SaysLeaving, Gone: end.Gone, Revision: end.Revision, Slots: uint32(max(0, end.Slots)), ColdMs: end.ColdFor.Milliseconds(),
+			Leaving: end.Leaving, SaysLeaving: end.SaysLeaving, Gone: end.Gone, Revision: end.Revision.Number, Era: end.Revision.Era, Slots: uint32(max(0, end.Slots)), ColdMs: end.ColdFor.Milliseconds(),
 		}
 		rec.StartedMs, rec.LeavingStartMs = unixMilli(end.Started), unixMilli(end.LeavingStart)
 		pus.Records = append(pus.Records, rec)
@@ -29,7 +29,7 @@
 		}
 		end := Endpoint{
 			ID: rec.GetId(), Service: rec.GetService(), Address: rec.GetAddress(), DataCenter: rec.GetDataCenter(),
-			Leaving: rec.GetLeaving(), SaysLeaving: rec.GetSaysLeaving(), Gone: rec.GetGone(), Revision: rec.GetRevision(), Slots: int(rec.GetSlots()), ColdFor: messenger.Millis(rec.GetColdMs()),
+			Leaving: rec.GetLeaving(), SaysLeaving: rec.GetSaysLeaving(), Gone: rec.GetGone(), Revision: Revision{Era: rec.GetEra(), Number: rec.GetRevision()}, Slots: int(rec.GetSlots()), ColdFor: messenger.Millis(rec.GetColdMs()),
 		}
 		end.Started, end.LeavingStart = fromUnixMilli(rec.GetStartedMs()), fromUnixMilli(rec.GetLeavingStartMs())
 		if end.SaysLeaving && end.LeavingStart.IsZero() {
--- a/process/registrar/origin_test.go
+++ b/process/registrar/origin_test.go
@@ -25,23 +25,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var reg Registry
-			reg.MergeComplete([]Endpoint{own}, 1, epoch)
+			reg.MergeComplete([]Endpoint{own}, plain(1), epoch)
 			require.Len(t, reg.MarkLeaving(own), 1)
 			other := ready("a", 2)
 			other.Started = tt.started
-			reg.Merge([]Endpoint{other}, 2, epoch)
+			reg.Merge([]Endpoint{other}, plain(2), epoch)
 			_, usable := reg.Find("a", epoch)
 			require.Equal(t, tt.usable, usable)
 			// A host that gets the records from this one must know the same.
 			var peer Registry
-			ends, rev := reg.RecordsAfter(0)
+			ends, rev := reg.RecordsAfter(plain(0))
 			peer.MergeFromPeer(FromMessage(Message(ends, rev)), rev, epoch)
 			_, usable = peer.Find("a", epoch)
 			require.Equal(t, tt.usable, usable)
 			// The entry of the process itself comes back.
 			own := own
-			own.Revision = 3
-			reg.Merge([]Endpoint{own}, 3, epoch)
+			own.Revision = plain(3)
+			reg.Merge([]Endpoint{own}, plain(3), epoch)
 			_, usable = reg.Find("a", epoch)
 			require.Equal(t, tt.usable, usable)
 		})
@@ -54,8 +54,8 @@
 	var reg Registry
 	own := ready("a", 1)
 	own.Started = epoch.Add(-time.Minute)
-	reg.MergeComplete([]Endpoint{own}, 1, epoch)
-	reg.Merge([]Endpoint{ready("a", 2)}, 2, epoch)
+	reg.MergeComplete([]Endpoint{own}, plain(1), epoch)
+	reg.Merge([]Endpoint{ready("a", 2)}, plain(2), epoch)
 	require.Len(t, reg.MarkLeaving(own), 1)
 	_, usable := reg.Find("a", epoch)
 	require.False(t, usable)
@@ -68,12 +68,12 @@
 	for _, age := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond} {
 		reg := Registry{LeaveWithin: within}
 		all := []Endpoint{ready("a", 1), ready("b", 1), ready("c", 1), ready("d", 1), ready("e", 1)}
-		reg.MergeComplete(all, 1, epoch)
-		reg.Confirm(1, epoch)
+		reg.MergeComplete(all, plain(1), epoch)
+		reg.Confirm(plain(1), epoch)
 		reg.outageEnd = time.Time{}
 		// The store may have removed the entries right after the last confirmation.
 		read := epoch.Add(age)
-		reg.Merge([]Endpoint{all[0].asGone(), all[1].asGone(), all[2].asGone()}, 2, read)
+		reg.Merge([]Endpoint{all[0].asGone(), all[1].asGone(), all[2].asGone()}, plain(2), read)
 		require.Len(t, reg.Usable("s", epoch.Add(max(age, within))), 2, age)
 		if age < time.Second {
 			require.Len(t, reg.Usable("s", read.Add(100*time.Millisecond)), 5, "an outage may be the cause")
--- a/process/registrar/problem.go
+++ b/process/registrar/problem.go
@@ -25,8 +25,8 @@
 	switch {
 	case !isHeaderValue(end.ID):
 		return "the ID is missing, too long or can't be sent in a header"
-	case end.Revision > MaxRevision:
-		return fmt.Sprintf("revision %d is out of range", end.Revision)
+	case !end.Revision.InRange():
+		return fmt.Sprintf("revision %d of era %d is out of range", end.Revision.Number, end.Revision.Era)
 	case !isShortText(end.Service), !isShortText(end.DataCenter):
 		return "the service or the zone is too long or no text"
 	case end.Slots < 0, end.Slots > maxSlots:
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -1,8 +1,8 @@
 // Package registrar holds a host's records of the endpoints in the platform's store,
 // whether they come from the store or from peers.
 //
-// Records are merged by the revision that the store gave them, so the order in
-// which updates arrive from the store and from peers makes no difference.
+// Records are merged by the revision that the store gave them, the store's era first, so
+// the order in which updates arrive from the store and from peers makes no difference.
 package registrar
 
 import (
@@ -38,6 +38,10 @@
 	// tombstoneLifetime is how long the record of a removed entry is kept, so that an
 	// older record of a peer does not restore the entry.
 	tombstoneLifetime = 10 * time.Minute
+	// copyGrace is the time after the store's return from an older copy for which the copy's
+	// entry of a process is not believed over what this host knew later of the process: until
+	// then the process has written its entry again, or the entry has lapsed.
+	copyGrace = 4 * time.Second
 	// maxColdTime bounds how long an entry makes an endpoint cold.
 	maxColdTime = 10 * time.Minute
 )
@@ -57,7 +61,7 @@
 	// Gone reports that the store no longer holds a usable entry.
 	Gone bool
 	// Revision is the store's revision of the entry's last change.
-	Revision uint64
+	Revision Revision
 	// Started is the start time that the process reports; zero if unknown.
 	Started time.Time
 	// Slots is the number of requests that the endpoint handles at once.
@@ -68,8 +72,8 @@
 
 // newer reports whether end supersedes old.
 func (end Endpoint) newer(old Endpoint) bool {
-	if end.Revision != old.Revision {
-		return end.Revision > old.Revision
+	if order := end.Revision.Compare(old.Revision); order != 0 {
+		return order > 0
 	}
 	if end.Gone != old.Gone {
 		return end.Gone
@@ -81,6 +85,9 @@
 type record struct {
 	Endpoint
 	unusableFrom time.Time
+	// heldUntil is the time until which the endpoint gets no new calls, since its entry may be an
+	// older one than that of the earlier era by which it got none.
+	heldUntil time.Time
 	// coldUntil is the time until which the endpoint may be cold.
 	coldUntil time.Time
 }
@@ -96,7 +103,7 @@
 
 	mu       sync.Mutex
 	records  map[string]*record
-	revision uint64
+	revision Revision
 	complete bool
 	// confirmed is the last time at which the store held no later revision than revision.
 	// outageEnd is the time of the first confirmation after the last outage.
@@ -106,6 +113,27 @@
 	// era is the latest era of the store of which this host has learned, and eraSince when it has.
 	era      uint64
 	eraSince time.Time
+	// change is the last change of the era in which the records are complete.
+	change *EraChange
+}
+
+// EraChange is a change of the store's era at a host that had complete records before.
+type EraChange struct {
+	// Old and New are the revisions up to which the records were complete, and are now.
+	Old, New Revision
+	// Removed is the number of endpoints that the store no longer holds.
+	Removed int
+}
+
+// TakeEraChange returns the last change of the era, once.
+func (reg *Registry) TakeEraChange() (cha EraChange, ok bool) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	if reg.change == nil {
+		return cha, false
+	}
+	cha, reg.change = *reg.change, nil
+	return cha, true
 }
 
 // learnEra records that the store is in an era.
@@ -126,7 +154,7 @@
 
 // Revision returns the store's revision up to which the records are known, and
 // whether this host has ever received the complete records, with the evacuations.
-func (reg *Registry) Revision() (revision uint64, complete bool) {
+func (reg *Registry) Revision() (revision Revision, complete bool) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	return reg.revision, reg.complete && (reg.evacuations.known || !reg.Evacuates)
@@ -141,10 +169,10 @@
 
 // Confirm records that, at the time at, the store held no later revision than revision. It
 // has no effect if this host knows a later revision.
-func (reg *Registry) Confirm(revision uint64, at time.Time) {
+func (reg *Registry) Confirm(revision Revision, at time.Time) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	if revision < reg.revision || !at.After(reg.confirmed) {
+	if reg.revision.After(revision) || !at.After(reg.confirmed) {
 		return
 	}
 	if !reg.confirmed.IsZero() && at.Sub(reg.confirmed) > outageAge {
@@ -162,18 +190,21 @@
 }
 
 // Merge merges records and returns those that were new. revision is the store's revision
-// up to which this host's records are complete afterwards; 0 if ends may lack records that
-// changed after the known revision.
-func (reg *Registry) Merge(ends []Endpoint, revision uint64, now time.Time) []Endpoint {
+// up to which this host's records are complete afterwards; zero if ends may lack records that
+// changed after the known revision, as they do if that is of another era.
+func (reg *Registry) Merge(ends []Endpoint, revision Revision, now time.Time) []Endpoint {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
+	if revision.Era != reg.revision.Era {
+		revision = Revision{}
+	}
 	return reg.merge(ends, revision, now)
 }
 
 // MergeComplete merges all records of the store at a revision and returns those that were
 // new. Known records that are missing from ends and are not later than revision become
 // Gone.
-func (reg *Registry) MergeComplete(ends []Endpoint, revision uint64, now time.Time) []Endpoint {
+func (reg *Registry) MergeComplete(ends []Endpoint, revision Revision, now time.Time) []Endpoint {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	seen := make(map[string]bool, len(ends))
@@ -182,7 +213,7 @@
 	}
 	all := slices.Clone(ends)
 	for id, rec := range reg.records {
-		if !seen[id] && !rec.Gone && rec.Revision <= revision {
+		if !seen[id] && !rec.Gone && rec.Revision.Era == revision.Era && !rec.Revision.After(revision) {
 			end := rec.Endpoint
 			end.Gone = true
 			all = append(all, end)
@@ -193,25 +224,74 @@
 	return updates
 }
 
-func (reg *Registry) merge(ends []Endpoint, revision uint64, now time.Time) []Endpoint {
+func (reg *Registry) merge(ends []Endpoint, revision Revision, now time.Time) []Endpoint {
 	if reg.records == nil {
 		reg.records = map[string]*record{}
 	}
-	var updates []Endpoint
+	reg.learnEra(revision.Era, now)
+	if revision.Era > reg.revision.Era {
+		ends = reg.enterEra(ends, revision)
+	}
+	var updates, changed []Endpoint
 	for _, end := range ends {
-		if old := reg.records[end.ID]; old == nil || end.newer(old.Endpoint) {
-			updates = append(updates, end)
+		if end.Revision.Era < reg.revision.Era {
+			// All that the store still holds of it is in the records of the later era.
+			continue
+		}
+		reg.learnEra(end.Revision.Era, now)
+		old := reg.records[end.ID]
+		if old != nil && !end.newer(old.Endpoint) {
+			continue
+		}
+		updates = append(updates, end)
+		if old == nil || !end.renews(old.Endpoint) {
+			changed = append(changed, end)
 		}
 	}
 	unusableFrom := reg.removalTime(updates, now)
 	for _, end := range updates {
 		reg.mergeRecord(end, unusableFrom, now)
 	}
-	reg.revision = max(reg.revision, revision)
+	reg.revision = reg.revision.Latest(revision)
 	if len(updates) > 0 {
 		reg.dropTombstones(now)
 	}
-	return updates
+	return changed
+}
+
+// enterEra returns the records of a complete revision of a later era with those that it lacks, as
+// removed: this host's records of earlier eras.
+func (reg *Registry) enterEra(ends []Endpoint, revision Revision) []Endpoint {
+	seen := make(map[string]bool, len(ends))
+	all := make([]Endpoint, 0, len(ends))
+	for _, end := range ends {
+		if end.Revision.Era >= revision.Era {
+			seen[end.ID] = true
+			all = append(all, end)
+		}
+	}
+	cha := EraChange{Old: reg.revision, New: revision}
+	for id, rec := range reg.records {
+		if !seen[id] && !rec.Gone && rec.Revision.Era < revision.Era {
+			end := rec.Endpoint
+			end.Gone, end.Revision = true, revision
+			all = append(all, end)
+			cha.Removed++
+		}
+	}
+	if reg.complete {
+		reg.change = &cha
+	}
+	return all
+}
+
+// renews reports whether end is the record old in a later era.
+func (end Endpoint) renews(old Endpoint) bool {
+	if end.Revision.Era == old.Revision.Era {
+		return false
+	}
+	end.Revision = old.Revision
+	return end == old
 }
 
 // mergeRecord merges one record, whose endpoint is unusable from a time if it is removed.
@@ -236,6 +316,9 @@
 			rec.Revision = end.Revision
 		}
 	}
+	if old != nil && old.Revision.Era < end.Revision.Era {
+		reg.crossEra(rec, old, now)
+	}
 	if old != nil && rec.Started.IsZero() {
 		// An entry without a start does not show that another process has begun.
 		rec.Started = old.Started
@@ -247,6 +330,27 @@
 	reg.records[end.ID] = rec
 }
 
+// crossEra carries over what this host knew of an endpoint in an earlier era and the store may have
+// lost.
+func (reg *Registry) crossEra(rec, old *record, now time.Time) {
+	switch {
+	case rec.Gone && old.Gone:
+		rec.unusableFrom = old.unusableFrom
+	case rec.Gone:
+		if end := reg.rewriteEnd(now); end.After(rec.unusableFrom) {
+			rec.unusableFrom = end
+		}
+	case rec.Started.IsZero() || !rec.Started.Equal(old.Started):
+	default:
+		if rec.ColdFor == old.ColdFor {
+			rec.coldUntil = old.coldUntil
+		}
+		if !old.takesCalls(now) {
+			rec.heldUntil = reg.eraSince.Add(copyGrace)
+		}
+	}
+}
+
 // removalTime returns the time from which removals received now take effect.
 func (reg *Registry) removalTime(updates []Endpoint, now time.Time) time.Time {
 	switch {
@@ -303,7 +407,7 @@
 
 // takesCalls reports whether the endpoint itself takes new requests.
 func (rec *record) takesCalls(now time.Time) bool {
-	return !rec.Leaving && !rec.SaysLeaving && rec.Address != "" && (!rec.Gone || now.Before(rec.unusableFrom))
+	return !rec.Leaving && !rec.SaysLeaving && !now.Before(rec.heldUntil) && rec.Address != "" && (!rec.Gone || now.Before(rec.unusableFrom))
 }
 
 // Usable returns the endpoints of a service that may get new requests, ordered by ID.
@@ -366,16 +470,16 @@
 
 // RecordsAfter returns the records with a later revision than revision, all records of
 // removed entries and of endpoints that say that they leave, and the revision up to which a peer is complete after it has merged
-// them. It returns no records and 0 if this host's records are not complete.
-func (reg *Registry) RecordsAfter(revision uint64) ([]Endpoint, uint64) {
+// them. It returns no records and the zero revision if this host's records are not complete.
+func (reg *Registry) RecordsAfter(revision Revision) ([]Endpoint, Revision) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	if !reg.complete {
-		return nil, 0
+		return nil, Revision{}
 	}
 	var out []Endpoint
 	for _, rec := range reg.records {
-		if rec.Revision > revision || rec.Gone || rec.SaysLeaving {
+		if rec.Revision.After(revision) || rec.Gone || rec.SaysLeaving {
 			out = append(out, rec.Endpoint)
 		}
 	}
@@ -384,11 +488,11 @@
 
 // MergeFromPeer merges the records that a peer's RecordsAfter returned for this host's
 // revision, and returns those that were new. Unlike Merge it marks this host's records as
-// complete, unless revision is 0.
-func (reg *Registry) MergeFromPeer(ends []Endpoint, revision uint64, now time.Time) []Endpoint {
+// complete, unless revision is zero.
+func (reg *Registry) MergeFromPeer(ends []Endpoint, revision Revision, now time.Time) []Endpoint {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	updates := reg.merge(ends, revision, now)
-	reg.complete = reg.complete || revision > 0
+	reg.complete = reg.complete || !revision.IsZero()
 	return updates
 }
--- a/process/registrar/registrar_test.go
+++ b/process/registrar/registrar_test.go
@@ -12,7 +12,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func ready(id string, rev uint64) Endpoint {
-	return Endpoint{ID: id, Service: "s", Address: "10.0.0.1:1", Revision: rev}
+	return Endpoint{ID: id, Service: "s", Address: "10.0.0.1:1", Revision: plain(rev)}
 }
 
 func (end Endpoint) asGone() Endpoint { end.Gone = true; return end }
@@ -35,7 +35,7 @@
 		ran.Shuffle(len(recs), func(i, j int) { recs[i], recs[j] = recs[j], recs[i] })
 		reg := Registry{confirmed: epoch}
 		for _, rec := range recs {
-			reg.Merge([]Endpoint{rec}, 0, epoch)
+			reg.Merge([]Endpoint{rec}, plain(0), epoch)
 		}
 		require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch.Add(time.Second))))
 	}
@@ -45,14 +45,14 @@
 // for those written after it was read.
 func TestMergeComplete(t *testing.T) {
 	var reg Registry
-	reg.MergeComplete([]Endpoint{ready("a", 1), ready("b", 2)}, 5, epoch)
+	reg.MergeComplete([]Endpoint{ready("a", 1), ready("b", 2)}, plain(5), epoch)
 	reg.confirmed = epoch
 	rev, complete := reg.Revision()
 	require.True(t, complete)
-	require.EqualValues(t, 5, rev)
+	require.EqualValues(t, 5, rev.Number)
 	// A peer has sent an entry that was written after the records were read.
-	reg.Merge([]Endpoint{ready("c", 9)}, 0, epoch)
-	reg.MergeComplete([]Endpoint{ready("a", 1)}, 7, epoch)
+	reg.Merge([]Endpoint{ready("c", 9)}, plain(0), epoch)
+	reg.MergeComplete([]Endpoint{ready("a", 1)}, plain(7), epoch)
 	require.Equal(t, []string{"a", "c"}, ids(reg.Usable("s", epoch.Add(time.Millisecond))))
 	require.Empty(t, reg.Usable("other", epoch))
 }
@@ -60,9 +60,9 @@
 // A leaving endpoint must get no new requests, and a repeated record must not count as new.
 func TestLeaving(t *testing.T) {
 	var reg Registry
-	reg.MergeComplete([]Endpoint{ready("a", 1), ready("b", 2)}, 2, epoch)
-	require.Len(t, reg.Merge([]Endpoint{ready("a", 3).asLeaving()}, 3, epoch), 1)
-	require.Empty(t, reg.Merge([]Endpoint{ready("a", 3).asLeaving()}, 3, epoch), "a repeated record is not new")
+	reg.MergeComplete([]Endpoint{ready("a", 1), ready("b", 2)}, plain(2), epoch)
+	require.Len(t, reg.Merge([]Endpoint{ready("a", 3).asLeaving()}, plain(3), epoch), 1)
+	require.Empty(t, reg.Merge([]Endpoint{ready("a", 3).asLeaving()}, plain(3), epoch), "a repeated record is not new")
 	require.Equal(t, []string{"b"}, ids(reg.Usable("s", epoch)))
 	_, ok := reg.Find("a", epoch)
 	require.False(t, ok)
@@ -72,11 +72,11 @@
 // until a valid entry is written.
 func TestUnreadableEntry(t *testing.T) {
 	var reg Registry
-	reg.MergeComplete([]Endpoint{ready("a", 1)}, 1, epoch)
+	reg.MergeComplete([]Endpoint{ready("a", 1)}, plain(1), epoch)
 	reg.confirmed = epoch
-	reg.Merge([]Endpoint{{ID: "a", Revision: 2, Gone: true}}, 2, epoch)
+	reg.Merge([]Endpoint{{ID: "a", Revision: plain(2), Gone: true}}, plain(2), epoch)
 	require.Empty(t, reg.Usable("s", epoch))
-	reg.Merge([]Endpoint{ready("a", 3)}, 3, epoch)
+	reg.Merge([]Endpoint{ready("a", 3)}, plain(3), epoch)
 	require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch)))
 }
 
@@ -84,9 +84,9 @@
 // comes after a newer one in the same message.
 func TestRepeatedInMessage(t *testing.T) {
 	var reg Registry
-	reg.MergeComplete([]Endpoint{ready("a", 1)}, 1, epoch)
+	reg.MergeComplete([]Endpoint{ready("a", 1)}, plain(1), epoch)
 	reg.confirmed = epoch
-	reg.Merge([]Endpoint{ready("a", 3).asLeaving(), ready("a", 2), ready("b", 2).asGone(), ready("b", 2)}, 0, epoch)
+	reg.Merge([]Endpoint{ready("a", 3).asLeaving(), ready("a", 2), ready("b", 2).asGone(), ready("b", 2)}, plain(0), epoch)
 	require.Empty(t, reg.Usable("s", epoch))
 }
 
@@ -95,7 +95,7 @@
 // which delays other removals.
 func TestGoneBeforeStart(t *testing.T) {
 	var reg Registry
-	reg.MergeFromPeer([]Endpoint{ready("a", 1), ready("b", 3).asGone()}, 3, epoch)
+	reg.MergeFromPeer([]Endpoint{ready("a", 1), ready("b", 3).asGone()}, plain(3), epoch)
 	require.Equal(t, []string{"a"}, ids(reg.Usable("s", epoch)))
 	require.True(t, reg.KnownUnusable("b", epoch))
 	require.False(t, reg.KnownUnusable("a", epoch))
@@ -125,11 +125,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			reg := Registry{confirmed: epoch}
-			reg.MergeComplete([]Endpoint{ready("a", 1), ready("b", 1), ready("c", 1), ready("d", 1)}, 1, epoch)
+			reg.MergeComplete([]Endpoint{ready("a", 1), ready("b", 1), ready("c", 1), ready("d", 1)}, plain(1), epoch)
 			for _, at := range tt.confirmed {
-				reg.Confirm(1, epoch.Add(at))
+				reg.Confirm(plain(1), epoch.Add(at))
 			}
-			reg.Merge([]Endpoint{ready("a", 1).asGone()}, 0, epoch.Add(tt.removedAt))
+			reg.Merge([]Endpoint{ready("a", 1).asGone()}, plain(0), epoch.Add(tt.removedAt))
 			usable := func(at time.Duration) bool {
 				_, ok := reg.Find("a", epoch.Add(at))
 				return ok
@@ -154,12 +154,12 @@
 	for _, end := range all[:5] {
 		lost = append(lost, end.asGone())
 	}
-	reg.MergeComplete(all, 1, epoch)
-	reg.Confirm(1, epoch.Add(-time.Hour))
-	reg.Confirm(1, epoch.Add(-300*time.Millisecond))
+	reg.MergeComplete(all, plain(1), epoch)
+	reg.Confirm(plain(1), epoch.Add(-time.Hour))
+	reg.Confirm(plain(1), epoch.Add(-300*time.Millisecond))
 	// The gap between the two confirmations does not count as an outage.
 	reg.outageEnd = time.Time{}
-	reg.Merge(lost, 2, epoch)
+	reg.Merge(lost, plain(2), epoch)
 	require.Len(t, reg.Usable("s", epoch.Add(time.Second)), 10)
 	require.Len(t, reg.Usable("s", epoch.Add(2*time.Second)), 5)
 }
@@ -167,19 +167,19 @@
 // A host that pulls the records of a peer must get all changed and all removed records.
 func TestExchangeBetweenPeers(t *testing.T) {
 	var from, to Registry
-	_, rev := to.RecordsAfter(0)
+	_, rev := to.RecordsAfter(plain(0))
 	require.Zero(t, rev, "a host without records offers none")
 	from.confirmed, to.confirmed = epoch, epoch
-	from.MergeComplete([]Endpoint{ready("a", 1), ready("b", 2)}, 5, epoch)
-	ends, rev := from.RecordsAfter(0)
+	from.MergeComplete([]Endpoint{ready("a", 1), ready("b", 2)}, plain(5), epoch)
+	ends, rev := from.RecordsAfter(plain(0))
 	push := Message(ends, rev)
-	to.MergeFromPeer(FromMessage(push), push.GetRevision(), epoch)
+	to.MergeFromPeer(FromMessage(push), Revision{Era: push.GetEra(), Number: push.GetRevision()}, epoch)
 	require.Equal(t, []string{"a", "b"}, ids(to.Usable("s", epoch)))
 	rev, complete := to.Revision()
 	require.True(t, complete)
-	require.EqualValues(t, 5, rev)
-	from.Merge([]Endpoint{ready("c", 6), ready("a", 1).asGone()}, 6, epoch)
-	ends, rev = from.RecordsAfter(5)
+	require.EqualValues(t, 5, rev.Number)
+	from.Merge([]Endpoint{ready("c", 6), ready("a", 1).asGone()}, plain(6), epoch)
+	ends, rev = from.RecordsAfter(plain(5))
 	require.Len(t, ends, 2, "the changed and the removed record")
 	to.MergeFromPeer(ends, rev, epoch)
 	require.Equal(t, []string{"b", "c"}, ids(to.Usable("s", epoch)))
@@ -188,9 +188,9 @@
 // A confirmation of an older revision must not confirm the records.
 func TestConfirm(t *testing.T) {
 	var reg Registry
-	reg.MergeComplete([]Endpoint{ready("a", 1)}, 5, epoch)
-	reg.Confirm(5, epoch)
+	reg.MergeComplete([]Endpoint{ready("a", 1)}, plain(5), epoch)
+	reg.Confirm(plain(5), epoch)
 	require.Equal(t, epoch, reg.Confirmed())
-	reg.Confirm(4, epoch.Add(time.Second))
+	reg.Confirm(plain(4), epoch.Add(time.Second))
 	require.Equal(t, epoch, reg.Confirmed(), "an older revision confirms nothing")
 }
--- a/process/registrar/revision.go
+++ b/process/registrar/revision.go
@@ -37,8 +37,8 @@
 	return rev
 }
 
-// inRange reports whether a peer's revision can be exceeded.
-func (rev Revision) inRange() bool { return rev.Era <= MaxRevision && rev.Number <= MaxRevision }
+// InRange reports whether a revision can be exceeded.
+func (rev Revision) InRange() bool { return rev.Era <= MaxRevision && rev.Number <= MaxRevision }
 
 // MarshalJSON returns the number alone, which is what operators of a store without eras know.
 func (rev Revision) MarshalJSON() ([]byte, error) {
--- a/request/relayer/log.go
+++ b/request/relayer/log.go
@@ -16,7 +16,7 @@
 	default:
 		entry = fwd.log.Warn()
 	}
-	addDecision(entry.Str("Endpoint", lea.Endpoint.ID).Uint64("EndpointRevision", lea.Endpoint.Revision).Str("Outcome", outcomeLabel(out)), out, dec).
+	addDecision(entry.Str("Endpoint", lea.Endpoint.ID).Uint64("EndpointRevision", lea.Endpoint.Revision.Number).Str("Outcome", outcomeLabel(out)), out, dec).
 		Int("Sends", fwd.state.Sends).Int("Events", fwd.state.Events).Dur("AfterMs", now.Sub(fwd.arrived)).Msg("send ended")
 	fwd.Scope.Tagged(map[string]string{"route": fwd.route.Name, "outcome": outcomeLabel(out)}).Counter("forward_sends").Inc(1)
 }
