Write quarantines again that the store has lost

What callers saw: the store came back from a copy without a quarantine; running hosts kept it, but the store never got it again. Once all hosts had been replaced, prompts that crash engines were sent again. An ended quarantine that the copy still has came back at hosts that start.

Cause: a host remembers for good what it has written to the store and what it has removed, whatever the store has lost since.

Change: the ledger keeps the store's era with what was written and removed. In a later era the host in charge writes again, and a removal of the last minute is repeated. A write that was sent in an earlier era doesn't count when it is answered late.

--- a/process/forwarder/quarantine.go
+++ b/process/forwarder/quarantine.go
@@ -289,7 +289,7 @@
 func (fwd *Forwarder) readQuarantines(ctx context.Context) {
 	readCtx, stop := context.WithTimeout(ctx, quarantineTimeout)
 	defer stop()
-	now := time.Now()
+	now, era := time.Now(), fwd.registry.Era()
 	quas, invalid, err := fwd.Platform.Quarantines.Quarantines(readCtx, now)
 	rea := &fwd.quarantine.reads
 	if err != nil {
@@ -301,7 +301,7 @@
 	fwd.reportInvalid("quarantines", invalid)
 	led := &fwd.quarantine.ledger
 	for _, qua := range quas {
-		led.MarkStored(qua.Name())
+		led.MarkStored(qua.Name(), era)
 	}
 	fwd.shareQuarantines(led.Merge(quarantiner.Change{Quarantines: quas}, now))
 	fwd.completeQuarantines(quarantinesFromStore, now)
@@ -320,10 +320,12 @@
 }
 
 // writeQuarantines writes the quarantines of which this host is in charge to the store, and
-// removes those that have ended. After a failure it tries again at the next interval.
+// removes those that have ended, also again after the store has come back from an older copy. After
+// a failure it tries again at the next interval.
 func (fwd *Forwarder) writeQuarantines(ctx context.Context, now time.Time) {
-	led := &fwd.quarantine.ledger
-	for _, qua := range led.Unstored(now) {
+	// A write of an earlier era than the store's may be lost.
+	led, era := &fwd.quarantine.ledger, fwd.registry.Era()
+	for _, qua := range led.Unstored(era, now) {
 		if !fwd.writesQuarantine(qua.Name(), now) {
 			continue
 		}
@@ -331,12 +333,12 @@
 			fwd.Log.Warn().Str("Quarantine", qua.Name()).Err(err).Msg("writing a quarantine to the store failed; trying again")
 			return
 		}
-		led.MarkStored(qua.Name())
+		led.MarkStored(qua.Name(), era)
 		fwd.Log.Info().Str("Quarantine", qua.Name()).Strs("Parts", qua.Parts).Bool("Lifted", qua.Lifted).Msg("quarantine written to the store")
 	}
-	for _, name := range led.EndedInStore(now) {
+	for _, name := range led.EndedInStore(era, now) {
 		if err := fwd.callStore(ctx, func(ctx context.Context) error { return fwd.Platform.Quarantines.RemoveQuarantine(ctx, name) }); err != nil {
-			led.MarkStored(name)
+			led.MarkStored(name, era)
 			fwd.Log.Warn().Str("Quarantine", name).Err(err).Msg("removing a quarantine from the store failed; trying again")
 			return
 		}
--- a/process/quarantiner/ledger.go
+++ b/process/quarantiner/ledger.go
@@ -17,8 +17,13 @@
 	"github.com/rs/zerolog"
 )
 
-// maxQuarantines bounds the quarantines that a host keeps.
-const maxQuarantines = 512
+const (
+	// maxQuarantines bounds the quarantines that a host keeps.
+	maxQuarantines = 512
+	// removalMemory is how long a host remembers that it has removed a quarantine from the store,
+	// which may come back from a copy that is seconds old and still has it.
+	removalMemory = time.Minute
+)
 
 // Change holds suspects and quarantines that have changed.
 type Change struct {
@@ -46,8 +51,16 @@
 	mu          sync.Mutex
 	suspects    map[partKey]suspectRecord
 	quarantines map[string]Quarantine
-	// stored holds the names of the quarantines that the store has.
-	stored map[string]bool
+	// stored holds the names of the quarantines that the store has, with the store's era in which
+	// it had them last. removed holds those that were removed from it lately.
+	stored  map[string]uint64
+	removed map[string]removal
+}
+
+// removal is when a quarantine was removed from the store, and the store's era then.
+type removal struct {
+	at  time.Time
+	era uint64
 }
 
 // suspectRecord is a suspect with the time of its last change.
@@ -279,33 +292,33 @@
 	return digest
 }
 
-// Unstored returns the quarantines that the store is not known to hold.
-func (led *Ledger) Unstored(now time.Time) []Quarantine {
+// Unstored returns the quarantines that the store is not known to hold in an era.
+func (led *Ledger) Unstored(era uint64, now time.Time) []Quarantine {
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	led.expire(now)
 	var out []Quarantine
 	for _, qua := range led.quarantines {
-		if !led.stored[qua.Name()] {
+		if last, ok := led.stored[qua.Name()]; !ok || last < era {
 			out = append(out, qua)
 		}
 	}
 	return out
 }
 
-// MarkStored records that the store holds a quarantine.
-func (led *Ledger) MarkStored(name string) {
+// MarkStored records that the store holds a quarantine in an era.
+func (led *Ledger) MarkStored(name string, era uint64) {
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	if led.stored == nil {
-		led.stored = map[string]bool{}
+		led.stored = map[string]uint64{}
 	}
-	led.stored[name] = true
+	led.stored[name] = max(led.stored[name], era)
 }
 
 // EndedInStore returns the names of the quarantines that have ended and that the store may
-// still hold, and forgets them.
-func (led *Ledger) EndedInStore(now time.Time) []string {
+// still hold in an era, and forgets them.
+func (led *Ledger) EndedInStore(era uint64, now time.Time) []string {
 	led.mu.Lock()
 	defer led.mu.Unlock()
 	led.expire(now)
@@ -313,6 +326,9 @@
 	for _, qua := range led.quarantines {
 		current[qua.Name()] = true
 	}
+	if led.removed == nil {
+		led.removed = map[string]removal{}
+	}
 	var out []string
 	for name := range led.stored {
 		if !current[name] {
@@ -320,5 +336,16 @@
 			delete(led.stored, name)
 		}
 	}
+	for name, rem := range led.removed {
+		switch {
+		case now.Sub(rem.at) > removalMemory:
+			delete(led.removed, name)
+		case rem.era < era && !current[name] && !slices.Contains(out, name):
+			out = append(out, name)
+		}
+	}
+	for _, name := range out {
+		led.removed[name] = removal{now, era}
+	}
 	return out
 }
--- a/process/quarantiner/ledger_test.go
+++ b/process/quarantiner/ledger_test.go
@@ -81,7 +81,7 @@
 		return fmt.Sprintf("%s: %v\n", strings.Join(words, " "), hos.ledger(words[1]).TimeLeft("llm", words[2:], hos.now))
 	case "unstored":
 		var names []string
-		for _, qua := range hos.ledger(words[1]).Unstored(hos.now) {
+		for _, qua := range hos.ledger(words[1]).Unstored(0, hos.now) {
 			names = append(names, fmt.Sprintf("%v generation %d lifted %t", qua.Parts, qua.Generation, qua.Lifted))
 		}
 		slices.Sort(names)
@@ -133,12 +133,12 @@
 	var led Ledger
 	qua := Quarantine{Pool: "llm", Parts: []string{"a"}, Generation: 1, Since: now}
 	led.Merge(Change{Quarantines: []Quarantine{qua}}, now)
-	require.Len(t, led.Unstored(now), 1)
-	led.MarkStored(qua.Name())
-	require.Empty(t, led.Unstored(now))
-	require.Empty(t, led.EndedInStore(now))
-	require.Equal(t, []string{qua.Name()}, led.EndedInStore(now.Add(Lifetime)))
-	require.Empty(t, led.EndedInStore(now.Add(Lifetime)))
+	require.Len(t, led.Unstored(0, now), 1)
+	led.MarkStored(qua.Name(), 0)
+	require.Empty(t, led.Unstored(0, now))
+	require.Empty(t, led.EndedInStore(0, now))
+	require.Equal(t, []string{qua.Name()}, led.EndedInStore(0, now.Add(Lifetime)))
+	require.Empty(t, led.EndedInStore(0, now.Add(Lifetime)))
 }
 
 // TestBounds offers more suspects and quarantines than a host keeps.
@@ -157,3 +157,28 @@
 	led.Merge(Change{}, now.Add(suspectLifetime+time.Second))
 	require.Empty(t, led.Everything(now.Add(suspectLifetime+time.Second)).Suspects)
 }
+
+// TestLedgerAcrossEras guards against quarantines that are gone for hosts that start later, since the
+// store has come back from a copy without them, and against ended ones that the copy still has.
+func TestLedgerAcrossEras(t *testing.T) {
+	var led Ledger
+	now := time.Unix(1_000, 0)
+	qua := Quarantine{Pool: "llm", Parts: []string{"a"}, Generation: 1, Since: now}
+	led.Merge(Change{Quarantines: []Quarantine{qua}}, now)
+	led.MarkStored(qua.Name(), 1)
+	require.Empty(t, led.Unstored(1, now))
+	require.Len(t, led.Unstored(2, now), 1)
+	led.MarkStored(qua.Name(), 1)
+	require.Len(t, led.Unstored(2, now), 1, "the write of the earlier era was answered late")
+	led.MarkStored(qua.Name(), 2)
+	require.Empty(t, led.Unstored(2, now))
+
+	now = now.Add(Lifetime)
+	names := []string{qua.Name()}
+	require.Equal(t, names, led.EndedInStore(2, now))
+	require.Empty(t, led.EndedInStore(2, now))
+	require.Equal(t, names, led.EndedInStore(3, now.Add(10*time.Second)))
+	require.Empty(t, led.EndedInStore(3, now.Add(11*time.Second)))
+	require.Equal(t, names, led.EndedInStore(4, now.Add(70*time.Second)))
+	require.Empty(t, led.EndedInStore(5, now.Add(131*time.Second)), "copies are seconds old")
+}
--- a/process/registrar/registrar.go
+++ b/process/registrar/registrar.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// Era returns the latest era of the store of which this host has learned.
+func (reg *Registry) Era() uint64 {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	return reg.era
+}
+
 // rewriteEnd returns the time until which the store may still lack, or hold in an older version,
 // what its writers wrote in an earlier era. It is not before now.
 func (reg *Registry) rewriteEnd(now time.Time) time.Time {
