Count a peer's evacuations of an earlier era as over in a later one

A peer that has read all evacuations in a later era could name one of the earlier era, which then stayed in force: the era was entered only after its records were merged.

Change: the era is entered first, and such records don't keep one in force. The log line of a new era no longer says that the store has come back from a copy, which a host that has started with a peer of an earlier build can't know.

--- a/process/forwarder/updates.go
+++ b/process/forwarder/updates.go
@@ -128,7 +128,7 @@
 	}
 	fwd.scope.Counter("store_era_changes").Inc(1)
 	fwd.Log.Warn().Uint64("OldEra", cha.Old.Era).Uint64("OldRevision", cha.Old.Number).Uint64("Era", cha.New.Era).Uint64("Revision", cha.New.Number).
-		Int("Removed", cha.Removed).Str("From", from).Msg("store has come back from an older copy; its endpoints are in force, and those that it lacks get calls for two more seconds")
+		Int("Removed", cha.Removed).Str("From", from).Msg("store is in a later era; its endpoints are in force, and those that it lacks get calls for two more seconds")
 }
 
 // handleChanges logs changes of endpoints, refreshes the plans and queues the changes
--- a/process/forwarder/updates_test.go
+++ b/process/forwarder/updates_test.go
@@ -92,9 +92,9 @@
 		fwd.applyEndpoints(result, time.Now())
 	}
 	apply(1, 20, "a", "b")
-	require.NotContains(t, log.String(), "older copy")
+	require.NotContains(t, log.String(), "later era")
 	apply(2, 9, "a")
 	apply(2, 9, "a")
-	require.Equal(t, 1, strings.Count(log.String(), "older copy"))
+	require.Equal(t, 1, strings.Count(log.String(), "later era"))
 	require.Contains(t, log.String(), `"OldEra":1,"OldRevision":20,"Era":2,"Revision":9,"Removed":1`)
 }
--- a/process/registrar/era_test.go
+++ b/process/registrar/era_test.go
@@ -46,9 +46,7 @@
 		for line := range strings.SplitSeq(dat.Input, "\n") {
 			words := strings.Fields(line)
 			if words[0] == "pass" {
-				pause, err := time.ParseDuration(words[1])
-				require.NoError(t, err)
-				now = now.Add(pause)
+				now = now.Add(parsePause(t, words[1]))
 				for _, name := range words[2:] {
 					describe(words[0]+" "+words[1]+" "+name, hosts[name])
 				}
--- a/process/registrar/evacuation.go
+++ b/process/registrar/evacuation.go
@@ -95,15 +95,15 @@
 func (reg *Registry) mergeAllEvacuations(evas []Evacuation, revision Revision, now time.Time) []Evacuation {
 	all := slices.Clone(evas)
 	if revision.Era > reg.evacuations.revision.Era {
+		later := slices.DeleteFunc(slices.Clone(evas), func(eva Evacuation) bool { return eva.Revision.Era < revision.Era })
 		for dataCenter, old := range reg.evacuations.byDataCenter {
-			if old.Revision.Era < revision.Era && !names(all, dataCenter) {
+			if old.Revision.Era < revision.Era && !names(later, dataCenter) {
 				all = append(all, Evacuation{DataCenter: dataCenter, Revision: revision, Lifted: true})
 			}
 		}
 	}
-	updates := reg.mergeEvacuations(all, now)
 	reg.evacuations.revision = reg.evacuations.revision.Latest(revision)
-	return updates
+	return reg.mergeEvacuations(all, now)
 }
 
 func names(evas []Evacuation, dataCenter string) bool {
--- a/process/registrar/evacuation_test.go
+++ b/process/registrar/evacuation_test.go
@@ -29,6 +29,12 @@
 	return rev
 }
 
+func parsePause(t *testing.T, word string) time.Duration {
+	pause, err := time.ParseDuration(word)
+	require.NoError(t, err)
+	return pause
+}
+
 // parseEvacuations parses records such as a@3 and a@2/5-, which is lifted.
 func parseEvacuations(t *testing.T, words []string) []Evacuation {
 	var out []Evacuation
@@ -64,9 +70,7 @@
 			for line := range strings.SplitSeq(dat.Input, "\n") {
 				words := strings.Fields(line)
 				if words[0] == "pass" {
-					pause, err := time.ParseDuration(words[1])
-					require.NoError(t, err)
-					now = now.Add(pause)
+					now = now.Add(parsePause(t, words[1]))
 					for _, name := range []string{"one", "two"} {
 						fmt.Fprintf(&out, "%s: %s usable %v\n", line, name, ids(hosts[name].Usable("s", now)))
 					}
@@ -76,6 +80,8 @@
 				switch words[1] {
 				case "lists":
 					reg.MergeCompleteEvacuations(parseEvacuations(t, words[3:]), parseRevision(t, words[2]), now)
+				case "reads":
+					reg.MergePeerEvacuations(parseEvacuations(t, words[3:]), parseRevision(t, words[2]), now)
 				case "learns":
 					reg.MergeEvacuations(parseEvacuations(t, words[2:]), now)
 				case "pulls":
