Ignore a peer's evacuations whose era is out of range

The revision at which a peer has read all evacuations wasn't checked, unlike those of records and endpoints. With the greatest era all evacuations would be lifted, and none could come in force again.

Before / After: TestInvalidRevisionsOfPeers fails without the check (the evacuation is lifted) and passes with it.

--- a/process/forwarder/evacuations.go
+++ b/process/forwarder/evacuations.go
@@ -111,8 +111,8 @@
 		return
 	}
 	evas, now := registrar.EvacuationsOf(pus.GetEvacuations()), time.Now()
-	if pus.GetEvacuationsKnown() {
-		rev := registrar.Revision{Era: pus.GetEvacuationsEra(), Number: pus.GetEvacuationsRevision()}
+	rev := registrar.Revision{Era: pus.GetEvacuationsEra(), Number: pus.GetEvacuationsRevision()}
+	if pus.GetEvacuationsKnown() && rev.InRange() {
 		fwd.handleEvacuations(fwd.registry.MergePeerEvacuations(evas, rev, now), "peer")
 		return
 	}
--- a/process/forwarder/invalid_test.go
+++ b/process/forwarder/invalid_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hemlockpin/connection/messenger"
+	"hemlockpin/process/configurer"
 	"hemlockpin/process/follower"
 	"hemlockpin/process/registrar"
 
@@ -113,4 +114,11 @@
 		rev, _ := fwd.registry.Revision()
 		require.Equal(t, registrar.Revision{Number: 1}, rev)
 	}
+	fwd.Settings.EvacuateWithin, fwd.Platform.Evacuations = configurer.OptionalDuration(time.Second), noSource{}
+	fwd.registry.MergeEvacuations([]registrar.Evacuation{{DataCenter: "z", Revision: registrar.Revision{Number: 1}}}, time.Now())
+	fwd.mergePeerEvacuations(&messenger.EndpointsPush{EvacuationsKnown: true, EvacuationsRevision: 1, EvacuationsEra: math.MaxUint64})
+	evas, rev, _ := fwd.registry.Evacuations()
+	require.Len(t, evas, 1)
+	require.False(t, evas[0].Lifted)
+	require.Zero(t, rev)
 }
--- a/process/forwarder/watch_test.go
+++ b/process/forwarder/watch_test.go
@@ -28,6 +28,10 @@
 	return follower.Endpoints{}, nil
 }
 
+func (noSource) Evacuations(context.Context, registrar.Revision, time.Duration) (follower.Evacuations, error) {
+	return follower.Evacuations{}, nil
+}
+
 // newHost returns host number index of a cluster of the given number of hosts, with all
 // other hosts as its peers. limit is the time within which changes have to be in force.
 // Each twentieth host has 0.8 cores, the others 0.192.
